Read the settings through a lookup by path, so that JSON can feed the same names

ReadSettings took a line of the simulator's wire and nothing else, so a sidecar's configuration would have needed a second list of names. Fields now stands for named values from anywhere; wire::Line is one kind of it. Class names, zones, kinds of machine, the dial timeout and the open-request bound are read too.

--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -21,6 +21,7 @@
 enum class HostState { kLive, kDraining, kGone };
 
 struct RequestClass {
+  std::string name;
   double aim_ms = 0;       // an answer by then earns full worth
   double aim_stretch = 0;  // the aim grows by this multiple of the request's own work
   double deadline_ms = 0;  // the client's patience over all its tries
@@ -64,6 +65,11 @@
   double cross_zone_price = 0;
   double handshake_price = 0;     // for a new connection a request
   double connection_idle_ms = 0;  // an idle connection is closed after this
+  // What only the client proxy round the module goes by.
+  double dial_timeout_ms = 0;      // a connection not up by then counts as failed
+  int max_open = 0;                // requests held at once; 0: no such limit
+  std::vector<std::string> zones;  // names, by index
+  std::vector<std::string> kinds;  // of machines, likewise
 };
 
 struct HostEntry {
--- /dev/null
+++ b/src/fields.h
@@ -0,0 +1,48 @@
+// Named values, however they came: a line of the simulator's wire or a JSON object. Every reader of settings
+// and events goes through this, so that there is one list of names and one wording for what is wrong.
+#ifndef CARTSPRING_SRC_FIELDS_H_
+#define CARTSPRING_SRC_FIELDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace cartspring {
+
+class ParseError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+std::string Quoted(std::string_view text);
+double ToNumber(std::string_view text, std::string_view field);
+std::uint64_t ToWhole(std::string_view text, std::string_view field);
+int ToIndex(std::uint64_t value, std::string_view field);
+bool ToFlag(std::string_view text, std::string_view field);
+
+template <typename Table>
+auto Lookup(const Table& table, std::string_view word, std::string_view what) {
+  for (const auto& [name, value] : table) {
+    if (name == word) return value;
+  }
+  throw ParseError("unknown " + std::string(what) + " " + Quoted(word));
+}
+
+class Fields {
+ public:
+  virtual ~Fields() = default;
+  virtual std::optional<std::string_view> Find(std::string_view field) const = 0;
+
+  std::string_view Text(std::string_view field) const;  // throws ParseError if absent
+  double Number(std::string_view field) const;
+  double Number(std::string_view field, double absent) const;
+  std::uint64_t Whole(std::string_view field) const;
+  std::uint64_t Whole(std::string_view field, std::uint64_t absent) const;
+  bool Flag(std::string_view field) const;  // absent: false
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_FIELDS_H_
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,14 @@
+// The settings as the simulator's first message and a sidecar's configuration both name them.
+#ifndef CARTSPRING_SRC_SETTINGS_H_
+#define CARTSPRING_SRC_SETTINGS_H_
+
+#include "cartspring/balancer.h"
+#include "fields.h"
+
+namespace cartspring {
+
+Settings ReadSettings(const Fields& fields);  // throws ParseError, which names the faulty key
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_SETTINGS_H_
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <charconv>
-#include <cmath>
 
 namespace cartspring::wire {
 namespace {
@@ -34,45 +33,6 @@
     {"not_sent", Outcome::kNotSent},
 }};
 
-std::string Quoted(std::string_view text) { return "'" + std::string(text.substr(0, 80)) + "'"; }
-
-template <typename Table>
-auto Lookup(const Table& table, std::string_view word, std::string_view what) {
-  for (const auto& [name, value] : table) {
-    if (name == word) return value;
-  }
-  throw ParseError("unknown " + std::string(what) + " " + Quoted(word));
-}
-
-double ToNumber(std::string_view text, std::string_view field) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) {
-    throw ParseError(std::string(field) + " is no number: " + Quoted(text));
-  }
-  return value;
-}
-
-std::uint64_t ToWhole(std::string_view text, std::string_view field) {
-  std::uint64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) {
-    throw ParseError(std::string(field) + " is no whole number: " + Quoted(text));
-  }
-  return value;
-}
-
-int ToIndex(std::uint64_t value, std::string_view field) {
-  if (value > 1'000'000) throw ParseError(std::string(field) + " is out of range: " + std::to_string(value));
-  return static_cast<int>(value);
-}
-
-bool ToFlag(std::string_view text, std::string_view field) {
-  if (text == "1" || text == "true") return true;
-  if (text == "0" || text == "false") return false;
-  throw ParseError(std::string(field) + " is neither 0 nor 1: " + Quoted(text));
-}
-
 LoadReport ToReport(std::string_view text) {
   LoadReport report;
   while (!text.empty()) {
@@ -95,26 +55,6 @@
   return ToReport(*text);
 }
 
-RequestClass ReadClass(const Line& line, const std::string& at) {
-  RequestClass out;
-  out.aim_ms = line.Number(at + "promiseMs");
-  out.aim_stretch = line.Number(at + "aimStretch", 0);
-  out.deadline_ms = line.Number(at + "deadlineMs");
-  out.worth = line.Number(at + "worth", 1);
-  out.late_worth = line.Number(at + "lateWorth", 0);
-  constexpr std::array<std::pair<std::string_view, Effect>, 3> kEffects = {
-      {{"free", Effect::kSafe}, {"guarded", Effect::kKeyed}, {"single_shot", Effect::kUnsafe}}};
-  constexpr std::array<std::pair<std::string_view, RepeatGroup>, 3> kGroups = {
-      {{"all", RepeatGroup::kAll}, {"zone", RepeatGroup::kZone}, {"cell", RepeatGroup::kCell}}};
-  out.effect = Lookup(kEffects, line.Text(at + "effect"), "effect");
-  if (out.effect == Effect::kKeyed) {
-    out.group = Lookup(kGroups, line.Text(at + "group"), "group");
-    out.repeat_window_ms = line.Number(at + "windowMs");
-  }
-  out.streaming = line.Flag(at + "streaming");
-  return out;
-}
-
 void AppendNumber(double value, std::string* out) {
   std::array<char, 32> buffer;
   const auto result =
@@ -151,74 +91,10 @@
   return std::nullopt;
 }
 
-std::string_view Line::Text(std::string_view field) const {
-  const auto value = Find(field);
-  if (!value || value->empty()) throw ParseError("no " + std::string(field));
-  return *value;
-}
-
-double Line::Number(std::string_view field) const { return ToNumber(Text(field), field); }
-
-double Line::Number(std::string_view field, double absent) const {
-  const auto value = Find(field);
-  return value ? ToNumber(*value, field) : absent;
-}
-
-std::uint64_t Line::Whole(std::string_view field) const { return ToWhole(Text(field), field); }
-
-std::uint64_t Line::Whole(std::string_view field, std::uint64_t absent) const {
-  const auto value = Find(field);
-  return value ? ToWhole(*value, field) : absent;
-}
-
-bool Line::Flag(std::string_view field) const {
-  const auto value = Find(field);
-  return value && ToFlag(*value, field);
-}
-
 std::string_view Instance(const Line& line) { return line.Text("proxy"); }
 
 BatchOpen ReadBatchOpen(const Line& line) { return {line.Number("clockMs"), std::string(line.Text("turn"))}; }
 
-Settings ReadSettings(const Line& line) {
-  Settings out;
-  for (std::uint64_t i = 0, count = line.Whole("services.count"); i < count; ++i) {
-    out.classes.push_back(ReadClass(line, "services." + std::to_string(i) + "."));
-  }
-  for (std::uint64_t i = 0, count = line.Whole("tenants.count", 0); i < count; ++i) {
-    const std::string at = "tenants." + std::to_string(i) + ".";
-    out.tenants.push_back({line.Number(at + "portion", 0), line.Number(at + "quotaRps", 0)});
-  }
-  constexpr std::array<std::pair<std::string_view, Reporting>, 3> kReporting = {
-      {{"answers", Reporting::kAnswers}, {"probe", Reporting::kProbe}, {"none", Reporting::kNone}}};
-  out.reporting = Lookup(kReporting, line.Text("feedback.via"), "feedback.via");
-  out.own_zone = ToIndex(line.Whole("az", 0), "az");
-  out.balancers = ToIndex(line.Whole("balancers", 1), "balancers");
-  out.tick_ms = line.Number("tickMs", 1);
-  const auto weights = line.Find("weights").value_or("none");
-  out.weights_known = weights == "nominal" || weights == "rough";
-  out.may_probe = line.Flag("bounds.probes");
-  out.may_cancel = line.Flag("bounds.mayCancel");
-  out.may_duplicate = line.Flag("bounds.mayDuplicate");
-  out.may_advise_retry = line.Flag("bounds.retryAfter");
-  out.must_subscribe = line.Find("discovery").value_or("automatic") == "subscribe";
-  out.max_attempts = ToIndex(line.Whole("bounds.sendCap"), "bounds.sendCap");
-  out.max_retry_after_ms = line.Number("bounds.maxRetryAfterMs", 0);
-  out.worth_by_work = line.Find("worthBy").value_or("request") == "work";
-  out.over_share_worth = line.Number("overShareWorth", 1);
-  out.ask_within_ms = line.Number("contract.askWithinMs", 0);
-  out.drain_grace_ms = line.Number("contract.drainGraceMs", 0);
-  out.cold_from = line.Number("contract.coldFrom", 1);
-  out.warm_within_ms = line.Number("contract.warmWithinMs", 0);
-  out.fall_multiple = line.Number("contract.fallMultiple", 1);
-  out.fall_ms = line.Number("contract.fallMs", 0);
-  out.probe_price = line.Number("prices.probe", 0);
-  out.handshake_price = line.Number("prices.handshake", 0);
-  out.connection_idle_ms = line.Number("bounds.connIdleMs", 0);
-  out.cross_zone_price = line.Number("prices.crossZone", 0);
-  return out;
-}
-
 std::uint64_t ReadSeed(const Line& line) { return line.Whole("randomSeed"); }
 std::uint64_t ReadListNumber(const Line& line) { return line.Whole("sheet"); }
 std::uint64_t ReadListRows(const Line& line) { return line.Whole("rows"); }
--- a/src/wire.h
+++ b/src/wire.h
@@ -4,22 +4,19 @@
 
 #include <cstdint>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "cartspring/balancer.h"
+#include "fields.h"
+#include "settings.h"
 
 namespace cartspring::wire {
 
-// What was wrong with a line; the reader of batches adds which line it was.
-class ParseError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using cartspring::ParseError;  // what was wrong with a line; the reader of batches adds which line it was
+using cartspring::ReadSettings;
 
 enum class Kind {
   kBatchOpen,
@@ -39,20 +36,14 @@
 };
 
 // One line, split but not yet read. Views point into the line.
-class Line {
+class Line : public Fields {
  public:
   explicit Line(std::string_view text);
   Kind kind() const { return kind_; }
   std::string_view name() const { return name_; }
   const std::vector<std::pair<std::string_view, std::string_view>>& fields() const { return fields_; }
 
-  std::optional<std::string_view> Find(std::string_view field) const;
-  std::string_view Text(std::string_view field) const;  // throws ParseError if absent
-  double Number(std::string_view field) const;
-  double Number(std::string_view field, double absent) const;
-  std::uint64_t Whole(std::string_view field) const;
-  std::uint64_t Whole(std::string_view field, std::uint64_t absent) const;
-  bool Flag(std::string_view field) const;  // absent: false
+  std::optional<std::string_view> Find(std::string_view field) const override;
 
  private:
   std::string_view name_;
@@ -86,7 +77,6 @@
 
 std::string_view Instance(const Line& line);
 BatchOpen ReadBatchOpen(const Line& line);
-Settings ReadSettings(const Line& line);
 std::uint64_t ReadSeed(const Line& line);
 std::uint64_t ReadListNumber(const Line& line);
 std::uint64_t ReadListRows(const Line& line);
