--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -67,7 +67,6 @@
   double connection_idle_ms = 0;  // an idle connection is closed after this
   // What only the client proxy round the module goes by.
   double dial_timeout_ms = 0;      // a connection not up by then counts as failed
-  int max_open = 0;                // requests held at once; 0: no such limit
   std::vector<std::string> zones;  // names, by index
   std::vector<std::string> kinds;  // of machines, likewise
 };
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,53 @@
+// The one place where configuration is read, checked and given defaults.
+#ifndef BITTERNMUX_SRC_CONFIG_H_
+#define BITTERNMUX_SRC_CONFIG_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+#include "cartspring/balancer.h"
+#include "fields.h"
+
+namespace bitternmux {
+
+// Names the faulty key first.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// A JSON object seen as the flat fields that the settings are read from: 'a.b' for nested values, 'a.count'
+// and 'a.0.b' for a list of objects, and a list of plain values joined with commas.
+class JsonFields : public cartspring::Fields {
+ public:
+  explicit JsonFields(const nlohmann::json& object) { Flatten("", object); }
+  std::optional<std::string_view> Find(std::string_view field) const override;
+
+ private:
+  void Flatten(const std::string& path, const nlohmann::json& value);
+  std::map<std::string, std::string, std::less<>> values_;
+};
+
+struct Config {
+  std::string name;
+  std::string listen, discovery;  // ip:port
+  std::uint64_t seed = 0;
+  int sockets = 1024;
+  nlohmann::json known;  // the remembered list in discovery's form; null if there is none
+  cartspring::Settings settings;
+};
+
+using Environment = std::function<const char*(const char* name)>;
+
+// From the variables and the file that they name; throws ConfigError.
+Config ReadConfig(const Environment& environment);
+Config ReadConfig(const nlohmann::json& json, const Environment& environment);
+
+}  // namespace bitternmux
+
+#endif  // BITTERNMUX_SRC_CONFIG_H_
--- /dev/null
+++ b/src/core/job_table.h
@@ -0,0 +1,104 @@
+// The jobs that the sidecar holds, from their last byte to their one final answer, whatever front brought
+// them.
+#ifndef BITTERNMUX_SRC_CORE_JOB_TABLE_H_
+#define BITTERNMUX_SRC_CORE_JOB_TABLE_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "core/machine_list.h"
+#include "facade.h"
+
+namespace bitternmux {
+
+// A job as its submitter gave it. What goes on to the execute node is carried, not read.
+struct Job {
+  std::string request_id, method, target, content_type, body;
+  int klass = 0;
+  double patience_ms = 0;  // how long the submitter waits, from the job's last byte
+  double work_hint_ms = 0;
+  bool client_retry = false;
+};
+
+struct Answer {
+  enum class Kind { kServed, kRefused, kFailed, kTimedOut };
+  Kind kind = Kind::kFailed;
+  std::string body, content_type;  // kServed
+  double retry_after_ms = 0;       // kRefused: 0 for no advice
+};
+using Answerer = std::function<void(Answer)>;
+
+// One attempt of a job on one execute node.
+struct Claim {
+  JobId job = 0;
+  int number = 0;
+  std::string node, address;
+  double until_ms = 0;
+};
+
+// What became of it.
+struct ClaimEnd {
+  cartspring::Outcome outcome = cartspring::Outcome::kTimeout;
+  std::string body, content_type;
+  std::optional<cartspring::LoadReport> load;
+};
+
+// Who carries claims to the execute nodes. The end of a claim is told to the job table later, never from
+// within Start, and not at all once the claim was given up.
+class ClaimRunner {
+ public:
+  virtual ~ClaimRunner() = default;
+  virtual void Start(const Claim& claim, const Job& job) = 0;
+  virtual void GiveUp(JobId job, int number) = 0;
+  virtual void Probe(const std::string& node, const std::string& address) = 0;
+};
+
+class JobTable {
+ public:
+  JobTable(const cartspring::Settings& settings, Facade& facade, const MachineList& machines)
+      : settings_(settings), facade_(facade), machines_(machines) {}
+  void Attach(ClaimRunner& runner, std::function<void()> watch_discovery) {
+    runner_ = &runner;
+    watch_discovery_ = std::move(watch_discovery);
+  }
+
+  // Takes a job on. The answerer is called once, maybe before this returns, unless the submitter leaves
+  // first.
+  JobId Take(double now_ms, Job job, Answerer answerer);
+  void SubmitterLeft(double now_ms, JobId id);
+  void ClaimEnded(double now_ms, const Claim& claim, ClaimEnd end);
+  void NodeProbed(double now_ms, const std::string& node, bool answered, double took_ms,
+                  const std::optional<cartspring::LoadReport>& load);
+  // Carries out what the module wants done by now. Due at each turn of the wheel and after every facade call.
+  void Tick(double now_ms);
+
+  std::size_t held() const { return held_.size(); }
+
+ private:
+  struct Held {
+    Job job;
+    Answerer answerer;
+    double give_up_ms = 0;
+    int claims = 0;               // sent so far
+    double claim_sent_ms = 0;     // when the last of them was
+    bool last_timed_out = false;  // it ran out of time
+  };
+
+  void Apply(double now_ms, JobId id, const Verdict& verdict);
+  void Send(double now_ms, JobId id, Held& held, const Verdict& verdict);
+  void Finish(JobId id, Answer answer);
+
+  const cartspring::Settings& settings_;
+  Facade& facade_;
+  const MachineList& machines_;
+  ClaimRunner* runner_ = nullptr;
+  std::function<void()> watch_discovery_;
+  JobId last_id_ = 0;
+  std::unordered_map<JobId, Held> held_;
+};
+
+}  // namespace bitternmux
+
+#endif  // BITTERNMUX_SRC_CORE_JOB_TABLE_H_
--- /dev/null
+++ b/src/core/machine_list.h
@@ -0,0 +1,58 @@
+// Discovery's list as this sidecar holds it: who the execute nodes are and where to reach them.
+#ifndef BITTERNMUX_SRC_CORE_MACHINE_LIST_H_
+#define BITTERNMUX_SRC_CORE_MACHINE_LIST_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cartspring/balancer.h"
+
+namespace bitternmux {
+
+// One entry as discovery words it, before its names are turned into indexes and its time into our clock's.
+struct Machine {
+  std::string id;
+  std::string address;  // ip:port
+  std::string zone, kind;
+  int cell = 0;
+  cartspring::HostState state = cartspring::HostState::kLive;
+  double size = 1;
+  double up_since_ms = 0;  // Unix time; 0: long ago
+};
+
+struct MachineUpdate {
+  std::int64_t revision = 0;
+  bool complete = false;
+  std::vector<Machine> machines;
+};
+
+class MachineList {
+ public:
+  explicit MachineList(const cartspring::Settings& settings)
+      : zones_(settings.zones), kinds_(settings.kinds) {}
+
+  // Takes in an update and gives the module's view of its entries. `unix_ahead_ms`: Unix time less our clock.
+  std::vector<cartspring::HostEntry> Apply(const MachineUpdate& update, double unix_ahead_ms);
+
+  std::int64_t revision() const { return revision_; }
+  const std::string& AddressOf(const std::string& id) const;  // empty: not known
+  bool IsLive(const std::string& id) const;
+
+ private:
+  struct Known {
+    std::string address;
+    double up_since_ms = 0;
+    double started_ms = 0;
+    bool live = false;
+  };
+
+  std::vector<std::string> zones_, kinds_;
+  std::int64_t revision_ = 0;
+  std::unordered_map<std::string, Known> known_;
+};
+
+}  // namespace bitternmux
+
+#endif  // BITTERNMUX_SRC_CORE_MACHINE_LIST_H_
--- /dev/null
+++ b/src/http/parser.cpp
@@ -0,0 +1,246 @@
+#include "http/parser.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bitternmux::http {
+namespace {
+
+constexpr std::size_t kMaxHeaders = 100;
+
+char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+
+std::string Lower(std::string_view text) {
+  std::string out(text);
+  for (char& c : out) c = Lower(c);
+  return out;
+}
+
+bool IsToken(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+    return (c >= '0' && c <= '9') || (Lower(c) >= 'a' && Lower(c) <= 'z') || kMarks.find(c) != kMarks.npos;
+  });
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == text.npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool HasControls(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte < 0x20 && c != '\t') || byte == 0x7f;
+  });
+}
+
+// Is the word one of the comma-separated ones?
+bool Lists(std::string_view value, std::string_view word) {
+  while (!value.empty()) {
+    const auto comma = value.find(',');
+    if (Lower(Trim(value.substr(0, comma))) == word) return true;
+    value = comma == value.npos ? std::string_view() : value.substr(comma + 1);
+  }
+  return false;
+}
+
+}  // namespace
+
+std::optional<std::uint64_t> WholeNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  if (text.empty() || text[0] < '0' || text[0] > '9') return std::nullopt;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::optional<std::string_view> Message::Find(std::string_view name) const {
+  for (const auto& [key, value] : headers) {
+    if (key == name) return value;
+  }
+  return std::nullopt;
+}
+
+std::size_t Message::Count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(),
+                                                [&](const auto& header) { return header.first == name; }));
+}
+
+void Parser::Reset() {
+  state_ = State::kFirstLine;
+  body_ = Body::kNone;
+  http_1_0_ = false;
+  head_bytes_ = scanned_ = left_ = 0;
+  error_ = 0;
+  message_ = {};
+}
+
+Progress Parser::Parse(Buffer& in) {
+  while (state_ != State::kDone) {
+    if (state_ == State::kBody || state_ == State::kChunk) {
+      TakeBytes(in);
+      if (body_ == Body::kUntilEnd) return message_.body.size() > max_body_ ? Bad(413) : Progress::kMore;
+      if (left_ > 0) return Progress::kMore;
+      state_ = state_ == State::kBody ? State::kDone : State::kChunkEnd;
+      continue;
+    }
+    const auto line = Line(in);
+    if (!line) return error_ != 0 ? Progress::kBad : Progress::kMore;
+    bool good = true;
+    switch (state_) {
+      case State::kFirstLine:
+        // A stray empty line before a message is passed over, as RFC 9112 asks.
+        if (!line->empty()) good = FirstLine(*line);
+        break;
+      case State::kHeaders:
+        good = line->empty() ? HeadEnds() : HeaderLine(*line);
+        break;
+      case State::kChunkSize:
+        good = ChunkSize(*line);
+        break;
+      case State::kChunkEnd:
+        good = line->empty();
+        state_ = State::kChunkSize;
+        break;
+      case State::kTrailer:
+        if (line->empty()) state_ = State::kDone;
+        break;
+      default:
+        break;
+    }
+    // The view into the buffer ends here.
+    in.Consume(line->size() + 2);
+    if (!good) return Bad(error_ != 0 ? error_ : 400);
+  }
+  return Progress::kDone;
+}
+
+std::optional<std::string_view> Parser::Line(Buffer& in) {
+  const std::string_view data = in.Data();
+  const auto end = data.find('\n', scanned_);
+  const std::size_t length = end == data.npos ? data.size() : end + 1;
+  if (head_bytes_ + length > kMaxHead) {
+    error_ = 431;
+    return std::nullopt;
+  }
+  if (end == data.npos) {
+    scanned_ = data.size();
+    return std::nullopt;
+  }
+  scanned_ = 0;
+  const std::string_view line = data.substr(0, end);
+  if (line.empty() || line.back() != '\r') {
+    error_ = 400;
+    return std::nullopt;
+  }
+  // Chunk sizes are no part of the head: a long stream has any number of them.
+  if (state_ <= State::kHeaders || state_ == State::kTrailer) head_bytes_ += length;
+  return line.substr(0, line.size() - 1);
+}
+
+bool Parser::FirstLine(std::string_view line) {
+  const auto first = line.find(' ');
+  if (first == line.npos || HasControls(line)) return false;
+  std::string_view version;
+  if (role_ == Role::kRequest) {
+    const auto last = line.rfind(' ');
+    if (last == first) return false;
+    message_.method = line.substr(0, first);
+    message_.target = line.substr(first + 1, last - first - 1);
+    version = line.substr(last + 1);
+    if (!IsToken(message_.method) || message_.target.empty()) return false;
+    if (message_.target[0] != '/' || message_.target.find(' ') != std::string::npos) return false;
+  } else {
+    version = line.substr(0, first);
+    const auto status = WholeNumber(line.substr(first + 1, 3));
+    if (line.size() > first + 4 && line[first + 4] != ' ') return false;
+    if (!status || *status < 100 || *status > 599) return false;
+    message_.status = static_cast<int>(*status);
+  }
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
+  http_1_0_ = version == "HTTP/1.0";
+  state_ = State::kHeaders;
+  return true;
+}
+
+bool Parser::HeaderLine(std::string_view line) {
+  const auto colon = line.find(':');
+  if (colon == line.npos || !IsToken(line.substr(0, colon)) || HasControls(line)) return false;
+  if (message_.headers.size() >= kMaxHeaders) {
+    error_ = 431;
+    return false;
+  }
+  message_.headers.emplace_back(Lower(line.substr(0, colon)), Trim(line.substr(colon + 1)));
+  return true;
+}
+
+// Guards against smuggling: two lengths, both forms of length or a coding that is not known leave open where
+// the message ends, so it is not taken at all.
+bool Parser::HeadEnds() {
+  message_.keep_alive = !http_1_0_;
+  for (const auto& [name, value] : message_.headers) {
+    if (name != "connection") continue;
+    if (Lists(value, "close")) message_.keep_alive = false;
+    if (http_1_0_ && Lists(value, "keep-alive")) message_.keep_alive = true;
+  }
+  const std::size_t lengths = message_.Count("content-length"), codings = message_.Count("transfer-encoding");
+  if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0)) return false;
+  if (role_ == Role::kResponse) {
+    if (message_.status < 200) {  // an interim answer: the one that counts is still to come
+      state_ = State::kFirstLine;
+      message_ = {};
+      return true;
+    }
+    if (message_.status == 204 || message_.status == 304) {
+      state_ = State::kDone;
+      return true;
+    }
+  }
+  if (codings > 0) {
+    if (Lower(*message_.Find("transfer-encoding")) != "chunked") return false;
+    body_ = Body::kChunked;
+    state_ = State::kChunkSize;
+  } else if (lengths > 0) {
+    const auto length = WholeNumber(*message_.Find("content-length"));
+    if (!length) return false;
+    if (*length > max_body_) {
+      error_ = 413;
+      return false;
+    }
+    left_ = *length;
+    body_ = Body::kLength;
+    state_ = left_ > 0 ? State::kBody : State::kDone;
+  } else if (role_ == Role::kResponse) {
+    body_ = Body::kUntilEnd;
+    message_.keep_alive = false;
+    state_ = State::kBody;
+  } else {
+    state_ = State::kDone;
+  }
+  return true;
+}
+
+bool Parser::ChunkSize(std::string_view line) {
+  const std::string_view digits = Trim(line.substr(0, line.find(';')));
+  std::uint64_t size = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
+  if (digits.empty() || error != std::errc() || end != digits.data() + digits.size()) return false;
+  if (size > max_body_ || message_.body.size() + size > max_body_) {
+    error_ = 413;
+    return false;
+  }
+  left_ = size;
+  state_ = size > 0 ? State::kChunk : State::kTrailer;
+  return true;
+}
+
+void Parser::TakeBytes(Buffer& in) {
+  const std::size_t count = body_ == Body::kUntilEnd ? in.size() : std::min(left_, in.size());
+  message_.body.append(in.Data().substr(0, count));
+  in.Consume(count);
+  if (body_ != Body::kUntilEnd) left_ -= count;
+}
+
+}  // namespace bitternmux::http
--- /dev/null
+++ b/src/http/parser.h
@@ -0,0 +1,85 @@
+// An incremental HTTP/1.1 parser for one message at a time, from either side.
+#ifndef BITTERNMUX_SRC_HTTP_PARSER_H_
+#define BITTERNMUX_SRC_HTTP_PARSER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "http/buffer.h"
+
+namespace bitternmux::http {
+
+constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxHead = 16 * 1024;
+
+struct Message {
+  std::string method, target;  // of a request
+  int status = 0;              // of a response
+  bool keep_alive = true;
+  std::vector<std::pair<std::string, std::string>> headers;  // names in lower case
+  std::string body;
+
+  // The header's value; none if it is absent. Whoever must not take either of two asks Count first.
+  std::optional<std::string_view> Find(std::string_view name) const;
+  std::size_t Count(std::string_view name) const;
+};
+
+enum class Role { kRequest, kResponse };
+enum class Progress { kMore, kDone, kBad };
+
+class Parser {
+ public:
+  explicit Parser(Role role, std::size_t max_body = kMaxBody) : role_(role), max_body_(max_body) {}
+
+  // Takes what it can from the buffer. After kDone the rest of the buffer belongs to the next message.
+  Progress Parse(Buffer& in);
+  // The peer ends its sending: only a response without a length is whole by that.
+  Progress Ended() const { return body_ == Body::kUntilEnd ? Progress::kDone : Progress::kBad; }
+  void Reset();
+
+  const Message& message() const { return message_; }
+  Message Take() { return std::move(message_); }
+  bool started() const { return state_ != State::kFirstLine || head_bytes_ > 0; }
+  bool head_read() const { return state_ >= State::kBody; }
+  int error() const { return error_; }  // after kBad on a request: the status to answer with
+  // Of a response that goes on and on: the body's bytes so far, which are then forgotten.
+  std::string TakeBody() { return std::exchange(message_.body, {}); }
+
+ private:
+  enum class State { kFirstLine, kHeaders, kBody, kChunkSize, kChunk, kChunkEnd, kTrailer, kDone };
+  enum class Body { kNone, kLength, kChunked, kUntilEnd };
+
+  Progress Bad(int status) {
+    error_ = status;
+    return Progress::kBad;
+  }
+  std::optional<std::string_view> Line(Buffer& in);  // without its end; none yet, or error_ is set
+  bool FirstLine(std::string_view line);
+  bool HeaderLine(std::string_view line);
+  bool HeadEnds();
+  bool ChunkSize(std::string_view line);
+  void TakeBytes(Buffer& in);
+
+  const Role role_;
+  const std::size_t max_body_;
+  State state_ = State::kFirstLine;
+  Body body_ = Body::kNone;
+  bool http_1_0_ = false;
+  std::size_t head_bytes_ = 0;
+  std::size_t scanned_ = 0;  // of the line that is not whole yet
+  std::size_t left_ = 0;     // of the body or chunk
+  int error_ = 0;
+  Message message_;
+};
+
+// A whole number of nothing but digits; none for anything else, or above what fits.
+std::optional<std::uint64_t> WholeNumber(std::string_view text);
+
+}  // namespace bitternmux::http
+
+#endif  // BITTERNMUX_SRC_HTTP_PARSER_H_
--- /dev/null
+++ b/src/net/discovery_watch.cpp
@@ -0,0 +1,141 @@
+#include "net/discovery_watch.h"
+
+#include <boost/asio/coroutine.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "http/parser.h"
+#include "net/protocol.h"
+// Last: defines reenter and yield.
+#include <boost/asio/yield.hpp>
+
+namespace bitternmux::net {
+namespace {
+
+constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
+// A line comes every 2 s at the least. Guards against a connection that stays open and silent, as it does
+// when the network is cut: without this the list would age unnoticed.
+constexpr double kSilenceMs = 4500;
+
+}  // namespace
+
+class DiscoveryWatch::Call : public std::enable_shared_from_this<Call>, private asio::coroutine {
+ public:
+  explicit Call(DiscoveryWatch& watch) : watch_(watch), runtime_(watch.runtime_), socket_(runtime_.strand) {}
+
+  void Start() {
+    Heard();
+    Run();
+  }
+
+  void Close() {
+    closed_ = true;
+    runtime_.wheel.Cancel(silence_);
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+ private:
+  void Run(const error_code& error = {}, std::size_t count = 0) {
+    if (closed_) return;
+    if (error) return Break(error.message());
+    reenter(this) {
+      yield socket_.async_connect(EndpointOf(watch_.address_),
+                                  [self = shared_from_this()](const error_code& e) { self->Run(e); });
+      out_ = WriteWatch(watch_.address_, watch_.machines_.revision());
+      yield asio::async_write(socket_, asio::buffer(out_), Resume());
+      while (!closed_) {
+        yield socket_.async_read_some(asio::buffer(buffer_.Prepare(kReadSize), kReadSize), Resume());
+        buffer_.Commit(count);
+        Heard();
+        Read();
+      }
+    }
+  }
+
+  std::function<void(const error_code&, std::size_t)> Resume() {
+    return [self = shared_from_this()](const error_code& e, std::size_t count) { self->Run(e, count); };
+  }
+
+  void Heard() {
+    runtime_.wheel.Cancel(silence_);
+    silence_ = runtime_.wheel.Add(runtime_.now_ms() + kSilenceMs,
+                                  [self = shared_from_this()] { self->Break("nothing heard"); });
+  }
+
+  void Read() {
+    const http::Progress progress = parser_.Parse(buffer_);
+    if (progress == http::Progress::kBad) return Break("the answer cannot be read");
+    if (!parser_.head_read()) return;
+    if (parser_.message().status != 200) return Break("status " + std::to_string(parser_.message().status));
+    text_ += parser_.TakeBody();
+    std::size_t begin = 0;
+    for (auto end = text_.find('\n'); end != text_.npos && !closed_; end = text_.find('\n', begin)) {
+      Line(text_.substr(begin, end - begin));
+      begin = end + 1;
+    }
+    text_.erase(0, begin);
+    if (closed_) return;
+    if (text_.size() > kLongestLine) return Break("a line is too long");
+    if (progress == http::Progress::kDone) Break("the answer ended");
+  }
+
+  void Line(std::string_view line) {
+    MachineUpdate update;
+    if (line.find_first_not_of(" \t\r") == line.npos) {
+      if (answered_) return;
+      // The first line may be the one that says that all is as it was.
+      update.revision = watch_.machines_.revision();
+    } else {
+      // Guards the list held: a line that cannot be read changes nothing, and the next watch asks from the
+      // version before it.
+      try {
+        update = ReadMachineUpdate(nlohmann::json::parse(line));
+      } catch (const std::exception& error) {
+        return Break(error.what());
+      }
+    }
+    answered_ = true;
+    watch_.updated_(update);
+  }
+
+  void Break(const std::string& why) {
+    if (closed_) return;
+    std::cerr << "discovery: the watch broke: " << why << "\n";
+    Close();
+    watch_.call_.reset();
+    watch_.broken_();
+  }
+
+  DiscoveryWatch& watch_;
+  Runtime& runtime_;
+  tcp::socket socket_;
+  std::string out_;
+  http::Buffer buffer_;
+  http::Parser parser_{http::Role::kResponse, kLongestLine};
+  std::string text_;  // the line that is not whole yet
+  bool answered_ = false;
+  bool closed_ = false;
+  TimerWheel::Id silence_ = 0;
+};
+
+DiscoveryWatch::DiscoveryWatch(Runtime& runtime, std::string address, const MachineList& machines,
+                               Updated updated, std::function<void()> broken)
+    : runtime_(runtime),
+      address_(std::move(address)),
+      machines_(machines),
+      updated_(std::move(updated)),
+      broken_(std::move(broken)) {}
+
+DiscoveryWatch::~DiscoveryWatch() = default;
+
+void DiscoveryWatch::Watch() {
+  if (call_) call_->Close();
+  call_ = std::make_shared<Call>(*this);
+  call_->Start();
+}
+
+}  // namespace bitternmux::net
+
+#include <boost/asio/unyield.hpp>
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -75,7 +75,6 @@
   out.connection_idle_ms = fields.Number("bounds.connIdleMs", 0);
   out.cross_zone_price = fields.Number("prices.crossZone", 0);
   out.dial_timeout_ms = fields.Number("bounds.dialTimeoutMs", 0);
-  out.max_open = ToIndex(fields.Whole("bounds.maxOpen", 0), "bounds.maxOpen");
   out.zones = Names(fields.Find("zones").value_or(""));
   out.kinds = Names(fields.Find("models").value_or(""));
   return out;
--- /dev/null
+++ b/src/sidecar_main.cpp
@@ -0,0 +1,149 @@
+// The real sidecar: wires the parts together, turns the wheel, and minds signals and the exit code.
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+
+#include "config.h"
+#include "core/job_table.h"
+#include "core/machine_list.h"
+#include "core/timer_wheel.h"
+#include "facade.h"
+#include "net/discovery_watch.h"
+#include "net/node_pool.h"
+#include "net/protocol.h"
+#include "net/runtime.h"
+#include "net/submitter_server.h"
+
+namespace bitternmux {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr double kTickMs = 2;
+constexpr int kOtherDescriptors = 24;     // standard streams, listener, watch, reactor, and some to spare
+constexpr double kRestartWindowMs = 500;  // new connections may come for so long after SIGTERM
+constexpr double kLastAnswersMs = 600;    // beyond the longest deadline; after that nobody waits any more
+
+double NowMs() {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+double UnixAheadMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count() - NowMs();
+}
+
+// Most connections of either side, so that both together stay under the descriptors that there are.
+std::size_t ConnectionsASide(int sockets) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    sockets = static_cast<int>(std::min<rlim_t>(static_cast<rlim_t>(sockets), limit.rlim_cur));
+  }
+  return static_cast<std::size_t>(std::max(4, (sockets - kOtherDescriptors) / 2));
+}
+
+class Sidecar {
+ public:
+  Sidecar(asio::io_context& io, const Config& config)
+      : config_(config),
+        io_(io),
+        wheel_(NowMs(), kTickMs),
+        runtime_{asio::make_strand(io), NowMs, wheel_},
+        facade_(config.settings, config.seed),
+        machines_(config.settings),
+        jobs_(config_.settings, facade_, machines_),
+        pool_(runtime_, jobs_, config_.settings, ConnectionsASide(config.sockets)),
+        watch_(
+            runtime_, config.discovery, machines_, [this](const MachineUpdate& update) { Updated(update); },
+            [this] {
+              facade_.WatchBroken(NowMs());
+              jobs_.Tick(NowMs());
+            }),
+        server_(runtime_, jobs_, config_.settings, ConnectionsASide(config.sockets)),
+        turn_(runtime_.strand),
+        signals_(runtime_.strand, SIGTERM, SIGINT) {
+    jobs_.Attach(pool_, [this] { watch_.Watch(); });
+  }
+
+  void Start() {
+    MachineUpdate known;
+    try {
+      if (!config_.known.is_null()) known = net::ReadMachineUpdate(config_.known);
+    } catch (const net::ListError& error) {
+      throw ConfigError(std::string("known.") + error.what());
+    }
+    known.complete = true;
+    facade_.MachinesRemembered(NowMs(), machines_.Apply(known, UnixAheadMs()));
+    jobs_.Tick(NowMs());
+    server_.Listen(net::EndpointOf(config_.listen));
+    Turn();
+    signals_.async_wait([this](const boost::system::error_code& error, int) {
+      if (!error) Stop();
+    });
+    std::cerr << config_.name << ": serving at " << server_.address() << "\n";
+  }
+
+ private:
+  void Turn() {
+    wheel_.Turn(NowMs());  // claims that ran out of time are told before the module's own timers ring
+    jobs_.Tick(NowMs());
+    turn_.expires_after(std::chrono::microseconds(static_cast<int>(kTickMs * 1000)));
+    turn_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) Turn();
+    });
+  }
+
+  void Updated(const MachineUpdate& update) {
+    const auto entries = machines_.Apply(update, UnixAheadMs());
+    update.complete ? facade_.MachinesListed(NowMs(), entries) : facade_.MachinesChanged(NowMs(), entries);
+    pool_.Prune(machines_);
+    jobs_.Tick(NowMs());
+  }
+
+  // A planned restart: clients go on for a while with the connections they have and new ones, and all that is
+  // held gets its answer.
+  void Stop() {
+    std::cerr << config_.name << ": told to stop, " << jobs_.held() << " jobs held\n";
+    wheel_.Add(NowMs() + kRestartWindowMs, [this] { server_.Close([this] { io_.stop(); }); });
+    double longest = 0;
+    for (const auto& klass : config_.settings.classes) longest = std::max(longest, klass.deadline_ms);
+    wheel_.Add(NowMs() + longest + kLastAnswersMs, [this] { io_.stop(); });
+  }
+
+  const Config config_;
+  asio::io_context& io_;
+  TimerWheel wheel_;
+  net::Runtime runtime_;
+  Facade facade_;
+  MachineList machines_;
+  JobTable jobs_;
+  net::NodePool pool_;
+  net::DiscoveryWatch watch_;
+  net::SubmitterServer server_;
+  asio::steady_timer turn_;
+  asio::signal_set signals_;
+};
+
+}  // namespace
+}  // namespace bitternmux
+
+int main() {
+  try {
+    const auto config = bitternmux::ReadConfig([](const char* name) { return std::getenv(name); });
+    boost::asio::io_context io(1);
+    bitternmux::Sidecar sidecar(io, config);
+    sidecar.Start();
+    io.run();
+  } catch (const bitternmux::ConfigError& error) {
+    std::cerr << "configuration: " << error.what() << "\n";
+    return 2;
+  } catch (const std::exception& error) {
+    std::cerr << "bitternmux: " << error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
