--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -152,8 +152,12 @@
     // The connection is back in the pool, or closed, before anyone hears of it and may want one.
     if (reusable) {
       idle_since_ms_ = runtime_.now_ms();
-      idle_timer_ = runtime_.wheel.Add(idle_since_ms_ + kIdleShare * pool_.settings_.connection_idle_ms,
-                                       [self = shared_from_this()] { self->Close(); });
+      // Retired well before the node closes it: a request that crosses such a close ends as a reset.
+      const double retire_ms = kIdleShare * pool_.settings_.connection_idle_ms;
+      if (retire_ms > 0) {
+        idle_timer_ =
+            runtime_.wheel.Add(idle_since_ms_ + retire_ms, [self = shared_from_this()] { self->Close(); });
+      }
       pool_.Idles(shared_from_this());
     } else {
       Close();
--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -183,7 +183,7 @@
 
 double NumberField(const nlohmann::json& object, const char* key, double absent, const std::string& at) {
   const auto found = object.find(key);
-  if (found == object.end()) return absent;
+  if (found == object.end() || found->is_null()) return absent;
   if (!found->is_number() || !std::isfinite(found->get<double>()) || found->get<double>() < 0) {
     throw ListError(at + key + ": must be a number of 0 or more");
   }
@@ -216,8 +216,8 @@
   }
   out.address = TextField(json, "host_port", at);
   if (!IsAddress(out.address)) throw ListError(at + "host_port: no ip:port: '" + out.address + "'");
-  if (json.contains("locality")) out.zone = TextField(json, "locality", at);
-  if (json.contains("flavor")) out.kind = TextField(json, "flavor", at);
+  out.zone = json.value("locality", nlohmann::json()).is_null() ? "" : TextField(json, "locality", at);
+  out.kind = json.value("flavor", nlohmann::json()).is_null() ? "" : TextField(json, "flavor", at);
   out.cell = static_cast<int>(std::min(1e6, NumberField(json, "cell", 0, at)));
   out.size = NumberField(json, "size", 1, at);
   out.up_since_ms = NumberField(json, "up_since_ms", 0, at);
--- a/src/sidecar_main.cpp
+++ b/src/sidecar_main.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -132,6 +133,8 @@
 }  // namespace bitternmux
 
 int main() {
+  // Guards against the end of whoever reads the log: a line nobody takes must not end the program.
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     const auto config = bitternmux::ReadConfig([](const char* name) { return std::getenv(name); });
     boost::asio::io_context io(1);
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,228 @@
+// The sidecar's parts without sockets of their own: buffer and parser, wheel, machine list, facade, job
+// table; and the watch with a clock that the test turns.
+#include <catch2/catch.hpp>
+
+#include "config.h"
+#include "core/job_table.h"
+#include "core/timer_wheel.h"
+#include "facade.h"
+#include "http/parser.h"
+#include "net/discovery_watch.h"
+#include "net/protocol.h"
+#include "peers.h"
+#include "settings.h"
+
+namespace bitternmux {
+namespace {
+
+using cartspring::HostState;
+using cartspring::Outcome;
+
+cartspring::Settings Settings() { return cartspring::ReadSettings(JsonFields(peers::TestSettings())); }
+
+void Fill(http::Buffer& buffer, std::string_view text) {
+  std::copy(text.begin(), text.end(), buffer.Prepare(text.size()));
+  buffer.Commit(text.size());
+}
+
+}  // namespace
+
+TEST_CASE("a message is the same however its bytes are split, and the next one is left alone") {
+  const std::string text =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5;x=y\r\nhello\r\nB\r\n, quotation\r\n0\r\nTrailer: 1\r\n\r\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    http::Parser parser(http::Role::kResponse);
+    http::Buffer buffer;
+    http::Progress progress = http::Progress::kMore;
+    for (std::size_t at = 0; at < text.size(); at += step) {
+      CHECK(progress == http::Progress::kMore);
+      Fill(buffer, text.substr(at, step));
+      if (at + step >= text.size()) Fill(buffer, "HTTP");
+      progress = parser.Parse(buffer);
+    }
+    REQUIRE(progress == http::Progress::kDone);
+    CHECK(parser.message().body == "hello, quotation");
+    CHECK(buffer.Data() == "HTTP");
+  }
+}
+
+TEST_CASE("an answer without a length is whole only by the end of its connection") {
+  http::Parser parser(http::Role::kResponse);
+  http::Buffer buffer;
+  CHECK(parser.Ended() == http::Progress::kBad);
+  Fill(buffer, "HTTP/1.0 200 OK\r\n\r\nall");
+  CHECK(parser.Parse(buffer) == http::Progress::kMore);
+  CHECK(parser.Ended() == http::Progress::kDone);
+  CHECK(parser.message().body == "all");
+  CHECK_FALSE(parser.message().keep_alive);
+}
+
+TEST_CASE("what never ran and what may have run are told apart by the protocol's table") {
+  using net::Break;
+  using net::Stage;
+  CHECK(net::ClassifyBreak(Stage::kDialing, Break::kDialFailed) == Outcome::kConnectFailed);
+  CHECK(net::ClassifyBreak(Stage::kWriting, Break::kConnection) == Outcome::kConnectFailed);
+  CHECK(net::ClassifyBreak(Stage::kWaiting, Break::kConnection) == Outcome::kConnectionLost);
+  CHECK(net::ClassifyBreak(Stage::kWriting, Break::kOutOfTime) == Outcome::kNotSent);
+  CHECK(net::ClassifyBreak(Stage::kWaiting, Break::kOutOfTime) == Outcome::kTimeout);
+  CHECK(net::ClassifyBreak(Stage::kDialing, Break::kNoSocket) == Outcome::kNotSent);
+  const auto outcome = [](int status, bool declined) {
+    http::Message message;
+    message.status = status;
+    if (declined) message.headers.emplace_back("srv-declined", "1");
+    return net::ClassifyAnswer(message).outcome;
+  };
+  CHECK(outcome(200, false) == Outcome::kServed);
+  CHECK(outcome(503, true) == Outcome::kRefusedByHost);
+  CHECK(outcome(504, true) == Outcome::kRefusedByHost);
+  CHECK(outcome(503, false) == Outcome::kError);
+  CHECK(outcome(500, true) == Outcome::kError);
+}
+
+TEST_CASE("the wheel calls back in order of time, late when it is turned late, and not when cancelled") {
+  TimerWheel wheel(1000, 2);
+  std::vector<int> rung;
+  wheel.Add(1010, [&] { rung.push_back(10); });
+  wheel.Add(1003, [&] {
+    rung.push_back(3);
+    wheel.Add(0, [&] { rung.push_back(4); });
+  });
+  wheel.Add(9000, [&] { rung.push_back(9000); });  // more than once round
+  wheel.Cancel(wheel.Add(1005, [&] { rung.push_back(5); }));
+  wheel.Turn(1002);
+  CHECK(rung.empty());
+  wheel.Turn(1009);
+  CHECK(rung == std::vector<int>{3, 4});
+  wheel.Turn(8999);
+  CHECK(rung == std::vector<int>{3, 4, 10});
+  wheel.Turn(9000);
+  CHECK(rung == std::vector<int>{3, 4, 10, 9000});
+}
+
+TEST_CASE("the machine list keeps a start's time though the wall clock is set, and drops what is gone") {
+  MachineList machines(Settings());
+  const auto entry = [](HostState state, double up_since) {
+    return Machine{"s", "127.0.0.1:1", "lisboa", "unheard-of", 2, state, 1.5, up_since};
+  };
+  const auto first = machines.Apply({41, true, {entry(HostState::kLive, 5000)}}, 1000);
+  CHECK(first[0].started_ms == 4000);
+  CHECK(first[0].zone == 1);
+  CHECK(first[0].kind == 2);  // after the two that the settings name
+  CHECK(machines.Apply({42, false, {entry(HostState::kLive, 5000)}}, 3000)[0].started_ms == 4000);
+  CHECK(machines.Apply({43, false, {entry(HostState::kLive, 9000)}}, 3000)[0].started_ms == 6000);
+  CHECK(machines.Apply({44, false, {entry(HostState::kLive, 0)}}, 3000)[0].started_ms == 0);
+  CHECK(machines.IsLive("s"));
+  machines.Apply({45, false, {entry(HostState::kDraining, 0)}}, 3000);
+  CHECK_FALSE(machines.IsLive("s"));
+  CHECK(machines.AddressOf("s") == "127.0.0.1:1");
+  machines.Apply({46, true, {}}, 3000);
+  CHECK(machines.AddressOf("s").empty());
+  CHECK(machines.revision() == 46);
+}
+
+TEST_CASE("the facade hands over what the module decides for other jobs in the same turn") {
+  cartspring::Settings settings = Settings();
+  settings.reporting = cartspring::Reporting::kProbe;
+  Facade facade(settings, 1);
+  facade.MachinesRemembered(0, {{"a", 0, 0, 0, HostState::kLive, 1, 0}});
+  CHECK(facade.Tick(0).watch);
+  for (JobId id : {1, 2}) CHECK(facade.Pick(0, {id, 0, 0, 5000, 0, false}).kind == Verdict::Kind::kHold);
+  CHECK(facade.Tick(0).probes == std::vector<std::string>{"a"});
+  const cartspring::LoadReport load{1, 0};
+  facade.NodeProbed(1, "a", true, 1, &load);
+  const Errands errands = facade.Tick(1);
+  REQUIRE(errands.verdicts.size() == 2);
+  CHECK(errands.verdicts[1].first == 2);
+  CHECK(errands.verdicts[1].second.kind == Verdict::Kind::kSend);
+  CHECK(errands.verdicts[1].second.node == "a");
+}
+
+namespace {
+
+struct Runner : ClaimRunner {
+  void Start(const Claim& claim, const Job&) override { started.push_back(claim); }
+  void GiveUp(JobId job, int number) override { given_up.emplace_back(job, number); }
+  void Probe(const std::string&, const std::string&) override {}
+  std::vector<Claim> started;
+  std::vector<std::pair<JobId, int>> given_up;
+};
+
+struct Table {
+  Table() {
+    jobs.Attach(runner, [] {});
+    facade.MachinesRemembered(0, machines.Apply({1, true, {{"a", "127.0.0.1:1", "porto", "novo"}}}, 0));
+  }
+  JobId Take(double now, int klass, double patience) {
+    Job job;
+    job.klass = klass;
+    job.patience_ms = patience;
+    return jobs.Take(now, job, [this](const Answer& answer) { answers.push_back(answer.kind); });
+  }
+  cartspring::Settings settings = Settings();
+  Facade facade{settings, 1};
+  MachineList machines{settings};
+  JobTable jobs{settings, facade, machines};
+  Runner runner;
+  std::vector<Answer::Kind> answers;
+};
+
+}  // namespace
+
+TEST_CASE("a job has one final answer, whatever comes after it") {
+  Table table;
+  const JobId id = table.Take(0, 1, 5000);
+  REQUIRE(table.runner.started.size() == 1);
+  const Claim claim = table.runner.started[0];
+  CHECK(claim.address == "127.0.0.1:1");
+  ClaimEnd served;
+  served.outcome = Outcome::kServed;
+  table.jobs.ClaimEnded(10, claim, served);
+  table.jobs.ClaimEnded(11, claim, served);
+  table.jobs.SubmitterLeft(12, id);
+  table.jobs.Tick(6000);
+  CHECK(table.answers == std::vector<Answer::Kind>{Answer::Kind::kServed});
+  CHECK(table.jobs.held() == 0);
+}
+
+TEST_CASE("a job whose time is up gives up its claim first and is answered at once") {
+  Table table;
+  const JobId id = table.Take(0, 1, 1000);
+  table.jobs.Tick(994);
+  CHECK(table.answers.empty());
+  table.jobs.Tick(996);
+  CHECK(table.runner.given_up == std::vector<std::pair<JobId, int>>{{id, 0}});
+  CHECK(table.answers == std::vector<Answer::Kind>{Answer::Kind::kTimedOut});
+  // One that comes with no time left is refused in the turn in which it came.
+  table.Take(1000, 1, 1);
+  CHECK(table.answers.back() == Answer::Kind::kRefused);
+  CHECK(table.runner.started.size() == 1);
+}
+
+TEST_CASE("a watch without a heartbeat is broken") {
+  net::asio::io_context io(1);
+  double now = 1000;
+  TimerWheel wheel(now, 2);
+  net::Runtime runtime{net::asio::make_strand(io), [&] { return now; }, wheel};
+  peers::Listener discovery;
+  MachineList machines(Settings());
+  int updates = 0, breaks = 0;
+  net::DiscoveryWatch watch(
+      runtime, discovery.address(), machines, [&](const MachineUpdate&) { ++updates; }, [&] { ++breaks; });
+  watch.Watch();
+  peers::Peer peer = discovery.Accept();
+  const auto run_until = [&](const std::function<bool()>& reached) {
+    while (!reached()) REQUIRE(io.run_one_for(std::chrono::milliseconds(peers::kLimitMs)) == 1);
+  };
+  peer.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + peers::Chunk("\n"));
+  run_until([&] { return updates == 1; });  // the first heartbeat says that all is as it was
+  for (int beat = 0; beat < 4; ++beat) {
+    now += 2000;
+    wheel.Turn(now);
+  }
+  CHECK(breaks == 1);
+  peer.Read();  // what it asked
+  CHECK(peer.Ends());
+}
+
+}  // namespace bitternmux
--- /dev/null
+++ b/tests/peers.h
@@ -0,0 +1,309 @@
+// Scripted peers for the network stories: blocking sockets on ephemeral ports, and the built program as a
+// child. Every wait is for a condition; the limit only ends a test that would hang.
+#ifndef BITTERNMUX_TESTS_PEERS_H_
+#define BITTERNMUX_TESTS_PEERS_H_
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bitternmux::peers {
+
+constexpr int kLimitMs = 20'000;
+
+inline void AwaitReadable(int fd) {
+  pollfd wait{fd, POLLIN, 0};
+  if (::poll(&wait, 1, kLimitMs) != 1) throw std::runtime_error("nothing came");
+}
+
+// One end of a connection.
+class Peer {
+ public:
+  explicit Peer(int fd) : fd_(fd) {}
+  Peer(Peer&& other) noexcept : fd_(std::exchange(other.fd_, -1)), text_(std::move(other.text_)) {}
+  Peer& operator=(Peer&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    text_.swap(other.text_);
+    return *this;
+  }
+  ~Peer() { Close(); }
+
+  void Send(const std::string& text) {
+    std::size_t sent = 0;
+    while (sent < text.size()) {
+      const auto count = ::send(fd_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+      if (count <= 0) throw std::runtime_error("the other side is gone");
+      sent += static_cast<std::size_t>(count);
+    }
+  }
+  // The next message, head and body, as it came.
+  std::string Read() {
+    std::size_t head;
+    while ((head = text_.find("\r\n\r\n")) == text_.npos) More();
+    const auto length = text_.find("Content-Length: ");
+    const std::size_t size = head + 4 + (length < head ? std::stoul(text_.substr(length + 16)) : 0);
+    while (text_.size() < size) More();
+    std::string out = text_.substr(0, size);
+    text_.erase(0, size);
+    return out;
+  }
+  // Waits for the other side to close; anything else that comes is an error.
+  bool Ends() {
+    AwaitReadable(fd_);
+    char byte;
+    return ::recv(fd_, &byte, 1, 0) <= 0;
+  }
+  void Close() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  }
+
+ private:
+  void More() {
+    AwaitReadable(fd_);
+    char bytes[16384];
+    const auto count = ::recv(fd_, bytes, sizeof bytes, 0);
+    if (count <= 0) throw std::runtime_error("the connection ended after: " + text_);
+    text_.append(bytes, static_cast<std::size_t>(count));
+  }
+  int fd_;
+  std::string text_;
+};
+
+inline sockaddr_in Loopback(int port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(static_cast<std::uint16_t>(port));
+  return at;
+}
+
+inline Peer Dial(int port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in at = Loopback(port);
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+    ::close(fd);
+    throw std::runtime_error("connection refused");
+  }
+  return Peer(fd);
+}
+
+class Listener {
+ public:
+  Listener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in at = Loopback(0);
+    socklen_t size = sizeof at;
+    if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(fd_, 64) != 0) {
+      throw std::runtime_error("cannot listen");
+    }
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+  }
+  Listener(Listener&& other) noexcept : fd_(std::exchange(other.fd_, -1)), port_(other.port_) {}
+  ~Listener() { Close(); }
+
+  int port() const { return port_; }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  Peer Accept() {
+    AwaitReadable(fd_);
+    return Peer(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+  }
+  bool Waiting() const {
+    pollfd wait{fd_, POLLIN, 0};
+    return ::poll(&wait, 1, 0) == 1;
+  }
+  void Close() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  }
+
+ private:
+  int fd_;
+  int port_ = 0;
+};
+
+inline nlohmann::json TestSettings() {
+  const auto klass = [](const char* name, const char* effect) {
+    return nlohmann::json{{"name", name},         {"effect", effect},   {"promiseMs", 8000.0},
+                          {"deadlineMs", 9000.0}, {"streaming", false}, {"worth", 2.0},
+                          {"lateWorth", 0.5}};
+  };
+  return {{"services", {klass("rate-check", "free"), klass("space-hold", "single_shot")}},
+          {"bounds",
+           {{"dialTimeoutMs", 5000.0},
+            {"connIdleMs", 60000.0},
+            {"mayCancel", true},
+            {"mayDuplicate", false},
+            {"probes", true},
+            {"sendCap", 3},
+            {"retryAfter", true}}},
+          {"contract",
+           {{"askWithinMs", 4000.0},
+            {"drainGraceMs", 1500.0},
+            {"coldFrom", 0.16},
+            {"warmWithinMs", 24000.0},
+            {"fallMultiple", 2.5},
+            {"fallMs", 3000.0}}},
+          {"discovery", "subscribe"},
+          {"feedback", {{"via", "answers"}, {"columns", {"active", "waiting"}}}},
+          {"tickMs", 5.0},
+          {"weights", "rough"},
+          {"zones", {"porto", "lisboa"}},
+          {"models", {"novo", "velho"}},
+          {"tenants", nlohmann::json::array()}};
+}
+
+inline nlohmann::json Machine(const std::string& id, const std::string& address,
+                              const char* phase = "SERVING") {
+  return {{"id", id},  {"host_port", address}, {"locality", "porto"}, {"flavor", "novo"},
+          {"cell", 0}, {"phase", phase},       {"size", 1.0},         {"up_since_ms", 0}};
+}
+
+inline nlohmann::json List(int revision, bool complete, const nlohmann::json& members) {
+  return {{"revision", revision}, {"complete", complete}, {"members", members}};
+}
+
+// The built program with a configuration of its own; it ends with the test.
+class Program {
+ public:
+  explicit Program(const nlohmann::json& config) {
+    std::string folder = (std::filesystem::temp_directory_path() / "bitternmux-XXXXXX").string();
+    if (::mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no temporary folder");
+    folder_ = folder;
+    std::ofstream(folder_ / "config.json") << config;
+    int ends[2];
+    if (::pipe(ends) != 0) throw std::runtime_error("no pipe");
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::dup2(ends[1], 2);
+      ::close(ends[0]);
+      ::close(ends[1]);
+      ::setenv("RELAY_CONFIG", (folder_ / "config.json").c_str(), 1);
+      ::execl(BITTERNMUX_PROGRAM, BITTERNMUX_PROGRAM, nullptr);
+      ::_exit(127);
+    }
+    ::close(ends[1]);
+    log_fd_ = ends[0];
+  }
+  ~Program() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    ::close(log_fd_);
+    std::filesystem::remove_all(folder_);
+  }
+
+  // Waits until the text is in the log, or the program has ended.
+  const std::string& AwaitLog(const std::string& text) {
+    char bytes[4096];
+    while (log_.find(text) == log_.npos) {
+      AwaitReadable(log_fd_);
+      const auto count = ::read(log_fd_, bytes, sizeof bytes);
+      if (count <= 0) break;
+      log_.append(bytes, static_cast<std::size_t>(count));
+    }
+    return log_;
+  }
+  int port() {
+    const std::string mark = "serving at 127.0.0.1:";
+    AwaitLog("\n");
+    const auto at = log_.find(mark);
+    if (at == log_.npos) throw std::runtime_error("not serving: " + log_);
+    return std::stoi(log_.substr(at + mark.size()));
+  }
+  void LimitDescriptors(rlim_t count) {
+    const rlimit limit{count, 1024};
+    ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
+  }
+  void Terminate() { ::kill(pid_, SIGTERM); }
+  // Its exit code, once its log has ended.
+  int Exit() {
+    AwaitLog(std::string("\0", 1));
+    int status = 0;
+    ::waitpid(std::exchange(pid_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+ private:
+  std::filesystem::path folder_;
+  pid_t pid_ = -1;
+  int log_fd_ = -1;
+  std::string log_;
+};
+
+// The program between one scripted discovery and some scripted nodes.
+struct Bed {
+  explicit Bed(std::size_t count = 1, int sockets = 1024)
+      : nodes(count),
+        program({{"name", "n0"},
+                 {"listen", "127.0.0.1:0"},
+                 {"discovery", discovery.address()},
+                 {"seed", "8c1f30d27a5be964"},
+                 {"limits", {{"sockets", sockets}}},
+                 {"known", List(41, true, Members())},
+                 {"settings", TestSettings()}}) {}
+
+  nlohmann::json Members() const {
+    auto members = nlohmann::json::array();
+    for (std::size_t i = 0; i < nodes.size(); ++i) members.push_back(Machine(Id(i), nodes[i].address()));
+    return members;
+  }
+  static std::string Id(std::size_t node) { return "s-" + std::to_string(node); }
+  Peer Submitter() { return Dial(program.port()); }
+  // Accepts the watch up to where its first line is due.
+  std::pair<Peer, std::string> AcceptWatch() {
+    Peer watch = discovery.Accept();
+    std::string asked = watch.Read();
+    watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return {std::move(watch), asked};
+  }
+  // The node that is dialed next.
+  std::size_t AwaitDial() const {
+    for (int waited = 0; waited < kLimitMs; ++waited) {
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (nodes[i].Waiting()) return i;
+      }
+      ::usleep(1000);
+    }
+    throw std::runtime_error("no node was dialed");
+  }
+
+  Listener discovery;
+  std::vector<Listener> nodes;
+  Program program;
+};
+
+inline std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+inline std::string Get(const std::string& id, int deadline_ms = 8000) {
+  return "GET /rate-check/1?x=2 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id +
+         "\r\nReq-Kind: rate-check\r\nReq-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n\r\n";
+}
+inline std::string Post(const std::string& id, const std::string& body = "{}", int deadline_ms = 8000) {
+  return "POST /space-hold HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id +
+         "\r\nReq-Kind: space-hold\r\nReq-Deadline-Ms: " + std::to_string(deadline_ms) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string Served(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nSrv-Load: {\"inflight\":1,\"queue\":0}\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace bitternmux::peers
+
+#endif  // BITTERNMUX_TESTS_PEERS_H_
--- /dev/null
+++ b/tests/sidecar_stories.cpp
@@ -0,0 +1,327 @@
+// The built program over loopback, between a submitter, scripted execute nodes and a scripted discovery.
+#include <catch2/catch.hpp>
+
+#include "peers.h"
+
+namespace bitternmux::peers {
+namespace {
+
+bool Has(const std::string& text, const std::string& part) { return text.find(part) != text.npos; }
+int Status(const std::string& answer) { return std::stoi(answer.substr(9, 3)); }
+
+const char kDeclined[] = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+const char kError[] = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+
+}  // namespace
+
+TEST_CASE("what a submitter asks and a node answers passes on unchanged, on one connection") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  submitter.Send("GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+  CHECK(Status(submitter.Read()) == 200);
+
+  std::string body(64 * 1024, '\0');
+  for (std::size_t i = 0; i < body.size(); ++i) body[i] = static_cast<char>(i * 31 % 251);
+  submitter.Send(Post("id-1", body));
+  Peer node = bed.nodes[0].Accept();
+  const std::string claim = node.Read();
+  CHECK(claim.starts_with("POST /space-hold HTTP/1.1\r\n"));
+  CHECK(Has(claim, "Req-Id: id-1\r\n"));
+  CHECK(claim.substr(claim.size() - body.size()) == body);
+  node.Send(Served(body));
+  const std::string answer = submitter.Read();
+  CHECK(Status(answer) == 200);
+  CHECK(answer.substr(answer.size() - body.size()) == body);
+
+  // The next one comes in pieces, and with the one after it on its heels.
+  const std::string both = Get("id-2") + Get("id-3");
+  for (std::size_t at = 0; at < both.size(); at += 7) submitter.Send(both.substr(at, 7));
+  for (const char* id : {"id-2", "id-3"}) {
+    const std::string again = node.Read();
+    CHECK(again.starts_with("GET /rate-check/1?x=2 HTTP/1.1\r\n"));
+    CHECK(Has(again, std::string("Req-Id: ") + id + "\r\n"));
+    node.Send(Served(id));
+    CHECK(submitter.Read().ends_with(id));
+  }
+  CHECK_FALSE(bed.nodes[0].Waiting());
+}
+
+TEST_CASE("what may have run is failed and never sent again") {
+  // A partial answer, a malformed one, an error, a 503 that does not say that it never ran, and a reset.
+  const std::string ending = GENERATE(
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), std::string("HTTP/1.1 wat\r\n\r\n"),
+      std::string(kError), std::string("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), std::string());
+  Bed bed(2);
+  Peer submitter = bed.Submitter();
+  submitter.Send(Post("id-1"));
+  Peer node = bed.nodes[bed.AwaitDial()].Accept();
+  node.Read();
+  node.Send(ending);
+  node.Close();
+  CHECK(Status(submitter.Read()) == 502);
+  CHECK_FALSE((bed.nodes[0].Waiting() || bed.nodes[1].Waiting()));
+}
+
+TEST_CASE("what may have run is sent again where its class allows") {
+  Bed bed(2);
+  Peer submitter = bed.Submitter();
+  submitter.Send(Get("id-1"));
+  const std::size_t first = bed.AwaitDial();
+  Peer node = bed.nodes[first].Accept();
+  node.Read();
+  node.Send(kError);
+  Peer other = bed.nodes[1 - first].Accept();
+  CHECK(Has(other.Read(), "Req-Id: id-1\r\n"));
+  other.Send(Served("second"));
+  CHECK(submitter.Read().ends_with("second"));
+}
+
+TEST_CASE("what never ran is sent to another node, whatever its class") {
+  const bool declined = GENERATE(true, false);
+  Bed bed(2);
+  Peer submitter = bed.Submitter();
+  if (declined) {
+    submitter.Send(Post("id-1"));
+    const std::size_t first = bed.AwaitDial();
+    Peer node = bed.nodes[first].Accept();
+    node.Read();
+    node.Send(kDeclined);
+    Peer other = bed.nodes[1 - first].Accept();
+    CHECK(Has(other.Read(), "Req-Id: id-1\r\n"));
+    other.Send(Served("there"));
+    CHECK(submitter.Read().ends_with("there"));
+  } else {
+    bed.nodes[0].Close();  // dials to it are refused
+    Peer node(-1);
+    for (int i = 0; i < 6; ++i) {
+      submitter.Send(Post("id-" + std::to_string(i)));
+      if (i == 0) node = bed.nodes[1].Accept();
+      node.Read();
+      node.Send(Served("there"));
+      CHECK(submitter.Read().ends_with("there"));
+    }
+  }
+}
+
+TEST_CASE("a connection that the node closed while it idled is not used again") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  for (int i = 0; i < 20; ++i) {
+    submitter.Send(Post("id-" + std::to_string(i)));
+    Peer node = bed.nodes[0].Accept();
+    node.Read();
+    node.Send(Served("ok"));
+    node.Close();  // crosses the answer on its way to the submitter, whose next request comes at once
+    CHECK(Status(submitter.Read()) == 200);
+  }
+}
+
+TEST_CASE("a claim out of time is given up and its job answered before the submitter leaves") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  submitter.Send(Post("id-1", "{}", 150));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  CHECK(Status(submitter.Read()) == 504);
+  CHECK(node.Ends());
+}
+
+TEST_CASE("a submitter that leaves has its claim given up") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  submitter.Send(Post("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  submitter.Close();
+  CHECK(node.Ends());
+}
+
+TEST_CASE("bad requests are told so, and never reach a node or invite a retry") {
+  Bed bed;
+  const std::string head = "POST /space-hold HTTP/1.1\r\nHost: app.svc\r\nReq-Kind: space-hold\r\n";
+  const std::string ids = "Req-Id: id\r\nReq-Deadline-Ms: 900\r\n";
+  const std::vector<std::pair<int, std::string>> cases = {
+      {400, "nonsense\r\n\r\n"},
+      {400, "GET /rate-check HTTP/9.1\r\n\r\n"},
+      {400, head + ids + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}"},
+      {400, head + ids + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}"},
+      {400, head + ids + "Content-Length: -2\r\n\r\n"},
+      {400, head + ids + "Content-Length: 2x\r\n\r\n{}"},
+      {400, head + ids + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+      {400, head + ids + "Transfer-Encoding: gzip\r\n\r\n"},
+      {400, head + ids + " folded: 1\r\n\r\n"},
+      {400, head + ids + "Req-Cost: heavy\r\n\r\n"},
+      {400, head + ids + "Req-Id: id-2\r\n\r\n"},
+      {400, head + "Req-Deadline-Ms: 900\r\n\r\n"},
+      {400, head + "Req-Id: id\r\n\r\n"},
+      {400, head + "Req-Id: id\r\nReq-Deadline-Ms: 0\r\n\r\n"},
+      {400, head + "Req-Id: id\r\nReq-Deadline-Ms: soon\r\n\r\n"},
+      {400, "POST /space-hold HTTP/1.1\r\nHost: a\r\nReq-Kind: rate-check\r\n" + ids + "\r\n"},
+      {400, "POST /space-hold HTTP/1.1\r\nHost: a\r\nReq-Kind: unheard-of\r\n" + ids + "\r\n"},
+      {404, "POST /unheard-of HTTP/1.1\r\nHost: a\r\nReq-Kind: unheard-of\r\n" + ids + "\r\n"},
+      {405, "GET /space-hold HTTP/1.1\r\nHost: a\r\nReq-Kind: space-hold\r\n" + ids + "\r\n"},
+      {405, "POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"},
+      {413, head + ids + "Content-Length: 65537\r\n\r\n" + std::string(65537, 'x')},
+      {413, head + ids + "Transfer-Encoding: chunked\r\n\r\n10001\r\n"},
+      {431, head + ids + "Padding: " + std::string(20'000, 'x') + "\r\n\r\n"},
+  };
+  for (const auto& [status, request] : cases) {
+    INFO(request.substr(0, 200));
+    Peer submitter = bed.Submitter();
+    submitter.Send(request);
+    CHECK(Status(submitter.Read()) == status);
+  }
+  CHECK_FALSE(bed.nodes[0].Waiting());
+  Peer submitter = bed.Submitter();
+  submitter.Send("POST /space-hold HTTP/1.1\r\nHost: a\r\nReq-Kind: space-hold\r\n" + ids +
+                 "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+  Peer node = bed.nodes[0].Accept();
+  CHECK(node.Read().ends_with("\r\n\r\n{}"));
+}
+
+TEST_CASE("nothing new goes to a node that drains or is gone") {
+  const bool told = GENERATE(true, false);
+  Bed bed(2);
+  auto [watch, asked] = bed.AcceptWatch();
+  CHECK(Has(asked, "GET /discovery/hosts?follow=1&since=41 HTTP/1.1\r\n"));
+  auto members = bed.Members();
+  if (told) {
+    members[0]["phase"] = "DRAINING";
+  } else {
+    members.erase(0);  // absent from a complete list
+  }
+  const std::string line = List(42, !told, members).dump() + "\n";
+  for (std::size_t at = 0; at < line.size(); at += 11) watch.Send(Chunk(line.substr(at, 11)));
+  // The next version is asked for once this one has been read: that is the sign that the change is known.
+  watch.Close();
+  auto [again, asked_again] = bed.AcceptWatch();
+  CHECK(Has(asked_again, "since=42 "));
+  Peer submitter = bed.Submitter();
+  Peer node(-1);
+  for (int i = 0; i < 30; ++i) {
+    submitter.Send(Post("id-" + std::to_string(i)));
+    if (i == 0) node = bed.nodes[1].Accept();
+    node.Read();
+    node.Send(Served("ok"));
+    CHECK(Status(submitter.Read()) == 200);
+  }
+  CHECK_FALSE(bed.nodes[0].Waiting());
+}
+
+TEST_CASE("a watch that cannot be read is broken off, and the list held stays") {
+  const std::string line = GENERATE(
+      std::string("{\"revision\":\n"), std::string("[]\n"),
+      std::string("{\"revision\":42,\"complete\":true,\"members\":[{\"id\":\"s\",\"phase\":\"ASLEEP\"}]}\n"),
+      std::string("{\"revision\":42,\"complete\":true,\"members\":[{\"id\":\"s\",\"phase\":\"SERVING\","
+                  "\"host_port\":\"nowhere\"}]}\n"));
+  Bed bed;
+  auto [watch, asked] = bed.AcceptWatch();
+  watch.Send(Chunk(line));
+  CHECK(watch.Ends());
+  auto [again, asked_again] = bed.AcceptWatch();
+  CHECK(Has(asked_again, "since=41 "));
+  Peer submitter = bed.Submitter();
+  submitter.Send(Get("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  node.Send(Served("ok"));
+  CHECK(Status(submitter.Read()) == 200);
+}
+
+TEST_CASE("a load report that cannot be read does not harm the answer") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  submitter.Send(Get("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  for (const char* report :
+       {"{\"inflight\":", "[7]", "{\"inflight\":\"many\",\"queue\":-1}", "{\"queue\":1e999}"}) {
+    node.Read();
+    node.Send(std::string("HTTP/1.1 200 OK\r\nSrv-Load: ") + report + "\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(submitter.Read().ends_with("ok"));
+    submitter.Send(Get("id"));
+  }
+}
+
+TEST_CASE("told to stop, it serves on through the restart window, answers what it holds and exits with 0") {
+  Bed bed;
+  Peer held = bed.Submitter();
+  held.Send(Post("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  bed.program.Terminate();
+  bed.program.AwaitLog("told to stop");
+  Peer late = bed.Submitter();
+  late.Send(Post("id-2"));
+  Peer second = bed.nodes[0].Accept();
+  second.Read();
+  second.Send(Served("late"));
+  CHECK(late.Read().ends_with("late"));
+  CHECK(late.Ends());  // closed once the window is over
+  node.Send(Served("held"));
+  const std::string answer = held.Read();
+  CHECK(answer.ends_with("held"));
+  CHECK(Has(answer, "Connection: close\r\n"));
+  held.Close();
+  CHECK(bed.program.Exit() == 0);
+}
+
+TEST_CASE("at the limit of descriptors the connection that idled longest makes room") {
+  Bed bed(1, /*sockets=*/64);
+  std::vector<Peer> submitters;
+  for (int i = 0; i < 60; ++i) {
+    submitters.push_back(bed.Submitter());
+    submitters.back().Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(Status(submitters.back().Read()) == 200);
+  }
+  CHECK(submitters.front().Ends());
+  submitters.back().Send(Get("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  node.Send(Served("ok"));
+  CHECK(submitters.back().Read().ends_with("ok"));
+}
+
+TEST_CASE("out of descriptors, it waits and accepts when there are some again") {
+  Bed bed;
+  bed.program.port();
+  bed.program.LimitDescriptors(3);
+  Peer submitter = bed.Submitter();
+  bed.program.AwaitLog("accept: ");
+  bed.program.LimitDescriptors(1024);
+  submitter.Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Status(submitter.Read()) == 200);
+}
+
+TEST_CASE("a faulty configuration is named and ends the program") {
+  const nlohmann::json good = {{"name", "n0"},
+                               {"listen", "127.0.0.1:0"},
+                               {"discovery", "127.0.0.1:1"},
+                               {"seed", "8c1f"},
+                               {"settings", TestSettings()}};
+  struct Case {
+    std::string message, at;
+    nlohmann::json value;
+  };
+  const std::vector<Case> cases = {
+      {"listen: no address", "/listen", "here"},
+      {"discovery: must be a text", "/discovery", 7},
+      {"name: must be a text", "/name", nullptr},
+      {"seed: must be", "/seed", "xyz"},
+      {"limits.sockets: must be", "/limits/sockets", "many"},
+      {"known.members.0.phase: unknown: 'ASLEEP'", "/known",
+       List(1, true, nlohmann::json::array({Machine("s", "1.2.3.4:5", "ASLEEP")}))},
+      {"settings: unknown services.1.effect 'odd'", "/settings/services/1/effect", "odd"},
+      {"settings: no bounds.sendCap", "/settings/bounds/sendCap", nullptr},
+      {"settings: contract.coldFrom is no number: 'cold'", "/settings/contract/coldFrom", "cold"},
+      {"settings.services.0.name: missing", "/settings/services/0/name", ""},
+  };
+  for (const Case& faulty : cases) {
+    nlohmann::json config = good;
+    config[nlohmann::json::json_pointer(faulty.at)] = faulty.value;
+    Program program(config);
+    CHECK_THAT(program.AwaitLog(faulty.message), Catch::Contains(faulty.message));
+    CHECK(program.Exit() == 2);
+  }
+}
+
+}  // namespace bitternmux::peers
