--- a/tests/sidecar_stories.cpp
+++ b/tests/sidecar_stories.cpp
@@ -218,6 +218,7 @@
   auto [watch, asked] = bed.AcceptWatch();
   watch.Send(Chunk(List(42, true, bed.Members()).dump() + "\n"));
   watch.Send(Chunk(line));
+  CHECK_FALSE(Has(bed.program.AwaitLog("the watch broke"), "nothing heard"));
   CHECK(watch.Ends());
   auto [again, asked_again] = bed.AcceptWatch();
   CHECK(Has(asked_again, "since=42 "));
@@ -253,7 +254,7 @@
   bed.program.AwaitLog("told to stop");
   Peer late = bed.Submitter();
   Peer second(-1);
-  for (int i = 0; i < 5; ++i) {
+  for (int i = 0; i < 50; ++i) {
     late = bed.Submitter();
     late.Send(Post("late-" + std::to_string(i)));
     if (i == 0) second = bed.nodes[0].Accept();
