--- a/tests/peers.h
+++ b/tests/peers.h
@@ -146,7 +146,8 @@
     "contract": {"askWithinMs": 4000.0, "drainGraceMs": 1500.0, "coldFrom": 0.16, "warmWithinMs": 24000.0,
                  "fallMultiple": 2.5, "fallMs": 3000.0},
     "discovery": "subscribe", "feedback": {"via": "answers", "columns": ["active", "waiting"]},
-    "tickMs": 5.0, "weights": "rough", "zones": ["porto", "lisboa"], "models": ["novo", "velho"], "tenants": []})");
+    "tickMs": 5.0, "weights": "rough", "zones": ["porto", "lisboa"], "models": ["novo", "velho"],
+    "tenants": []})");
 }
 
 inline nlohmann::json Machine(const std::string& id, const std::string& address,
