Reread the configuration on SIGHUP and move the watch to its discovery

Cause: src/sidecar_main.cpp registered SIGTERM and SIGINT only, so that SIGHUP had its default effect; and src/net/discovery_watch.h held the address for good.

Now SIGHUP reads the file again. Its discovery goes before RELAY_DISCOVERY, which was set at the start and would otherwise win for ever. The watch asks the new address for its whole list (versions are each discovery's own), keeps the old call until that has come, and follows on from it. If the new call breaks, the module is told as for any watch and says when to ask again. A file that cannot be taken is logged and changes nothing.

Tests, each seen to fail without its part: the story fails without the handler and when RELAY_DISCOVERY wins on rereading; the watch's test covers a new address that refuses, one that tells changes only, and the old watch that is heard meanwhile.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -64,6 +64,16 @@
   return *found;
 }
 
+nlohmann::json FileOf(const Environment& environment) {
+  const char* path = environment("RELAY_CONFIG");
+  if (path == nullptr || *path == '\0') throw ConfigError("RELAY_CONFIG: not set");
+  std::ifstream file(path);
+  if (!file) throw ConfigError(std::string("RELAY_CONFIG: cannot open '") + path + "'");
+  auto json = nlohmann::json::parse(file, nullptr, /*allow_exceptions=*/false);
+  if (json.is_discarded()) throw ConfigError(std::string("RELAY_CONFIG: no JSON in '") + path + "'");
+  return json;
+}
+
 cartspring::Settings SettingsOf(const nlohmann::json& json) {
   const auto found = json.find("settings");
   if (found == json.end()) throw ConfigError("settings: missing");
@@ -123,14 +133,14 @@
   return config;
 }
 
-Config ReadConfig(const Environment& environment) {
-  const char* path = environment("RELAY_CONFIG");
-  if (path == nullptr || *path == '\0') throw ConfigError("RELAY_CONFIG: not set");
-  std::ifstream file(path);
-  if (!file) throw ConfigError(std::string("RELAY_CONFIG: cannot open '") + path + "'");
-  const auto json = nlohmann::json::parse(file, nullptr, /*allow_exceptions=*/false);
-  if (json.is_discarded()) throw ConfigError(std::string("RELAY_CONFIG: no JSON in '") + path + "'");
-  return ReadConfig(json, environment);
+Config ReadConfig(const Environment& environment) { return ReadConfig(FileOf(environment), environment); }
+
+Config RereadConfig(const Environment& environment) {
+  const nlohmann::json json = FileOf(environment);
+  const bool named = json.is_object() && json.contains("discovery");
+  return ReadConfig(json, [&](const char* name) {
+    return named && std::string_view(name) == "RELAY_DISCOVERY" ? nullptr : environment(name);
+  });
 }
 
 }  // namespace bitternmux
--- a/src/config.h
+++ b/src/config.h
@@ -46,6 +46,9 @@
 
 // From the variables and the file that they name; throws ConfigError.
 Config ReadConfig(const Environment& environment);
+// The same while the program runs: the file may have been replaced since the variables were set, so that its
+// `discovery` goes before theirs.
+Config RereadConfig(const Environment& environment);
 Config ReadConfig(const nlohmann::json& json, const Environment& environment);
 
 }  // namespace bitternmux
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -22,13 +22,25 @@
 
 class DiscoveryWatch::Call : public std::enable_shared_from_this<Call>, private asio::coroutine {
  public:
-  explicit Call(DiscoveryWatch& watch) : watch_(watch), runtime_(watch.runtime_), socket_(runtime_.strand) {}
+  explicit Call(DiscoveryWatch& watch)
+      : watch_(watch),
+        runtime_(watch.runtime_),
+        address_(watch.address_),
+        whole_(watch.whole_due_),
+        socket_(runtime_.strand) {}
 
   void Start() {
     Heard();
     Run();
   }
 
+  void Break(const std::string& why) {
+    if (closed_) return;
+    std::cerr << "discovery: the watch broke: " << why << " (" << address_ << ")\n";
+    Close();
+    watch_.Broke(shared_from_this());
+  }
+
   void Close() {
     closed_ = true;
     runtime_.wheel.Cancel(silence_);
@@ -41,11 +53,13 @@
     if (closed_) return;
     if (error) return Break(error.message());
     reenter(this) {
-      yield socket_.async_connect(EndpointOf(watch_.address_),
+      yield socket_.async_connect(EndpointOf(address_),
                                   [self = shared_from_this()](const error_code& e) { self->Run(e); });
-      out_ = WriteWatch(watch_.address_, watch_.machines_.revision());
-      yield asio::async_write(socket_, asio::buffer(out_), Resume());
       while (!closed_) {
+        if (std::exchange(ask_, false)) {
+          out_ = whole_ ? WriteWholeList(address_) : WriteWatch(address_, watch_.machines_.revision());
+          yield asio::async_write(socket_, asio::buffer(out_), Resume());
+        }
         yield socket_.async_read_some(asio::buffer(buffer_.Prepare(kReadSize), kReadSize), Resume());
         buffer_.Commit(count);
         Heard();
@@ -69,6 +83,10 @@
     if (progress == http::Progress::kBad) return Break("the answer cannot be read");
     if (!parser_.head_read()) return;
     if (parser_.message().status != 200) return Break("status " + std::to_string(parser_.message().status));
+    if (whole_) {
+      if (progress == http::Progress::kDone) WholeList(parser_.Take().body);
+      return;
+    }
     text_ += parser_.TakeBody();
     std::size_t begin = 0;
     for (auto end = text_.find('\n'); end != text_.npos && !closed_; end = text_.find('\n', begin)) {
@@ -81,6 +99,14 @@
     if (progress == http::Progress::kDone) Break("the answer ended");
   }
 
+  // The whole list has come; the watch on what changes from here on follows on the same connection.
+  void WholeList(const std::string& text) {
+    whole_ = false;
+    ask_ = true;
+    parser_.Reset();
+    Line(text);
+  }
+
   void Line(std::string_view line) {
     MachineUpdate update;
     if (line.find_first_not_of(" \t\r") == line.npos) {
@@ -97,19 +123,14 @@
       }
     }
     answered_ = true;
-    watch_.updated_(update);
-  }
-
-  void Break(const std::string& why) {
-    if (closed_) return;
-    std::cerr << "discovery: the watch broke: " << why << "\n";
-    Close();
-    watch_.call_.reset();
-    watch_.broken_();
+    watch_.Told(update, shared_from_this());
   }
 
   DiscoveryWatch& watch_;
   Runtime& runtime_;
+  const std::string address_;
+  bool whole_;       // the whole list is asked for first
+  bool ask_ = true;  // a request is to be written
   tcp::socket socket_;
   std::string out_;
   http::Buffer buffer_;
@@ -136,6 +157,30 @@
   call_->Start();
 }
 
+void DiscoveryWatch::MoveTo(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (!whole_due_) old_ = std::move(call_);
+  whole_due_ = true;
+  Watch();
+}
+
+void DiscoveryWatch::Told(const MachineUpdate& update, const std::shared_ptr<Call>& by) {
+  if (by == call_ && whole_due_) {
+    // Guards against a version of another discovery: a watch from it could leave out what it never told.
+    if (!update.complete) return by->Break("the list is not whole");
+    whole_due_ = false;
+    if (old_) std::exchange(old_, nullptr)->Close();
+  }
+  updated_(update);
+}
+
+void DiscoveryWatch::Broke(const std::shared_ptr<Call>& call) {
+  if (call == old_) return old_.reset();  // the one that follows it is on its way
+  call_.reset();
+  broken_();
+}
+
 }  // namespace bitternmux::net
 
 #include <boost/asio/unyield.hpp>
--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -243,6 +243,10 @@
   return out;
 }
 
+std::string WriteWholeList(const std::string& host) {
+  return http::WriteRequest("GET", "/discovery/hosts", {{"Host", host}}, {});
+}
+
 std::string WriteWatch(const std::string& host, std::int64_t since) {
   return http::WriteRequest("GET", "/discovery/hosts?follow=1&since=" + std::to_string(since),
                             {{"Host", host}}, {});
--- a/src/net/protocol.h
+++ b/src/net/protocol.h
@@ -53,6 +53,7 @@
 };
 
 MachineUpdate ReadMachineUpdate(const nlohmann::json& json);
+std::string WriteWholeList(const std::string& host);
 std::string WriteWatch(const std::string& host, std::int64_t since);
 
 }  // namespace bitternmux::net
--- a/src/sidecar_main.cpp
+++ b/src/sidecar_main.cpp
@@ -66,7 +66,7 @@
             }),
         server_(runtime_, jobs_, config_.settings, ConnectionsASide(config.sockets)),
         turn_(runtime_.strand),
-        signals_(runtime_.strand, SIGTERM, SIGINT) {
+        signals_(runtime_.strand, SIGTERM, SIGINT, SIGHUP) {
     jobs_.Attach(pool_, [this] { watch_.Watch(); });
   }
 
@@ -82,9 +82,7 @@
     jobs_.Tick(NowMs());
     server_.Listen(net::EndpointOf(config_.listen));
     Turn();
-    signals_.async_wait([this](const boost::system::error_code& error, int) {
-      if (!error) Stop();
-    });
+    AwaitSignal();
     std::cerr << config_.name << ": serving at " << server_.address() << "\n";
   }
 
@@ -105,9 +103,30 @@
     jobs_.Tick(NowMs());
   }
 
+  void AwaitSignal() {
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+      if (error) return;
+      signal == SIGHUP ? Reload() : Stop();
+      AwaitSignal();
+    });
+  }
+
+  // The file was replaced. A file that cannot be taken changes nothing; of one that can, discovery's address
+  // is taken over.
+  void Reload() {
+    try {
+      const std::string discovery = RereadConfig(std::getenv).discovery;
+      std::cerr << config_.name << ": configuration read again, discovery at " << discovery << "\n";
+      watch_.MoveTo(discovery);
+    } catch (const std::exception& error) {
+      std::cerr << config_.name << ": configuration not taken: " << error.what() << "\n";
+    }
+  }
+
   // A planned restart: clients go on for a while with the connections they have and new ones, and all that is
   // held gets its answer.
   void Stop() {
+    if (std::exchange(stopping_, true)) return;
     std::cerr << config_.name << ": told to stop, " << jobs_.held() << " jobs held\n";
     wheel_.Add(NowMs() + kRestartWindowMs, [this] { server_.Close([this] { io_.stop(); }); });
     double longest = 0;
@@ -127,6 +146,7 @@
   net::SubmitterServer server_;
   asio::steady_timer turn_;
   asio::signal_set signals_;
+  bool stopping_ = false;
 };
 
 }  // namespace
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -225,4 +225,55 @@
   CHECK(peer.Ends());
 }
 
+TEST_CASE("a watch that moves keeps the old one until the new address has told its whole list") {
+  net::asio::io_context io(1);
+  TimerWheel wheel(0, 2);
+  net::Runtime runtime{net::asio::make_strand(io), [] { return 0.0; }, wheel};
+  peers::Listener discovery, other;
+  MachineList machines(Settings());
+  machines.Apply({41, true, {}}, 0);
+  std::vector<std::int64_t> told;
+  int breaks = 0;
+  net::DiscoveryWatch watch(
+      runtime, discovery.address(), machines,
+      [&](const MachineUpdate& update) {
+        machines.Apply(update, 0);
+        told.push_back(update.revision);
+      },
+      [&] { ++breaks; });
+  const auto run_until = [&](const std::function<bool()>& reached) {
+    while (!reached()) REQUIRE(io.run_one_for(std::chrono::milliseconds(peers::kLimitMs)) == 1);
+  };
+  const auto list = [](int revision, bool complete) {
+    return peers::List(revision, complete, nlohmann::json::array()).dump() + "\n";
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  watch.Watch();
+  peers::Peer old = discovery.Accept();
+  old.Send(head + peers::Chunk("\n"));
+  run_until([&] { return told.size() == 1; });
+  watch.MoveTo(other.address());
+  peers::Peer refusing = other.Accept();
+  refusing.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  run_until([&] { return breaks == 1; });  // when to ask again is not the watch's to say
+  watch.Watch();
+  peers::Peer partial = other.Accept();
+  const std::string changes = list(7, false);  // asked for all, it tells what changed: not to be built on
+  partial.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(changes.size()) + "\r\n\r\n" + changes);
+  run_until([&] { return breaks == 2; });
+  old.Send(peers::Chunk(list(42, false)));
+  run_until([&] { return told.size() == 2; });
+  watch.Watch();
+  peers::Peer next = other.Accept();
+  const std::string whole = list(3, true);
+  next.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole);
+  run_until([&] { return told.size() == 3; });
+  io.poll();
+  CHECK(told == std::vector<std::int64_t>{41, 42, 3});
+  CHECK(next.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+  CHECK(next.Read().starts_with("GET /discovery/hosts?follow=1&since=3 HTTP/1.1\r\n"));
+  old.Read();  // what it had asked
+  CHECK(old.Ends());
+}
+
 }  // namespace bitternmux
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -184,7 +184,7 @@
     std::string folder = (std::filesystem::temp_directory_path() / "bitternmux-XXXXXX").string();
     if (::mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no temporary folder");
     folder_ = folder;
-    std::ofstream(folder_ / "config.json") << config;
+    Configure(config.dump());
     int ends[2];
     if (::pipe(ends) != 0) throw std::runtime_error("no pipe");
     pid_ = ::fork();
@@ -193,6 +193,10 @@
       ::close(ends[0]);
       ::close(ends[1]);
       ::setenv("RELAY_CONFIG", (folder_ / "config.json").c_str(), 1);
+      const auto named = config.find("discovery");
+      if (named != config.end() && named->is_string()) {
+        ::setenv("RELAY_DISCOVERY", named->get_ref<const std::string&>().c_str(), 1);
+      }
       ::execl(BITTERNMUX_PROGRAM, BITTERNMUX_PROGRAM, nullptr);
       ::_exit(127);
     }
@@ -230,7 +234,9 @@
     const rlimit limit{count, 1024};
     ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
   }
+  void Configure(const std::string& text) { std::ofstream(folder_ / "config.json") << text; }
   void Terminate() { ::kill(pid_, SIGTERM); }
+  void HangUp() { ::kill(pid_, SIGHUP); }
   // Its exit code, once its log has ended.
   int Exit() {
     AwaitLog(std::string("\0", 1));
--- a/tests/sidecar_stories.cpp
+++ b/tests/sidecar_stories.cpp
@@ -230,6 +230,43 @@
   CHECK(Status(submitter.Read()) == 200);
 }
 
+TEST_CASE("on SIGHUP it goes over to the discovery that the file names, by that one's whole list") {
+  Bed bed(2);
+  auto [old, asked] = bed.AcceptWatch();
+  old.Send(Chunk("\n"));
+  bed.program.Configure("{\"name\":");
+  bed.program.HangUp();
+  bed.program.AwaitLog("configuration not taken: RELAY_CONFIG: no JSON");
+  Listener between, other;
+  for (const Listener* next : {&between, &other}) {
+    bed.program.Configure(ConfigOf(next->address(), 1024, nlohmann::json::array()).dump());
+    bed.program.HangUp();
+    bed.program.AwaitLog("discovery at " + next->address());
+  }
+  Peer watch = other.Accept();
+  CHECK(watch.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+  auto members = bed.Members();
+  members.erase(1);
+  const std::string list = List(3, true, members).dump();
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+  CHECK(Has(watch.Read(), "GET /discovery/hosts?follow=1&since=3 "));
+  CHECK(old.Ends());
+  Peer submitter = bed.Submitter();
+  Peer node(-1);
+  for (int i = 0; i < 10; ++i) {
+    submitter.Send(Post("id-" + std::to_string(i)));
+    if (i == 0) node = bed.nodes[0].Accept();  // the other one is not on the new list
+    node.Read();
+    node.Send(Served("ok"));
+    CHECK(Status(submitter.Read()) == 200);
+  }
+  CHECK_FALSE(bed.nodes[1].Waiting());
+  bed.program.Terminate();
+  bed.program.HangUp();
+  submitter.Close();
+  CHECK(bed.program.Exit() == 0);
+}
+
 TEST_CASE("a load report that cannot be read does not harm the answer") {
   Bed bed;
   Peer submitter = bed.Submitter();
