Judge health by odds against the fleet's usual failures and by silence; free admission of misread retries

Refused rate-check 2 to 6% in every window while p99 was 90 ms under an aim of 300; and 75 to 178 errors a window from one failing node among eight.

Causes, all in src/policy.cpp: (1) Blame set a host aside for 0.7 to 2 s after any one failure; 15 spoilt answers a second, from any host alike, kept more than half the fleet set aside, so that ReadyHosts used all of them, the failing one too. (2) A silent host showed in no figure until time-outs, and LearnTime took those time-outs for slowness (twice the time, unbounded in per_figure), after which InTime refused. (3) AimOf took first tries for retries once a retry came with more time: logged, the aim of most refused requests lay 88 ms in the past. (4) The level of TimeShape was kept per unit of figure + offset, so each move of the offset made it wrong (679 ms expected where 170 were met). (5) sent_since was reset by every answer, though the report it brings is older than the sends. (6) hosts_ kept every id ever seen.

Now: odds that a host fails, weighed against how usual failures are; silence after three expected times; one trial at a time, of a request that may run again; such a request is tried elsewhere after six expected times; others' load is the report less the mean of own requests; rows of gone hosts are used again.

Tests: five in tests/module_test.cpp, each seen to fail with the module before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -3,8 +3,7 @@
 // The mechanism is Stochastic Skip, after Klein, Metzler and Bar-Yam, "Handling Emergent Resource Use
 // Oscillations": ready hosts are ranked by last reported load, each is passed over with one fixed chance, a
 // passed-over request moves on at once. The file reads in the order in which a request is decided: host
-// table, report gathering, the walk, attempt plan, admission, discovery. docs/design.md tells what was added
-// and why.
+// table, report gathering, the walk, attempt plan, admission, discovery.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -16,35 +15,44 @@
 namespace cartspring {
 namespace {
 
-constexpr double kSkip = 0.1;         // r, the chance that a ranked host is passed over
-constexpr int kRounds = 4;            // walks over the ranking before the first host is taken unskipped
-constexpr double kLookSpend = 0.012;  // share of the result that may be spent on the probes of a request
-constexpr int kSampleMin = 2;         // hosts looked at for a request: fewer is no choice
-constexpr int kSampleMax = 5;         // more add little to the best of the sample
-constexpr int kLooksMax = 3;          // samples drawn for one attempt before giving up
-constexpr int kHoldTicks = 2;         // a request waits this long for its sample's reports
-constexpr double kRetryShare = 0.2;   // further attempts earned by each request: bounds retry storms
-constexpr double kRetrySaved = 5;     // most further attempts saved up
-constexpr int kSetAsideAt = 2;        // failure points at which a host is set aside
-constexpr double kFirstGuess = 0.2;   // an unloaded host is taken to answer in this share of the aim
+constexpr double kSkip = 0.1;           // r, the chance that a ranked host is passed over
+constexpr int kRounds = 4;              // walks over the ranking before the first host is taken unskipped
+constexpr double kLookSpend = 0.012;    // share of the result that may be spent on the probes of a request
+constexpr int kSampleMin = 2;           // hosts looked at for a request: fewer is no choice
+constexpr int kSampleMax = 5;           // more add little to the best of the sample
+constexpr int kLooksMax = 3;            // samples drawn for one attempt before giving up
+constexpr int kHoldTicks = 2;           // a request waits this long for its sample's reports
+constexpr double kRetryShare = 0.2;     // further attempts earned by each request: bounds retry storms
+constexpr double kRetrySaved = 5;       // most further attempts saved up
+constexpr double kFailing = 0.6;        // a failing host is taken to fail this share of its requests
+constexpr double kSpoiltWeight = 0.01;  // weight of an outcome in the share that fails on any host
+constexpr double kSpoiltLeast = 0.003;
+constexpr double kDoubtLeast = -3.5;  // log odds that a host is failing before anything is held against it
+constexpr double kDoubtMost = 4;
+constexpr double kPauseTypical = 4;  // first pause of a host set aside, in usual times of an answer
+constexpr double kSilentAfter = 3;   // expected times after which a host that says nothing is held silent
+constexpr double kCutAfter = 6;      // and after which a request that may run again is tried elsewhere
+constexpr double kFirstGuess = 0.2;  // an unloaded host is taken to answer in this share of the aim
 constexpr double kGuessOff = 1.5;  // and the first outcome is believed within this factor of what was thought
-constexpr double kSlowWeight = 0.5;     // weight of a new outcome in what is thought of its host
+constexpr double kSlowWeight = 0.25;    // weight of a new outcome in what is thought of its host
 constexpr double kSlowMost = 8;         // a host is held to be this many times slower than its kind at most
 constexpr double kTypicalWeight = 0.1;  // weight of a new sample in running means
 constexpr double kShapeFade = 0.98;     // what the time's shape keeps of its past at each new outcome
-constexpr double kFirstOffset =
-    4;  // requests; figure at which a host takes twice its unloaded time, at first
-constexpr double kOffsetLeast = 0.5;   // and the bounds within which that is learned
-constexpr double kShapeSpread = 0.01;  // least squared variation of the figures seen that tells a slope
+constexpr double kFirstOffset = 4;      // figure at which a host takes twice its unloaded time, at first
+constexpr double kOffsetLeast = 0.5;    // and the bounds within which that is learned
+constexpr double kShapeSpread = 0.01;   // least squared variation of the figures seen that tells a slope
 constexpr double kOffsetMost = 16;
 constexpr double kCutFactor = 2;      // an attempt cut off would have taken about this many times as long
 constexpr double kAimShare = 0.8;     // expected time over time left at which a request is still taken on
+constexpr double kRoomShare = 0.65;   // and share of the shortest aim that is left to those behind it
 constexpr double kProbedLife = 0.25;  // a probed row is ranked by for this multiple of an answer's usual time
 constexpr double kAnsweredLife = 8;   // one that came with an answer for this multiple
-constexpr double kEchoWeight = 0.12;  // weight of one echo in the share of those seen
-constexpr double kEchoNeeded = 0.4;   // below this share of own sends seen in reports, reports are late
+constexpr double kOwnMemory = 4;      // usual times of an answer over which own attempts are averaged
 constexpr double kShareMost = 8;      // a hint is believed within this factor of its class's mean
-constexpr double kSettled = 1e-6;     // ms, for comparing times
+constexpr double kTryOff = 0.01;      // of a deadline, by which the time of first tries varies
+constexpr double kOtherTry = 0.3;     // weight of a try that comes with another time
+constexpr double kFirstTriesMost = 20;
+constexpr double kSettled = 1e-6;  // ms, for comparing times
 
 // Small, seeded and portable: splitmix64. Distributions of the standard library differ between runtimes.
 class Random {
@@ -63,13 +71,16 @@
   std::uint64_t state_;
 };
 
-// How the time of an attempt grows with its host's figure: in proportion to figure + offset. The offset is
-// read from a fading straight-line fit over this instance's own outcomes; the level is kept apart, by class
-// and kind, so that what one class meets does not move what is expected of another.
+// How the time of an attempt grows with its host's figure: in proportion to figure + offset, and 1 at the
+// mean of the figures seen. The offset is read from a fading straight-line fit over this instance's own
+// outcomes; the level is kept apart, by class and kind, so that what one class meets does not move what is
+// expected of another. Held at the mean, it stays true when the offset moves.
 class TimeShape {
  public:
   TimeShape() {
-    for (const double figure : {1.0, 5.0, 20.0}) Add(figure, figure + kFirstOffset);
+    constexpr double kMean = (1.0 + 5.0 + 20.0) / 3;
+    for (const double figure : {1.0, 5.0, 20.0})
+      Add(figure, (figure + kFirstOffset) / (kMean + kFirstOffset));
   }
   void Add(double figure, double time) {
     for (double* sum : {&n_, &x_, &y_, &xx_, &xy_}) *sum *= kShapeFade;
@@ -85,8 +96,9 @@
     offset_ = std::clamp(offset, kOffsetLeast, kOffsetMost);
   }
   // `share`: the request's own work against its class's mean, where clients hint at it.
-  double At(double figure, double share) const { return figure + offset_ * share; }
-  double Offset() const { return offset_; }
+  double At(double figure, double share) const { return (figure + offset_ * share) * Slope(); }
+  double Offset() const { return offset_ * Slope(); }  // of the time, not of the figure
+  double Slope() const { return 1 / (x_ / n_ + offset_); }
 
  private:
   double n_ = 0, x_ = 0, y_ = 0, xx_ = 0, xy_ = 0;
@@ -123,12 +135,11 @@
  public:
   Impl(const Settings& settings, std::uint64_t seed, ActionSink& sink)
       : set_((CheckSettings(settings), settings)), sink_(sink), random_(seed) {
-    for (const RequestClass& c : set_.classes)
-      learned_.push_back({c.aim_ms * kFirstGuess, c.aim_ms * kFirstGuess / (1 + kFirstOffset), 0, 0, {}});
-    hastiest_ = static_cast<int>(
-        std::min_element(set_.classes.begin(), set_.classes.end(),
-                         [](const RequestClass& a, const RequestClass& b) { return a.aim_ms < b.aim_ms; }) -
-        set_.classes.begin());
+    for (const RequestClass& c : set_.classes) {
+      if (c.aim_ms < set_.classes[hastiest_].aim_ms) hastiest_ = static_cast<int>(learned_.size());
+      learned_.push_back({c.aim_ms * kFirstGuess, c.aim_ms * kFirstGuess / shape_.At(1, 1)});
+      patience_ = std::max(patience_, c.deadline_ms);
+    }
     const double affordable = set_.probe_price > 0 ? kLookSpend / set_.probe_price : kSampleMax;
     sample_size_ = static_cast<int>(std::clamp<double>(affordable, kSampleMin, kSampleMax));
   }
@@ -198,11 +209,11 @@
     Attempt& tried = live.attempts[attempt];
     tried.pending = false;
     tried.may_have_run = !ProvesNeverRan(outcome);
-    Release(tried);
+    CountOwn(hosts_[tried.host], -1);
     if (report != nullptr) TakeReport(hosts_[tried.host], *report);
     Judge(live, tried, outcome, took);
     if (over) return Forget(id, live);
-    if (live.begun || live.gathering || Pending(live) > 0) return;
+    if (live.begun || live.gathering || Pending(live)) return;
     if (WorthAnother(live, outcome)) {
       Gather(id, live);
     } else {
@@ -216,14 +227,12 @@
     Advance(now);
     Host& host = hosts_[at];
     host.probe_out = false;
-    TakeEcho(host, answered ? report : nullptr);
     if (answered) {
       if (report != nullptr) TakeReport(host, *report);
-      if (host.failures == 1) host.failures = 0;
       double& rtt = ZoneRtt(host.entry.zone);
       rtt = rtt == 0 ? took : rtt + kTypicalWeight * (took - rtt);
     } else {
-      Blame(host, 1);
+      Weigh(host, true);
     }
     std::vector<RequestId> waiters;
     waiters.swap(host.waiters);
@@ -231,7 +240,7 @@
       const auto found = requests_.find(id);
       if (found == requests_.end() || !found->second.gathering) continue;
       --found->second.reports_due;
-      if (Settled(found->second)) Decide(id, found->second);
+      if (found->second.reports_due <= 0) Decide(id, found->second);
     }
   }
 
@@ -250,7 +259,6 @@
     const auto found = requests_.find(id);
     if (found == requests_.end() || found->second.begun) return;
     Live& live = found->second;
-    if (token % kTimerKinds == kEchoTimer) return Echo(live);
     if (token % kTimerKinds == kEndTimer) {
       if (now_ >= live.end_at - EndMargin() - kSettled) End(id, live);
     } else if (live.gathering && now_ >= live.hold_until - kSettled) {
@@ -272,26 +280,26 @@
     bool listed = true;
     double load = -1;  // last reported; -1: never
     double load_at = 0;
-    std::uint64_t report_number = 0;
-    int sent_since = 0;       // own attempts that the last report cannot show yet
-    int own = 0;              // own attempts out
-    double linked_until = 0;  // until when an idle connection to it stays open
-    int failures = 0;         // points for failures in a row
-    int set_asides = 0;
+    double others = 0;           // what of it was not this instance's own
+    int own = 0;                 // own attempts out
+    double own_mean = 0;         // fading mean of these
+    double own_at = 0;           // when it was brought up to date
+    double linked_until = 0;     // until when an idle connection to it stays open
+    double waiting_since = 0;    // since when an own attempt is out and nothing was heard
+    double expected_ms = 0;      // of the attempt sent last
+    double doubt = kDoubtLeast;  // log odds that it is failing
+    int set_asides = 0;          // since its last answer
     double out_until = 0;
+    int held = 0;         // attempts of requests that are not over, ended ones included
     double slow_log = 0;  // log of how much slower than its kind it was last seen to be
     double slow_at = 0;
     bool probe_out = false;
-    bool echo_out = false;
-    RequestId echo_of = 0;  // the request whose showing up in this host's reports is awaited; 0: none
-    double echo_base = 0;   // what the host reported before that request was sent
     std::vector<RequestId> waiters;
   };
   struct Attempt {
     int host = 0;
     double sent_at = 0;
     double figure = 0;  // the host's figure, this attempt included, when it was sent
-    std::uint64_t report_number = 0;
     bool pending = true;
     bool may_have_run = true;
   };
@@ -312,20 +320,21 @@
     bool begun = false;
   };
   struct Learned {
-    double typical_ms;  // of an answer
-    double per_figure;  // ms for each unit of figure + offset, over all kinds
-    double longest_try_ms;
+    double typical_ms;        // of an answer
+    double per_figure;        // ms for each unit of figure + offset, over all kinds
+    double first_try_ms = 0;  // the time that first tries come with
+    double first_tries = 0;   // how surely
     double mean_hint_ms = 0;
-    std::vector<double> on_kind;  // the same on each kind of machine, 0: not tried
+    std::vector<double> on_kind = {};  // the same on each kind of machine, 0: not tried
   };
-  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kEchoTimer, kTimerKinds };
+  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kTimerKinds };
   static constexpr std::uint64_t kDiscoveryTimer = ~std::uint64_t{0} >> 1;
 
   static std::uint64_t Token(RequestId id, TimerKind kind) { return id * kTimerKinds + kind; }
   static int Count(const Live& live) { return static_cast<int>(live.attempts.size()); }
-  static int Pending(const Live& live) {
-    return static_cast<int>(std::count_if(live.attempts.begin(), live.attempts.end(),
-                                          [](const Attempt& a) { return a.pending; }));
+  static bool Pending(const Live& live) {
+    const auto pending = [](const Attempt& a) { return a.pending; };
+    return std::any_of(live.attempts.begin(), live.attempts.end(), pending);
   }
   const RequestClass& ClassOf(const Live& live) const { return set_.classes[live.request.klass]; }
   Learned& LearnedOf(const Live& live) { return learned_[live.request.klass]; }
@@ -339,12 +348,12 @@
   }
 
   void Learn(const HostEntry& entry) {
-    const auto [found, fresh] = host_index_.try_emplace(entry.host, static_cast<int>(hosts_.size()));
-    if (fresh) hosts_.emplace_back();
-    Host& host = hosts_[found->second];
-    if (!fresh && entry.started_ms > host.entry.started_ms) {
+    const auto found = host_index_.find(entry.host);
+    Host& host = hosts_[found != host_index_.end() ? found->second : FreeRow(entry.host)];
+    if (entry.started_ms > host.entry.started_ms) {
       // A restarted process: what was held against the old one, and its figure, are void.
-      host.failures = host.set_asides = 0;
+      host.doubt = kDoubtLeast;
+      host.set_asides = 0;
       host.out_until = 0;
       host.load = -1;
     }
@@ -352,6 +361,19 @@
     host.listed = true;
   }
 
+  // Rows of hosts that are gone for good are used again: ids that come and go all day must not pile up.
+  int FreeRow(const std::string& name) {
+    const auto unused = std::find_if(hosts_.begin(), hosts_.end(), [](const Host& host) {
+      return host.entry.state == HostState::kGone && host.held == 0 && !host.probe_out &&
+             host.waiters.empty();
+    });
+    const int row = static_cast<int>(unused - hosts_.begin());
+    if (unused == hosts_.end()) hosts_.emplace_back();
+    host_index_.erase(hosts_[row].entry.host);
+    hosts_[row] = Host();
+    return host_index_[name] = row;
+  }
+
   void CountFleet() {
     double weight = 0;
     live_ = 0;
@@ -387,7 +409,7 @@
     const Learned& learned = learned_[klass];
     const std::size_t kind = static_cast<std::size_t>(host.entry.kind);
     const double known = kind < learned.on_kind.size() ? learned.on_kind[kind] : 0;
-    return (known > 0 ? known : learned.per_figure) * std::exp(SlowLog(host));
+    return (known > 0 ? known : learned.per_figure) * Slower(host);
   }
 
   // Own outcomes speak of a host for a while: about as long as one takes to warm up.
@@ -395,29 +417,57 @@
     return host.slow_log * std::exp(-(now_ - host.slow_at) / std::max(1.0, set_.warm_within_ms));
   }
 
-  // Failures in a row set a host aside; what is said against it is dropped by an answer. The backoff is in
-  // units of the longest client's patience and jittered, so that instances do not come back in step.
-  void Blame(Host& host, int points) {
-    host.failures += points;
-    if (host.failures < kSetAsideAt || now_ < host.out_until) return;
-    double patience = 0;
-    for (const RequestClass& c : set_.classes) patience = std::max(patience, c.deadline_ms);
-    const double backoff = patience * std::min(16, 1 << std::min(host.set_asides, 4));
-    host.out_until = now_ + backoff * (0.5 + random_.Unit());
+  // Only ever slower: hosts that were tried would else look faster than those that were not.
+  double Slower(const Host& host) const { return std::exp(std::max(0.0, SlowLog(host))); }
+
+  // A failure is weighed by how usual failures are just now on hosts that nothing is held against: where any
+  // host spoils some answers, one spoilt answer says little of its host. Odds that speak against a host are
+  // worked off by its answers.
+  void Weigh(Host& host, bool failed, bool silent = false) {
+    if (host.doubt <= 0 && !silent) {
+      spoilt_ = std::clamp(spoilt_ + kSpoiltWeight * (failed - spoilt_), kSpoiltLeast, kFailing / 2);
+    }
+    const double odds = failed ? kFailing / spoilt_ : (1 - kFailing) / (1 - spoilt_);
+    host.doubt = std::clamp(host.doubt + std::log(odds), kDoubtLeast, kDoubtMost);
+    if (!failed) host.set_asides = 0;
+    if (host.doubt > 0) SetAside(host);
+  }
+
+  // The pauses grow and are jittered, so that instances do not come back in step.
+  void SetAside(Host& host) {
+    if (now_ < host.out_until) return;
+    const double pause = std::min(
+        patience_, kPauseTypical * learned_[hastiest_].typical_ms * (1 << std::min(host.set_asides, 8)));
+    host.out_until = now_ + pause * (0.5 + random_.Unit());
     ++host.set_asides;
   }
 
-  std::vector<int> ReadyHosts() const {
-    std::vector<int> ready, live;
+  // Guards against hosts that take requests and say nothing: no outcome tells of them before a time-out does,
+  // and all that while their last report looks as good as ever.
+  bool Silent(const Host& host) const {
+    return host.own > 0 && now_ - host.waiting_since > kSilentAfter * host.expected_ms;
+  }
+
+  std::vector<int> ReadyHosts(const Live& live) const {
+    std::vector<int> ready, all;
+    std::size_t well = 0;
+    const bool safe = ClassOf(live).effect == Effect::kSafe;
     for (int i = 0; i < static_cast<int>(hosts_.size()); ++i) {
       const Host& host = hosts_[i];
       if (host.entry.state != HostState::kLive) continue;
-      live.push_back(i);
-      // Back from being set aside, a host gets one attempt at a time until one is answered.
-      if (now_ >= host.out_until && !(host.failures >= kSetAsideAt && host.own > 0)) ready.push_back(i);
+      all.push_back(i);
+      if (now_ < host.out_until || Silent(host)) continue;
+      if (host.doubt <= 0) {
+        ++well;
+        ready.push_back(i);
+      } else if (host.own == 0 && (safe || now_ > host.out_until + patience_)) {
+        // Back from being set aside, a host gets one attempt at a time, of a request that may run again if
+        // there are any, until its answers speak for it.
+        ready.push_back(i);
+      }
     }
     // If most of the fleet looks ill, the fault is likelier in this instance's view: use them all.
-    return 2 * ready.size() < live.size() ? live : ready;
+    return 2 * well < all.size() ? all : ready;
   }
 
   // ---- Report gathering ----
@@ -435,10 +485,11 @@
   void TakeReport(Host& host, const LoadReport& report) {
     const double load = report.in_flight >= 0 ? report.in_flight : report.queue;
     if (load < 0) return;
+    CountOwn(host, 0);
+    // A report that came with an answer tells of some time before it, of which the mean is all that is known.
+    host.others = std::max(0.0, load - (Probing() ? host.own : host.own_mean));
     host.load = load;
     host.load_at = now_;
-    host.sent_since = 0;
-    ++host.report_number;
   }
 
   // Where only probes report, a small random sample is looked at as the request arrives: at full size an
@@ -449,7 +500,7 @@
     live.reports_due = 0;
     live.looked_at = now_;
     std::vector<int> pool;
-    for (const int i : ReadyHosts()) {
+    for (const int i : ReadyHosts(live)) {
       if (MaySend(live, i) && !Barred(live, i)) pool.push_back(i);
     }
     if (!Probing()) {
@@ -457,26 +508,20 @@
       live.considered = 1;
       return Decide(id, live);
     }
-    // Far zones answer probes after the hold. Some of their hosts are in each sample all the same, since a
-    // zone of its own may be overloaded while they idle; the request waits for them only if they could rank
-    // first.
-    std::vector<int> near, far;
-    for (const int i : pool) (Far(hosts_[i]) ? far : near).push_back(i);
-    const int from_far = near.empty() ? sample_size_ : sample_size_ / 2;
-    Draw(far, from_far, live);
     if (set_.connection_idle_ms > 0) {
-      // Part of the near sample has a connection open: with many hosts and few requests every send would else
+      // Part of the sample has a connection open: with many hosts and few requests every send would else
       // pay for a new one. Cold hosts are left out, or they would be drawn more often than their share is cut
       // for.
       std::vector<int> linked;
-      std::copy_if(near.begin(), near.end(), std::back_inserter(linked),
+      std::copy_if(pool.begin(), pool.end(), std::back_inserter(linked),
                    [&](int i) { return Linked(hosts_[i]) && Warmth(hosts_[i]) >= 1; });
       Draw(linked, sample_size_ / 2, live);
-      std::erase_if(near, [&](int i) {
-        return std::find(live.sample.begin(), live.sample.end(), i) != live.sample.end();
-      });
     }
-    Draw(near, sample_size_ - static_cast<int>(live.sample.size()), live);
+    std::vector<int> others;
+    std::copy_if(pool.begin(), pool.end(), std::back_inserter(others), [&](int i) {
+      return std::find(live.sample.begin(), live.sample.end(), i) == live.sample.end();
+    });
+    Draw(others, sample_size_ - static_cast<int>(live.sample.size()), live);
     live.considered =
         pool.empty() ? 1 : static_cast<double>(live.sample.size()) / static_cast<double>(pool.size());
     double wait = kHoldTicks * set_.tick_ms;
@@ -491,16 +536,10 @@
     }
     live.gathering = true;
     live.hold_until = now_ + wait;
-    if (Settled(live)) return Decide(id, live);
+    if (live.reports_due <= 0) return Decide(id, live);
     sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
   }
 
-  bool Far(const Host& host) const {
-    const std::size_t zone = static_cast<std::size_t>(host.entry.zone);
-    return host.entry.zone != set_.own_zone && zone < zone_rtt_.size() &&
-           zone_rtt_[zone] > kHoldTicks * set_.tick_ms;
-  }
-
   // Has this instance a connection to the host that nothing uses?
   bool Linked(const Host& host) const { return host.own == 0 && now_ < host.linked_until; }
 
@@ -511,42 +550,6 @@
     }
   }
 
-  // Can no report that is still due rank first?
-  bool Settled(const Live& live) {
-    if (live.reports_due <= 0) return true;
-    double best = INFINITY, hope = INFINITY;
-    for (const int i : live.sample) {
-      const Host& host = hosts_[i];
-      const bool reported = Reported(host, live);
-      const double figure = Figure(host, reported ? host.load : 0);
-      double& least = reported ? best : hope;
-      least = std::min(least, figure * PerFigure(live.request.klass, host) + Distance(host, live));
-    }
-    return best <= hope;
-  }
-
-  // Are reports late? A host just sent a request must soon report one more; where it does not, again and
-  // again, its reports tell of an earlier time, and ranking by them would send every instance to the same
-  // hosts.
-  bool ReportsLate() const { return echo_seen_ < kEchoNeeded; }
-
-  void Echo(const Live& live) {
-    if (live.attempts.empty() || !live.attempts.back().pending) return;
-    Host& host = hosts_[live.attempts.back().host];
-    if (host.echo_of != live.request.id || host.probe_out) return;
-    host.probe_out = host.echo_out = true;
-    sink_.Probe(host.entry.host);
-  }
-
-  void TakeEcho(Host& host, const LoadReport* report) {
-    if (host.echo_out && report != nullptr && requests_.count(host.echo_of) > 0) {
-      const double more = std::max(report->in_flight, report->queue) - host.echo_base;
-      echo_seen_ += kEchoWeight * (std::clamp(more, 0.0, 1.0) - echo_seen_);
-    }
-    if (host.echo_out || requests_.count(host.echo_of) == 0) host.echo_of = 0;
-    host.echo_out = false;
-  }
-
   // ---- The walk ----
 
   void Decide(RequestId id, Live& live) {
@@ -565,10 +568,17 @@
     SendTo(id, live, kept);
   }
 
-  // The host's load for ranking: reported requests and own later sends, with this request, by size and
-  // warmth.
-  double Figure(const Host& host, double load) const {
-    return (load + host.sent_since + 1) / (Size(host) * Warmth(host));
+  // The host's load for ranking: what it reported beside this instance's own requests, those as they are now,
+  // and this request, by size and warmth.
+  double Figure(const Host& host, double others) const {
+    return (others + host.own + 1) / (Size(host) * Warmth(host));
+  }
+
+  void CountOwn(Host& host, int more) {
+    const double kept = std::exp((host.own_at - now_) / (kOwnMemory * learned_[hastiest_].typical_ms));
+    host.own_mean = host.own + (host.own_mean - host.own) * kept;
+    host.own_at = now_;
+    host.own += more;
   }
 
   // Crossing zones costs time on the way and a price, a new connection a price; prices are taken as time of
@@ -604,23 +614,21 @@
     double known = 0, known_count = 0;
     for (const int i : candidates) {
       if (!Reported(hosts_[i], live)) continue;
-      known += hosts_[i].load;
+      known += hosts_[i].others;
       ++known_count;
     }
-    const double unreported = known_count > 0 ? known / known_count : 0;
+    const double unreported = known / std::max(1.0, known_count);
     std::vector<Ranked> ranking;
     for (const int i : candidates) {
       if (!KeptThoughCold(live, i)) continue;
-      // Late reports count as none: all hosts tie at the mean, in an order that is random by their pace. A
-      // cold host without a row ties too: it is held back by being passed over, and must be tried to be
-      // known.
-      const bool reported = !ReportsLate() && Reported(hosts_[i], live);
-      const double load =
-          reported ? hosts_[i].load : unreported * Warmth(hosts_[i]) - (1 - Warmth(hosts_[i]));
-      const double figure = Figure(hosts_[i], load);
-      const double noise = ReportsLate() ? -std::log(1 - random_.Unit()) : 1;
+      // A cold host without a row ranks as if it had less than the mean to do: it is held back by being
+      // passed over, and must be tried to be known.
+      const bool reported = Reported(hosts_[i], live);
+      const double others =
+          reported ? hosts_[i].others : unreported * Warmth(hosts_[i]) - (1 - Warmth(hosts_[i]));
+      const double figure = Figure(hosts_[i], others);
       const double key =
-          figure * PerFigure(live.request.klass, hosts_[i]) * noise + Distance(hosts_[i], live);
+          figure * PerFigure(live.request.klass, hosts_[i]) * shape_.Slope() + Distance(hosts_[i], live);
       ranking.push_back({key, random_.Unit(), i, figure});
     }
     if (ranking.empty()) return {0, 0, -1, 0};
@@ -639,10 +647,9 @@
   void LookAgain(RequestId id, Live& live) {
     ++live.looks;
     const double left = live.end_at - now_;
-    const double pause = std::max(set_.tick_ms, live.looks < kLooksMax ? 0 : left / 4);
     live.sample.clear();
     live.gathering = true;
-    live.hold_until = now_ + pause;
+    live.hold_until = now_ + std::max(set_.tick_ms, live.looks < kLooksMax ? 0 : left / 4);
     sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
   }
 
@@ -681,38 +688,52 @@
 
   void SendTo(RequestId id, Live& live, const Ranked& kept) {
     Host& host = hosts_[kept.host];
-    live.attempts.push_back({kept.host, now_, kept.figure, host.report_number, true, true});
+    live.attempts.push_back({kept.host, now_, kept.figure, true, true});
+    host.expected_ms = Expected(live, kept);
+    if (host.own == 0) host.waiting_since = now_;
+    ++host.held;
+    CountOwn(host, 1);
     live.barred.push_back(kept.host);
     live.looks = 0;
-    if (Probing() && host.echo_of == 0 && host.load_at >= live.looked_at) {
-      host.echo_of = id;
-      host.echo_base = host.load;
-      sink_.SetTimer(now_ + kHoldTicks * set_.tick_ms, Token(id, kEchoTimer));
-    }
-    ++host.own;
-    ++host.sent_since;
-    sink_.Send(id, host.entry.host, live.end_at - EndMargin());
+    sink_.Send(id, host.entry.host, AttemptEnd(live, host));
+  }
+
+  double Expected(const Live& live, const Ranked& kept) const {
+    return PerFigure(live.request.klass, hosts_[kept.host]) * shape_.At(kept.figure, live.share);
+  }
+
+  // A request that may run again is not left to wait for its host for all its time.
+  double AttemptEnd(const Live& live, const Host& host) const {
+    const double end = live.end_at - EndMargin(), cut = now_ + kCutAfter * host.expected_ms;
+    const bool again = ClassOf(live).effect == Effect::kSafe && Count(live) < set_.max_attempts &&
+                       retry_tokens_ >= 1 && cut + host.expected_ms < end;
+    return again ? cut : end;
   }
 
   // What an outcome says of the host and of how long such requests take.
   void Judge(Live& live, const Attempt& tried, Outcome outcome, double took) {
     Host& host = hosts_[tried.host];
     Learned& learned = LearnedOf(live);
-    if (outcome == Outcome::kServed) host.linked_until = now_ + set_.connection_idle_ms;
+    const bool heard = outcome == Outcome::kServed || outcome == Outcome::kError ||
+                       outcome == Outcome::kRefusedByHost || outcome == Outcome::kConnectionLost;
+    if (heard) host.waiting_since = now_;
     switch (outcome) {
       case Outcome::kServed:
-        host.failures = host.set_asides = 0;
+        host.linked_until = now_ + set_.connection_idle_ms;
+        Weigh(host, false);
         learned.typical_ms += kTypicalWeight * (took - learned.typical_ms);
         return LearnTime(live, tried, took);
       case Outcome::kTimeout:
-        // It would have taken longer still. Counted as it stands, the fit could never expect a time-out.
-        LearnTime(live, tried, kCutFactor * took);
-        return Blame(host, 1);
+        // It would have taken longer still. Counted as it stands, the fit could never expect a time-out. Of a
+        // host that said nothing all the while, it tells nothing about the time that answers take.
+        if (host.waiting_since > tried.sent_at) return LearnTime(live, tried, kCutFactor * took);
+        return Weigh(host, true, true);
       case Outcome::kError:
-      case Outcome::kRefusedByHost:
       case Outcome::kConnectFailed:
       case Outcome::kConnectionLost:
-        return Blame(host, kSetAsideAt);
+        return Weigh(host, true);
+      case Outcome::kRefusedByHost:
+        return SetAside(host);
       case Outcome::kCancelled:
       case Outcome::kNotSent:
         return;
@@ -722,20 +743,23 @@
   void LearnTime(Live& live, const Attempt& tried, double took) {
     Host& host = hosts_[tried.host];
     Learned& learned = LearnedOf(live);
-    const double per_figure = took / shape_.At(tried.figure, live.share);
+    const double shape = shape_.At(tried.figure, live.share), level = took / shape;
     const std::size_t kind = static_cast<std::size_t>(host.entry.kind);
     if (kind >= learned.on_kind.size()) learned.on_kind.resize(kind + 1, 0);
     double& on_kind = learned.on_kind[kind];
     // The first outcome stands for its kind, within reason: held against a guess, the hosts tried first would
     // all look unusually fast or slow beside those not tried yet.
     if (on_kind <= 0)
-      on_kind = std::clamp(per_figure, learned.per_figure / kGuessOff, learned.per_figure * kGuessOff);
-    const double slower = std::clamp(per_figure / on_kind, 1 / kSlowMost, kSlowMost);
-    host.slow_log = SlowLog(host) * (1 - kSlowWeight) + std::max(0.0, std::log(slower)) * kSlowWeight;
+      on_kind = std::clamp(level, learned.per_figure / kGuessOff, learned.per_figure * kGuessOff);
+    const double slower = std::clamp(level / on_kind, 1 / kSlowMost, kSlowMost);
+    const double usual = took / Slower(host);  // had the host been like its kind
+    host.slow_log = SlowLog(host) * (1 - kSlowWeight) + std::log(slower) * kSlowWeight;
     host.slow_at = now_;
-    shape_.Add(tried.figure, took / on_kind - shape_.Offset() * (live.share - 1));
-    on_kind *= 1 + kTypicalWeight * (slower - 1);
-    learned.per_figure += kTypicalWeight * (per_figure - learned.per_figure);
+    shape_.Add(tried.figure, usual / on_kind - shape_.Offset() * (live.share - 1));
+    // By the difference, not by the ratio: hints are rough, and small requests that took long would else
+    // count most.
+    on_kind += kTypicalWeight * (std::min(usual, kSlowMost * on_kind * shape) - on_kind * shape);
+    learned.per_figure += kTypicalWeight * (usual - learned.per_figure * shape);
   }
 
   // After a failure: another attempt if it is legal, can still make it, and is earned. One that is known not
@@ -750,12 +774,6 @@
     return true;
   }
 
-  void Release(const Attempt& attempt) {
-    Host& host = hosts_[attempt.host];
-    --host.own;
-    if (attempt.report_number == host.report_number && host.sent_since > 0) --host.sent_since;
-  }
-
   void CancelPending(RequestId id, const Live& live) {
     for (int k = 0; k < Count(live); ++k) {
       if (live.attempts[k].pending && set_.may_cancel) sink_.Cancel(id, k);
@@ -764,32 +782,35 @@
 
   void Forget(RequestId id, Live& live) {
     for (const Attempt& attempt : live.attempts) {
-      if (attempt.pending) Release(attempt);
+      Host& host = hosts_[attempt.host];
+      if (attempt.pending && Silent(host))
+        Weigh(host, true);  // or its silence would be forgotten with the request
+      if (attempt.pending) CountOwn(host, -1);
+      --host.held;
     }
     requests_.erase(id);
   }
 
   void End(RequestId id, Live& live) {
     CancelPending(id, live);
-    if (MayRefuse(live)) {
-      sink_.Refuse(id, 0);
-    } else {
-      sink_.Fail(id);
-    }
+    MayRefuse(live) ? sink_.Refuse(id, 0) : sink_.Fail(id);
     Forget(id, live);
   }
 
   // ---- Admission ----
 
-  // When the answer is wanted. A client's retry keeps the clock of its first try: one that comes with less
-  // time than tries of its class usually have began a deadline before its end.
+  // When the answer is wanted. A client's retry keeps the clock of its first try. First tries of a class all
+  // come with the same time, and they are most of what comes; one that comes with more or less than that is a
+  // retry, which began a deadline before its end.
   double AimOf(const Live& live) {
     const RequestClass& klass = ClassOf(live);
-    double& longest = learned_[live.request.klass].longest_try_ms;
-    const double budget = live.request.give_up_ms - now_;
-    longest = std::max(longest, budget);
-    const double began =
-        budget < longest - 2 * set_.tick_ms ? live.request.give_up_ms - klass.deadline_ms : now_;
+    Learned& learned = LearnedOf(live);
+    const double budget = live.request.give_up_ms - now_,
+                 off = kTryOff * klass.deadline_ms + 2 * set_.tick_ms;
+    if (learned.first_tries < kOtherTry) learned.first_try_ms = budget;
+    const bool first = std::abs(budget - learned.first_try_ms) <= off;
+    learned.first_tries = std::min(kFirstTriesMost, learned.first_tries + (first ? 1 : -kOtherTry));
+    const double began = first ? now_ : live.request.give_up_ms - klass.deadline_ms;
     const double aim = klass.aim_ms + klass.aim_stretch * live.request.work_hint_ms;
     return std::min(std::min(began, now_) + aim, live.request.give_up_ms);
   }
@@ -807,19 +828,18 @@
     return set_.classes[klass].worth / (set_.worth_by_work ? 1 : learned_[klass].per_figure);
   }
 
-  // A request is taken on if it is expected within its aim, and if the class with the shortest aim could
-  // still be served behind it, or is worth less for its work: else patient classes fill the hosts and shut
-  // the others out.
+  // A request is taken on if it is expected within its aim, and if another behind it would be within the
+  // shortest aim of all, or nearly so if it is worth less: else patient classes fill the hosts and shut the
+  // others out. Judged by what its own class met: what another one meets is no measure of the host.
   bool InTime(const Live& live, const Ranked& kept) const {
     const Host& host = hosts_[kept.host];
     // A host seen idle is always worth a try: were it refused for what was learned, nothing could be learned
     // again.
-    if (!ReportsLate() && kept.figure * Size(host) * Warmth(host) < 2) return true;
-    return PerFigure(live.request.klass, host) * shape_.At(kept.figure, live.share) <=
-               kAimShare * (live.aim_at - now_) &&
-           PerFigure(hastiest_, host) * shape_.At(kept.figure, 1) <=
-               kAimShare * set_.classes[hastiest_].aim_ms * WorthForWork(live.request.klass) /
-                   WorthForWork(hastiest_);
+    if (kept.figure * Size(host) * Warmth(host) < 2) return true;
+    return Expected(live, kept) <= kAimShare * (live.aim_at - now_) &&
+           PerFigure(live.request.klass, host) * shape_.At(kept.figure, 1) <=
+               kRoomShare * set_.classes[hastiest_].aim_ms *
+                   std::sqrt(std::min(1.0, WorthForWork(live.request.klass) / WorthForWork(hastiest_)));
   }
 
   // ---- Discovery ----
@@ -862,8 +882,9 @@
   std::vector<double> zone_rtt_;
   std::vector<Learned> learned_;
   TimeShape shape_;
-  int hastiest_ = 0;      // the class with the shortest aim
-  double echo_seen_ = 1;  // share of own sends that showed up in the next report
+  int hastiest_ = 0;              // the class with the shortest aim
+  double patience_ = 0;           // of the most patient class
+  double spoilt_ = kSpoiltLeast;  // share of attempts that fail on hosts that nothing is held against
   int live_ = 0;
   double mean_weight_ = 1;
   int sample_size_ = kSampleMin;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -72,6 +72,79 @@
   EXPECT_LT(to_a, 40);  // a quarter would be a hundred
 }
 
+TEST(Health, AHostThatTakesRequestsAndSaysNothingGetsNoMoreOfThem) {
+  Bed bed(TestSettings());
+  bed.Hosts(TestHosts(4));
+  int to_a = 0;
+  for (int i = 0; i < 180; ++i) {
+    const RequestId id = bed.Request(kUnsafeClass);
+    if (bed.out.sends.back().host == "a" && i >= 100) {
+      ++to_a;  // never answered; its time-out is far off
+    } else {
+      bed.End(id, 0, Outcome::kServed, true, 5, bed.out.sends.back().host == "a" ? 0 : 6);
+    }
+    bed.PassTo(bed.now + 5);
+  }
+  EXPECT_GT(to_a, 0);
+  EXPECT_LT(to_a, 4);  // its low row would draw more
+}
+
+TEST(Health, WhereAnyHostSpoilsSomeAnswersOnlyOneThatFailsMoreIsLeftOut) {
+  Bed bed(TestSettings());
+  bed.Hosts(TestHosts(4));
+  std::map<std::string, int> sends;
+  for (int i = 0; i < 1000; ++i) {
+    const RequestId id = bed.Request(kUnsafeClass);
+    const std::string host = bed.out.sends.back().host;
+    if (i >= 400) ++sends[host];
+    const bool spoilt = i % 20 == 0 || (host == "a" && i % 3 != 0);
+    bed.End(id, 0, spoilt ? Outcome::kConnectionLost : Outcome::kServed, !spoilt, 20, 2);
+    bed.PassTo(bed.now + 5);
+  }
+  EXPECT_LT(sends["a"], 60);
+  for (const char* host : {"b", "c", "d"}) EXPECT_GT(sends[host], 120) << host;
+}
+
+TEST(Health, ARequestThatMayRunAgainDoesNotWaitForASilentHostToItsEnd) {
+  Bed bed(TestSettings());
+  bed.Hosts(TestHosts(3));
+  for (int i = 0; i < 120; ++i) {
+    const int klass = i % 2 == 0 ? kSafeClass : kUnsafeClass;
+    bed.End(bed.Request(klass), 0, Outcome::kServed, true, 10, 1);
+    bed.PassTo(bed.now + 5);
+  }
+  const RequestId unsafe = bed.Request(kUnsafeClass);
+  ASSERT_EQ(bed.out.sends.back().id, unsafe);
+  EXPECT_GT(bed.out.sends.back().give_up_ms, bed.now + 400);
+  bed.End(unsafe, 0, Outcome::kServed, true, 10, 1);
+  const RequestId id = bed.Request(kSafeClass);
+  const auto first = bed.out.sends.back();
+  EXPECT_LT(first.give_up_ms, bed.now + 200);
+  bed.PassTo(first.give_up_ms);
+  bed.End(id, 0, Outcome::kTimeout, false, 100);
+  ASSERT_EQ(bed.out.sends.back().id, id);
+  EXPECT_NE(bed.out.sends.back().host, first.host);
+}
+
+TEST(Health, IdsThatComeAndGoLeaveTheOnesInUseAlone) {
+  Bed bed(TestSettings());
+  bed.Hosts(TestHosts(2));
+  const RequestId held = bed.Request(kSafeClass);
+  const std::string first = bed.out.sends.back().host;
+  for (int i = 0; i < 100; ++i) {
+    auto hosts = TestHosts(1);
+    hosts[0].host = "new-" + std::to_string(i);
+    bed.Hosts(hosts);  // all others are gone
+    const RequestId id = bed.Request(kUnsafeClass);
+    EXPECT_EQ(bed.out.sends.back().host, hosts[0].host);
+    bed.End(id, 0, Outcome::kServed, true, 10, 1);
+    if (i < 4) continue;
+    EXPECT_THROW(bed.Probed("new-" + std::to_string(i - 3), 1), std::invalid_argument);
+  }
+  bed.Probed(first, 1);  // its attempt is still out: it is not forgotten
+  bed.End(held, 0, Outcome::kServed, true, 10, 1);
+}
+
 TEST(Admission, RetriesAreBounded) {
   Settings settings = TestSettings();
   Bed bed(settings);
@@ -155,6 +228,16 @@
   EXPECT_EQ(bed.out.refused, std::vector<RequestId>{id});
 }
 
+TEST(Admission, FirstTriesAreToldFromARetryThatComesWithMoreTimeThanThey) {
+  Bed bed(TestSettings());
+  bed.Hosts(TestHosts(3));
+  for (int i = 0; i < 20; ++i) {
+    // Of 1000 ms in all a first try is given 450; a retry, refused early, gets all that is left.
+    bed.End(bed.Request(kSafeClass, i == 5 ? 950 : 450), 0, Outcome::kServed, true, 20, 3);
+    ASSERT_EQ(bed.out.sends.size(), static_cast<std::size_t>(i) + 1);
+  }
+}
+
 Settings SubscribeSettings() {
   Settings settings = TestSettings();
   settings.must_subscribe = true;
