--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -155,12 +155,15 @@
 std::optional<cartspring::LoadReport> ReadLoad(std::string_view text) {
   const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!json.is_object()) return std::nullopt;
-  const auto figure = [&](const char* name) {
-    const auto found = json.find(name);
+  // The settings name the fields in the wire's words; the protocol's page shows them in the simulator's.
+  // Guards against a report that is there but never read: without one the module ranks blindly, and nothing
+  // shows it.
+  const auto figure = [&](const char* name, const char* other) {
+    const auto found = json.contains(name) ? json.find(name) : json.find(other);
     const double value = found != json.end() && found->is_number() ? found->get<double>() : -1;
     return std::isfinite(value) && value >= 0 ? value : -1;
   };
-  const cartspring::LoadReport report{figure("inflight"), figure("queue")};
+  const cartspring::LoadReport report{figure("active", "inflight"), figure("waiting", "queue")};
   if (report.in_flight < 0 && report.queue < 0) return std::nullopt;
   return report;
 }
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -80,6 +80,18 @@
   CHECK(outcome(500, true) == Outcome::kError);
 }
 
+TEST_CASE("a load report is read by the names that the settings give its fields, and by the protocol's") {
+  for (const char* text : {R"({"active":1.9,"waiting":3})", R"({"inflight":1.9,"queue":3,"util":0.6})"}) {
+    const auto load = net::ReadLoad(text);
+    REQUIRE(load);
+    CHECK(load->in_flight == 1.9);
+    CHECK(load->queue == 3);
+  }
+  for (const char* text : {R"({"active":"many","waiting":-1})", R"({"util":0.6})", "[7]", "{"}) {
+    CHECK_FALSE(net::ReadLoad(text));
+  }
+}
+
 TEST_CASE("the wheel calls back in order of time, late when it is turned late, and not when cancelled") {
   TimerWheel wheel(1000, 2);
   std::vector<int> rung;
