Take requests past their aim for their late worth where there is room

Cause: InTime in src/policy.cpp held a request against its aim only, whatever it is worth later.

Now one past its aim counts with its late worth, against all its time; it is still the first to go where hosts fill.

Test in tests/module_test.cpp, seen to fail with the module before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -828,18 +828,21 @@
     return set_.classes[klass].worth / (set_.worth_by_work ? 1 : learned_[klass].per_figure);
   }
 
-  // A request is taken on if it is expected within its aim, and if another behind it would be within the
-  // shortest aim of all, or nearly so if it is worth less: else patient classes fill the hosts and shut the
-  // others out. Judged by what its own class met: what another one meets is no measure of the host.
+  // A request is taken on if it is expected within its aim, or within its time for what it is worth then, and
+  // if another behind it would be within the shortest aim of all, or nearly so if it is worth less: else
+  // patient and late ones fill the hosts and shut the others out. Judged by what its own class met: what
+  // another one meets is no measure of the host.
   bool InTime(const Live& live, const Ranked& kept) const {
     const Host& host = hosts_[kept.host];
     // A host seen idle is always worth a try: were it refused for what was learned, nothing could be learned
     // again.
     if (kept.figure * Size(host) * Warmth(host) < 2) return true;
-    return Expected(live, kept) <= kAimShare * (live.aim_at - now_) &&
+    const double time = Expected(live, kept);
+    double worth = WorthForWork(live.request.klass) / WorthForWork(hastiest_);
+    if (time > kAimShare * (live.aim_at - now_)) worth *= ClassOf(live).late_worth;
+    return worth > 0 && time <= kAimShare * (live.end_at - now_) &&
            PerFigure(live.request.klass, host) * shape_.At(kept.figure, 1) <=
-               kRoomShare * set_.classes[hastiest_].aim_ms *
-                   std::sqrt(std::min(1.0, WorthForWork(live.request.klass) / WorthForWork(hastiest_)));
+               kRoomShare * set_.classes[hastiest_].aim_ms * std::sqrt(std::min(1.0, worth));
   }
 
   // ---- Discovery ----
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -238,6 +238,20 @@
   }
 }
 
+TEST(Admission, ARequestWithLittleTimeIsTakenOnWhereItCanStillBeServedForSomething) {
+  Settings settings = TestSettings();
+  settings.classes[kSafeClass].late_worth = 0.5;
+  Bed bed(settings);
+  bed.Hosts(TestHosts(3));
+  for (int i = 0; i < 60; ++i) {
+    bed.End(bed.Request(kSafeClass), 0, Outcome::kServed, true, 20, 2);
+    bed.PassTo(bed.now + 25);
+  }
+  // Of 1000 ms in all it has 150 left: if it is a retry, its aim has passed.
+  const RequestId id = bed.Request(kSafeClass, 150);
+  EXPECT_EQ(bed.out.sends.back().id, id);
+}
+
 Settings SubscribeSettings() {
   Settings settings = TestSettings();
   settings.must_subscribe = true;
