Give submitters time limits, an order of closing, one request an id and a bound on bytes in all

Seen, by stories against the program before: a silent connection and half a head were never ended (100 s and more); with the descriptors taken by half-sent requests a keeper in good standing was closed for them; the id of another's open request was sent on to a node; 60 bodies that stop one byte short were all held.

Causes, in src/net/submitter_server.cpp: Session had no limit but the linger; MakeRoom took half-sent requests for idle and ranked by age alone; Accept stopped until a session ended where none was idle; Serve never asked whether an id is open; the read-ahead of 160 KB a session was bounded for each and not for all; bad requests kept their connection.

Now: 2 s for a first request or one that has begun (408 or a close), 5 s to take an answer; a rank of use for closing; six tenths of the descriptors for submitters; an eighth of the memory for requests that are not whole (413 beyond); a connection that never sent a good request ends with its first bad one; what comes behind a request that was turned away is discarded uncopied. Transfer-Encoding in HTTP/1.0 is refused.

Tests: four stories, each seen to fail with the sources before; the one on idling keeps its claim with fewer connections.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kFewestSockets = 32;
+constexpr int kLeastMemoryMb = 16;
 
 std::string TextOf(const nlohmann::json& json, const char* key, const char* variable,
                    const Environment& environment) {
@@ -51,15 +52,15 @@
   throw ConfigError("seed: must be a text of up to 16 hexadecimal digits");
 }
 
-int SocketsOf(const nlohmann::json& json) {
+int LimitOf(const nlohmann::json& json, const char* key, int fewest, int absent) {
   const auto limits = json.find("limits");
-  if (limits == json.end()) return Config().sockets;
+  if (limits == json.end()) return absent;
   if (!limits->is_object()) throw ConfigError("limits: must be an object");
-  const auto found = limits->find("sockets");
-  if (found == limits->end()) return Config().sockets;
-  if (!found->is_number_integer() || *found < kFewestSockets || *found > 1'000'000) {
-    throw ConfigError("limits.sockets: must be a whole number from " + std::to_string(kFewestSockets) +
-                      " to 1000000");
+  const auto found = limits->find(key);
+  if (found == limits->end()) return absent;
+  if (!found->is_number_integer() || *found < fewest || *found > 1'000'000) {
+    throw ConfigError(std::string("limits.") + key + ": must be a whole number from " +
+                      std::to_string(fewest) + " to 1000000");
   }
   return *found;
 }
@@ -127,7 +128,8 @@
   config.listen = AddressOf(json, "listen", "RELAY_LISTEN", environment);
   config.discovery = AddressOf(json, "discovery", "RELAY_DISCOVERY", environment);
   config.seed = SeedOf(json);
-  config.sockets = SocketsOf(json);
+  config.sockets = LimitOf(json, "sockets", kFewestSockets, config.sockets);
+  config.memory_mb = LimitOf(json, "memory_mb", kLeastMemoryMb, config.memory_mb);
   config.settings = SettingsOf(json);
   config.known = json.value("known", nlohmann::json());
   return config;
--- a/src/config.h
+++ b/src/config.h
@@ -38,6 +38,7 @@
   std::string listen, discovery;  // ip:port
   std::uint64_t seed = 0;
   int sockets = 1024;
+  int memory_mb = 128;
   nlohmann::json known;  // the remembered list in discovery's form; null if there is none
   cartspring::Settings settings;
 };
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -16,6 +16,7 @@
   request.client_retry = job.client_retry;
   Held& held = held_[request.id];
   held.job = std::move(job);
+  open_.insert(held.job.request_id);
   held.answerer = std::move(answerer);
   held.give_up_ms = request.give_up_ms;
   Apply(now_ms, request.id, facade_.Pick(now_ms, request));
@@ -24,10 +25,11 @@
 }
 
 void JobTable::SubmitterLeft(double now_ms, JobId id) {
-  if (held_.count(id) == 0) return;
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
   facade_.SubmitterLeft(now_ms, id);
   Tick(now_ms);  // gives up the claim, where the settings allow it
-  held_.erase(id);
+  Release(id);
 }
 
 void JobTable::ClaimEnded(double now_ms, const Claim& claim, ClaimEnd end) {
@@ -89,9 +91,12 @@
 }
 
 // The only way to answer: the job leaves the table with its answerer, so there is no second answer to give.
-void JobTable::Finish(JobId id, Answer answer) {
-  auto held = held_.extract(id);
-  held.mapped().answerer(std::move(answer));
+void JobTable::Finish(JobId id, Answer answer) { Release(id).answerer(std::move(answer)); }
+
+JobTable::Held JobTable::Release(JobId id) {
+  Held held = std::move(held_.extract(id).mapped());
+  open_.erase(held.job.request_id);
+  return held;
 }
 
 }  // namespace bitternmux
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "core/machine_list.h"
 #include "facade.h"
@@ -68,6 +69,8 @@
   // first.
   JobId Take(double now_ms, Job job, Answerer answerer);
   void SubmitterLeft(double now_ms, JobId id);
+  // Is a job with this id of its submitter's still without its answer?
+  bool IsOpen(const std::string& request_id) const { return open_.count(request_id) > 0; }
   void ClaimEnded(double now_ms, const Claim& claim, ClaimEnd end);
   void NodeProbed(double now_ms, const std::string& node, bool answered, double took_ms,
                   const std::optional<cartspring::LoadReport>& load);
@@ -89,6 +92,7 @@
   void Apply(double now_ms, JobId id, const Verdict& verdict);
   void Send(double now_ms, JobId id, Held& held, const Verdict& verdict);
   void Finish(JobId id, Answer answer);
+  Held Release(JobId id);
 
   const cartspring::Settings& settings_;
   Facade& facade_;
@@ -97,6 +101,7 @@
   std::function<void()> watch_discovery_;
   JobId last_id_ = 0;
   std::unordered_map<JobId, Held> held_;
+  std::unordered_set<std::string> open_;  // the request ids of these
 };
 
 }  // namespace bitternmux
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -186,7 +186,7 @@
     if (http_1_0_ && Lists(value, "keep-alive")) message_.keep_alive = true;
   }
   const std::size_t lengths = message_.Count("content-length"), codings = message_.Count("transfer-encoding");
-  if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0)) return false;
+  if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) || (codings > 0 && http_1_0_)) return false;
   if (role_ == Role::kResponse) {
     if (message_.status < 200) {  // an interim answer: the one that counts is still to come
       state_ = State::kFirstLine;
--- a/src/net/submitter_server.h
+++ b/src/net/submitter_server.h
@@ -13,8 +13,9 @@
 
 class SubmitterServer {
  public:
+  // `most_unread`: bytes of requests that are not whole yet, over all sessions.
   SubmitterServer(Runtime& runtime, JobTable& jobs, const cartspring::Settings& settings,
-                  std::size_t most_sessions);
+                  std::size_t most_sessions, std::size_t most_unread);
   ~SubmitterServer();
 
   void Listen(const tcp::endpoint& at);  // throws boost::system::system_error
@@ -28,17 +29,19 @@
 
   void Accept();
   void Accepted(const error_code& error);
+  void AcceptLater();
   bool MakeRoom();
+  void CloseLeast();
   void Ended(const std::shared_ptr<Session>& session);
 
   Runtime& runtime_;
   JobTable& jobs_;
   const cartspring::Settings& settings_;
-  const std::size_t most_sessions_;
+  const std::size_t most_sessions_, most_unread_;
+  std::size_t unread_ = 0;
   tcp::acceptor acceptor_;
   tcp::socket incoming_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
-  bool waiting_for_room_ = false;
   bool closing_ = false;
   std::function<void()> closed_;
 };
--- a/src/sidecar_main.cpp
+++ b/src/sidecar_main.cpp
@@ -25,7 +25,11 @@
 namespace asio = boost::asio;
 
 constexpr double kTickMs = 2;
-constexpr int kOtherDescriptors = 24;     // standard streams, listener, watch, reactor, and some to spare
+constexpr int kOtherDescriptors = 24;  // standard streams, listener, watch, reactor, and some to spare
+// Submitters hold a third of the descriptors for requests at most, and more for nothing; each request takes
+// one connection to a node.
+constexpr double kSubmitterShare = 0.6;
+constexpr double kUnreadShare = 0.125;    // of the memory, for requests that are not whole
 constexpr double kRestartWindowMs = 500;  // new connections may come for so long after SIGTERM
 constexpr double kLastAnswersMs = 600;    // beyond the longest deadline; after that nobody waits any more
 
@@ -38,13 +42,13 @@
   return std::chrono::duration<double, std::milli>(now).count() - NowMs();
 }
 
-// Most connections of either side, so that both together stay under the descriptors that there are.
-std::size_t ConnectionsASide(int sockets) {
+// Connections in all, so that they stay under the descriptors that there are.
+double Connections(int sockets) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
     sockets = static_cast<int>(std::min<rlim_t>(static_cast<rlim_t>(sockets), limit.rlim_cur));
   }
-  return static_cast<std::size_t>(std::max(4, (sockets - kOtherDescriptors) / 2));
+  return std::max(8, sockets - kOtherDescriptors);
 }
 
 class Sidecar {
@@ -57,14 +61,17 @@
         facade_(config.settings, config.seed),
         machines_(config.settings),
         jobs_(config_.settings, facade_, machines_),
-        pool_(runtime_, jobs_, config_.settings, ConnectionsASide(config.sockets)),
+        pool_(runtime_, jobs_, config_.settings,
+              static_cast<std::size_t>((1 - kSubmitterShare) * Connections(config.sockets))),
         watch_(
             runtime_, config.discovery, machines_, [this](const MachineUpdate& update) { Updated(update); },
             [this] {
               facade_.WatchBroken(NowMs());
               jobs_.Tick(NowMs());
             }),
-        server_(runtime_, jobs_, config_.settings, ConnectionsASide(config.sockets)),
+        server_(runtime_, jobs_, config_.settings,
+                static_cast<std::size_t>(kSubmitterShare * Connections(config.sockets)),
+                static_cast<std::size_t>(kUnreadShare * config.memory_mb * 1024 * 1024)),
         turn_(runtime_.strand),
         signals_(runtime_.strand, SIGTERM, SIGINT, SIGHUP) {
     jobs_.Attach(pool_, [this] { watch_.Watch(); });
--- a/tests/sidecar_stories.cpp
+++ b/tests/sidecar_stories.cpp
@@ -149,6 +149,8 @@
       {400, head + ids + "Content-Length: 2x\r\n\r\n{}"},
       {400, head + ids + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
       {400, head + ids + "Transfer-Encoding: gzip\r\n\r\n"},
+      {400, "POST /space-hold HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {400, head + ids + "Content-Length: 99999999999999999999999\r\n\r\n"},
       {400, head + ids + " folded: 1\r\n\r\n"},
       {400, head + ids + "Req-Cost: heavy\r\n\r\n"},
       {400, head + ids + "Req-Id: id-2\r\n\r\n"},
@@ -311,7 +313,7 @@
 TEST_CASE("at the limit of descriptors the connection that idled longest makes room") {
   Bed bed(1, /*sockets=*/64);
   std::vector<Peer> submitters;
-  for (int i = 0; i < 60; ++i) {
+  for (int i = 0; i < 30; ++i) {
     submitters.push_back(bed.Submitter());
     submitters.back().Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
     CHECK(Status(submitters.back().Read()) == 200);
@@ -324,6 +326,87 @@
   CHECK(submitters.back().Read().ends_with("ok"));
 }
 
+TEST_CASE("at the limit of descriptors those go first that never sent a good request") {
+  Bed bed(1, /*sockets=*/64);
+  Peer keeper = bed.Submitter(), waiting = bed.Submitter();
+  const std::string up = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+  keeper.Send(up);
+  CHECK(Status(keeper.Read()) == 200);
+  waiting.Send(Get("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  std::vector<Peer> others;
+  for (std::size_t i = 0; i < 20; ++i) {
+    others.push_back(bed.Submitter());
+    others.back().Send(up.substr(0, i));
+  }
+  ::usleep(300'000);  // they have had the time to send a request
+  for (int i = 0; i < 20; ++i) {
+    others.push_back(bed.Submitter());
+    others.back().Send(up);
+    CHECK(Status(others.back().Read()) == 200);
+  }
+  keeper.Send(up);
+  CHECK(Status(keeper.Read()) == 200);
+  node.Send(Served("ok"));
+  CHECK(waiting.Read().ends_with("ok"));
+}
+
+TEST_CASE("a submitter that says nothing or stops in the middle is told or closed") {
+  Bed bed;
+  Peer keeper = bed.Submitter(), silent = bed.Submitter(), head = bed.Submitter(), body = bed.Submitter();
+  const std::string up = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+  keeper.Send(up);
+  CHECK(Status(keeper.Read()) == 200);
+  head.Send(up + "GET /up HT");
+  CHECK(Status(head.Read()) == 200);
+  const std::string post = Post("id-1", "0123456789");
+  body.Send(post.substr(0, post.size() - 1));
+  CHECK(silent.Ends());
+  for (Peer* half : {&head, &body}) {
+    CHECK(Status(half->Read()) == 408);
+    CHECK(half->Ends());
+  }
+  keeper.Send(up);
+  CHECK(Status(keeper.Read()) == 200);
+}
+
+TEST_CASE("requests that are not whole are bounded in all, and others are served meanwhile") {
+  Bed bed(1, 1024, /*memory_mb=*/16);
+  const std::string post = Post("id-1", std::string(60'000, 'x'));
+  std::vector<Peer> senders;
+  for (int i = 0; i < 60; ++i) {
+    senders.push_back(bed.Submitter());
+    senders.back().Send(post.substr(0, post.size() - 1));
+  }
+  CHECK(Status(senders.back().Read()) == 413);
+  Peer submitter = bed.Submitter();
+  submitter.Send(Post("id-2"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  node.Send(Served("ok"));
+  CHECK(submitter.Read().ends_with("ok"));
+}
+
+TEST_CASE("the id of another submitter's open request is turned away, and free once that is answered") {
+  Bed bed;
+  Peer first = bed.Submitter(), second = bed.Submitter();
+  first.Send(Post("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  second.Send(Post("id-1"));
+  CHECK(Status(second.Read()) == 400);
+  CHECK(second.Ends());  // it never sent a good request
+  node.Send(Served("first"));
+  CHECK(first.Read().ends_with("first"));
+  first.Send("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Status(first.Read()) == 404);
+  first.Send(Post("id-1"));
+  node.Read();
+  node.Send(Served("again"));
+  CHECK(first.Read().ends_with("again"));
+}
+
 TEST_CASE("out of descriptors, it waits and accepts when there are some again") {
   Bed bed;
   bed.program.port();
