Fail answers without a length at their head, and keep nothing of nodes that are gone

Seen by reading, then by tests against the sources before: an answer without a length was taken as whole when its connection ended (src/http/parser.cpp, HeadEnds), though it cannot be told from one cut short; 101 counted as interim; what came before a request was written whole was parsed as its answer (src/net/node_pool.cpp, Readable); an idle connection to a node that drains was kept until the next change of the list, and NodePool::idle_ and the names of MachineList kept an entry for each id or name ever seen.

Now such an answer fails at its head and may have run; 101 likewise; bytes before the last one written break the connection, and the claim never ran; idle connections are kept to live nodes only, and maps hold nothing that is empty.

Checked: late extra bytes already closed an idle connection (a story now says so); bounded interim answers, repeated, negative and huge lengths, 3 GB, folded and colonless lines are refused by both roles (one test). Ruled out: a story for the early answer; the kernel takes 2 MB unread on loopback, so that 64 KB are never written in part here.

--- a/src/core/machine_list.cpp
+++ b/src/core/machine_list.cpp
@@ -5,12 +5,10 @@
 namespace bitternmux {
 namespace {
 
-// Names that the settings do not list get the indexes after those that they do.
-int IndexOf(std::vector<std::string>& names, const std::string& name) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  const int index = static_cast<int>(found - names.begin());
-  if (found == names.end()) names.push_back(name);
-  return index;
+// Names that the settings do not list share the index after those that they do: kept one by one, a long day's
+// would pile up.
+int IndexOf(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
 }  // namespace
--- a/src/core/machine_list.h
+++ b/src/core/machine_list.h
@@ -48,7 +48,7 @@
     bool live = false;
   };
 
-  std::vector<std::string> zones_, kinds_;
+  const std::vector<std::string> zones_, kinds_;
   std::int64_t revision_ = 0;
   std::unordered_map<std::string, Known> known_;
 };
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -81,7 +81,6 @@
   while (state_ != State::kDone) {
     if (state_ == State::kBody || state_ == State::kChunk) {
       TakeBytes(in);
-      if (body_ == Body::kUntilEnd) return message_.body.size() > max_body_ ? Bad(413) : Progress::kMore;
       if (left_ > 0) return Progress::kMore;
       state_ = state_ == State::kBody ? State::kDone : State::kChunkEnd;
       continue;
@@ -188,7 +187,8 @@
   const std::size_t lengths = message_.Count("content-length"), codings = message_.Count("transfer-encoding");
   if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) || (codings > 0 && http_1_0_)) return false;
   if (role_ == Role::kResponse) {
-    if (message_.status < 200) {  // an interim answer: the one that counts is still to come
+    if (message_.status == 101) return false;  // no other protocol was asked for
+    if (message_.status < 200) {               // an interim answer: the one that counts is still to come
       state_ = State::kFirstLine;
       message_ = {};
       return true;
@@ -213,9 +213,7 @@
     body_ = Body::kLength;
     state_ = left_ > 0 ? State::kBody : State::kDone;
   } else if (role_ == Role::kResponse) {
-    body_ = Body::kUntilEnd;
-    message_.keep_alive = false;
-    state_ = State::kBody;
+    return false;  // whole by the end of its connection: it cannot be told from one that was cut short
   } else {
     state_ = State::kDone;
   }
@@ -237,10 +235,10 @@
 }
 
 void Parser::TakeBytes(Buffer& in) {
-  const std::size_t count = body_ == Body::kUntilEnd ? in.size() : std::min(left_, in.size());
+  const std::size_t count = std::min(left_, in.size());
   message_.body.append(in.Data().substr(0, count));
   in.Consume(count);
-  if (body_ != Body::kUntilEnd) left_ -= count;
+  left_ -= count;
 }
 
 }  // namespace bitternmux::http
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -38,8 +38,6 @@
 
   // Takes what it can from the buffer. After kDone the rest of the buffer belongs to the next message.
   Progress Parse(Buffer& in);
-  // The peer ends its sending: only a response without a length is whole by that.
-  Progress Ended() const { return body_ == Body::kUntilEnd ? Progress::kDone : Progress::kBad; }
   void Reset();
 
   const Message& message() const { return message_; }
@@ -52,7 +50,7 @@
 
  private:
   enum class State { kFirstLine, kHeaders, kBody, kChunkSize, kChunk, kChunkEnd, kTrailer, kDone };
-  enum class Body { kNone, kLength, kChunked, kUntilEnd };
+  enum class Body { kNone, kLength, kChunked };
 
   Progress Bad(int status) {
     error_ = status;
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -127,13 +127,14 @@
       if (failure == asio::error::would_block) return;
       if (!failure) buffer_.Commit(count);
     }
-    const http::Progress progress = !failure                      ? parser_.Parse(buffer_)
-                                    : failure == asio::error::eof ? parser_.Ended()
-                                                                  : http::Progress::kBad;
+    // Guards against what was left behind on the connection: what comes before a request is written whole is
+    // no answer to it.
+    if (failure || stage_ != Stage::kWaiting) return Broke(Break::kConnection);
+    const http::Progress progress = parser_.Parse(buffer_);
     if (progress == http::Progress::kMore) return;
     if (progress == http::Progress::kBad) return Broke(Break::kConnection);
     const bool reusable =
-        !failure && stage_ == Stage::kWaiting && parser_.message().keep_alive && buffer_.size() == 0;
+        parser_.message().keep_alive && buffer_.size() == 0 && pool_.machines_.IsLive(node_);
     End(ClassifyAnswer(parser_.Take()), reusable);
   }
 
@@ -180,9 +181,13 @@
   TimerWheel::Id until_timer_ = 0, dial_timer_ = 0, idle_timer_ = 0;
 };
 
-NodePool::NodePool(Runtime& runtime, JobTable& jobs, const cartspring::Settings& settings,
-                   std::size_t most_connections)
-    : runtime_(runtime), jobs_(jobs), settings_(settings), most_connections_(most_connections) {}
+NodePool::NodePool(Runtime& runtime, JobTable& jobs, const MachineList& machines,
+                   const cartspring::Settings& settings, std::size_t most_connections)
+    : runtime_(runtime),
+      jobs_(jobs),
+      machines_(machines),
+      settings_(settings),
+      most_connections_(most_connections) {}
 
 NodePool::~NodePool() = default;
 
@@ -233,11 +238,13 @@
 }
 
 NodePool::Handle NodePool::TakeIdle(const std::string& node, const std::string& address) {
-  const auto found = idle_.find(node);
-  while (found != idle_.end() && !found->second.empty()) {
+  for (auto found = idle_.find(node); found != idle_.end(); found = idle_.find(node)) {
     const Handle connection = found->second.back();
-    found->second.pop_back();
-    if (connection->address() == address && connection->Quiet()) return connection;
+    if (connection->address() == address && connection->Quiet()) {
+      found->second.pop_back();
+      if (found->second.empty()) idle_.erase(found);
+      return connection;
+    }
     connection->Close();
   }
   return nullptr;
@@ -259,17 +266,17 @@
 void NodePool::Closed(const Handle& connection) {
   connections_.erase(connection);
   const auto found = idle_.find(connection->node());
-  if (found != idle_.end()) std::erase(found->second, connection);
+  if (found == idle_.end()) return;
+  std::erase(found->second, connection);
+  if (found->second.empty()) idle_.erase(found);  // or the ids of a long day's nodes would pile up
 }
 
-void NodePool::Prune(const MachineList& machines) {
+void NodePool::Prune() {
   std::vector<Handle> closing;
   for (const auto& [node, idle] : idle_) {
-    if (!machines.IsLive(node)) closing.insert(closing.end(), idle.begin(), idle.end());
+    if (!machines_.IsLive(node)) closing.insert(closing.end(), idle.begin(), idle.end());
   }
   for (const Handle& connection : closing) connection->Close();
-  std::erase_if(idle_,
-                [&](const auto& entry) { return entry.second.empty() && !machines.IsLive(entry.first); });
 }
 
 }  // namespace bitternmux::net
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -17,15 +17,15 @@
 
 class NodePool : public ClaimRunner {
  public:
-  NodePool(Runtime& runtime, JobTable& jobs, const cartspring::Settings& settings,
-           std::size_t most_connections);
+  NodePool(Runtime& runtime, JobTable& jobs, const MachineList& machines,
+           const cartspring::Settings& settings, std::size_t most_connections);
   ~NodePool() override;
 
   void Start(const Claim& claim, const Job& job) override;
   void GiveUp(JobId job, int number) override;
   void Probe(const std::string& node, const std::string& address) override;
   // Closes what idles to nodes that the list no longer has in service.
-  void Prune(const MachineList& machines);
+  void Prune();
 
  private:
   class Connection;
@@ -47,11 +47,13 @@
 
   Runtime& runtime_;
   JobTable& jobs_;
+  const MachineList& machines_;
   const cartspring::Settings& settings_;
   const std::size_t most_connections_;
   std::unordered_set<Handle> connections_;
-  std::unordered_map<std::string, std::vector<Handle>> idle_;  // by node, the one used last at the back
-  std::unordered_map<JobId, std::pair<int, Handle>> out_;      // the claim that is out for a job
+  // By node, the one used last at the back; no node without any.
+  std::unordered_map<std::string, std::vector<Handle>> idle_;
+  std::unordered_map<JobId, std::pair<int, Handle>> out_;  // the claim that is out for a job
 };
 
 }  // namespace bitternmux::net
--- a/src/sidecar_main.cpp
+++ b/src/sidecar_main.cpp
@@ -61,7 +61,7 @@
         facade_(config.settings, config.seed),
         machines_(config.settings),
         jobs_(config_.settings, facade_, machines_),
-        pool_(runtime_, jobs_, config_.settings,
+        pool_(runtime_, jobs_, machines_, config_.settings,
               static_cast<std::size_t>((1 - kSubmitterShare) * Connections(config.sockets))),
         watch_(
             runtime_, config.discovery, machines_, [this](const MachineUpdate& update) { Updated(update); },
@@ -106,7 +106,7 @@
   void Updated(const MachineUpdate& update) {
     const auto entries = machines_.Apply(update, UnixAheadMs());
     update.complete ? facade_.MachinesListed(NowMs(), entries) : facade_.MachinesChanged(NowMs(), entries);
-    pool_.Prune(machines_);
+    pool_.Prune();
     jobs_.Tick(NowMs());
   }
 
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -47,15 +47,51 @@
   }
 }
 
-TEST_CASE("an answer without a length is whole only by the end of its connection") {
+TEST_CASE("an answer that cannot be told to be whole, or is far too long, fails at its head") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n", length = "Content-Length: ";
+  for (const std::string& text : {
+           ok + "\r\n",
+           std::string("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+           ok + length + "3000000000\r\n\r\n",
+           ok + length + "99999999999999999999999\r\n\r\n",
+           ok + length + "-1\r\n\r\n",
+           ok + length + "2\r\n" + length + "2\r\n\r\n",
+           ok + length + "2\r\nTransfer-Encoding: chunked\r\n\r\n",
+           ok + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+           ok + "Transfer-Encoding: chunked\r\n\r\nFFFFFFFFFFFFFFFFF\r\n",
+           ok + "Transfer-Encoding: chunked\r\n\r\n10001\r\n",
+           ok + "no colon\r\n",
+           ok + " folded: 1\r\n",
+           ok + "Bare: feed\n",
+           std::string("ICY 200 OK\r\n"),
+           std::string("HTTP/1.1 2x0 OK\r\n"),
+           std::string("HTTP/1.1 101 Switching\r\n\r\n"),
+           std::string(http::kMaxHead + 1, 'x'),
+           ok + std::string(http::kMaxHead, 'x'),
+       }) {
+    INFO(text.substr(0, 100));
+    http::Parser parser(http::Role::kResponse);
+    http::Buffer buffer;
+    Fill(buffer, text);
+    CHECK(parser.Parse(buffer) == http::Progress::kBad);
+  }
+}
+
+TEST_CASE("interim answers in front are passed over, but not without end") {
   http::Parser parser(http::Role::kResponse);
   http::Buffer buffer;
-  CHECK(parser.Ended() == http::Progress::kBad);
-  Fill(buffer, "HTTP/1.0 200 OK\r\n\r\nall");
-  CHECK(parser.Parse(buffer) == http::Progress::kMore);
-  CHECK(parser.Ended() == http::Progress::kDone);
-  CHECK(parser.message().body == "all");
-  CHECK_FALSE(parser.message().keep_alive);
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  Fill(buffer, interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(parser.Parse(buffer) == http::Progress::kDone);
+  CHECK(parser.message().body == "ok");
+  parser.Reset();
+  http::Progress progress = http::Progress::kMore;
+  std::size_t bytes = 0;
+  for (; progress == http::Progress::kMore && bytes < 4 * http::kMaxHead; bytes += interim.size()) {
+    Fill(buffer, interim);
+    progress = parser.Parse(buffer);
+  }
+  CHECK(progress == http::Progress::kBad);
 }
 
 TEST_CASE("what never ran and what may have run are told apart by the protocol's table") {
@@ -124,6 +160,10 @@
   CHECK(machines.Apply({42, false, {entry(HostState::kLive, 5000)}}, 3000)[0].started_ms == 4000);
   CHECK(machines.Apply({43, false, {entry(HostState::kLive, 9000)}}, 3000)[0].started_ms == 6000);
   CHECK(machines.Apply({44, false, {entry(HostState::kLive, 0)}}, 3000)[0].started_ms == 0);
+  auto other = entry(HostState::kLive, 0);
+  other.id = "t";
+  other.kind = other.zone = "one more";
+  CHECK(machines.Apply({44, false, {other}}, 3000)[0].kind == 2);  // names that come and go do not pile up
   CHECK(machines.IsLive("s"));
   machines.Apply({45, false, {entry(HostState::kDraining, 0)}}, 3000);
   CHECK_FALSE(machines.IsLive("s"));
--- a/tests/sidecar_stories.cpp
+++ b/tests/sidecar_stories.cpp
@@ -62,6 +62,26 @@
   CHECK_FALSE((bed.nodes[0].Waiting() || bed.nodes[1].Waiting()));
 }
 
+TEST_CASE("a good answer with more behind it is served, and its connection is not used again") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  for (const bool late : {false, true}) {
+    submitter.Send(Post("id-1"));
+    Peer node = bed.nodes[0].Accept();
+    node.Read();
+    node.Send(Served("first") + (late ? "" : Served("not asked for")));
+    CHECK(submitter.Read().ends_with("first"));
+    if (late) node.Send(Served("not asked for"));
+    submitter.Send(Post("id-2"));
+    Peer fresh = bed.nodes[0].Accept();
+    fresh.Read();
+    fresh.Send(Served("second"));
+    fresh.Close();
+    CHECK(submitter.Read().ends_with("second"));
+    CHECK(node.Ends());
+  }
+}
+
 TEST_CASE("what may have run is sent again where its class allows") {
   Bed bed(2);
   Peer submitter = bed.Submitter();
