Move the files into packages, one CMake target each, with includes limited to what it uses

Need: what comes next (limits, a lab, further codecs) lives in rooms of its own, and nothing kept an arrow from pointing up. Plain moves and new include paths: src/cartspring (decisions, settings, fields), src/simhost (the simulator's wire), src/core (jobs, machine list, wheel, facade), src/config, src/apps, src/http, src/net; tests mirror them. Each package is a target with an include directory of its own that links to its folder, so that a header which `USES` does not list is not found. No code is changed.

--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,28 @@
+# bitternmux_package(NAME ROOT [SOURCES file...] [USES package...] [LIBRARIES target...])
+#
+# One folder of ROOT (src or lab), one target. What the folder's files may include is what USES lists and nothing
+# else: each package has an include directory of its own that holds just a link to its folder, so that an arrow
+# that points up does not find its header.
+function(bitternmux_package name root)
+  cmake_parse_arguments(ARG "" "" "SOURCES;USES;LIBRARIES" ${ARGN})
+  set(target ${root}_${name})
+  set(view ${CMAKE_BINARY_DIR}/view/${root}/${name})
+  if(root STREQUAL "src")
+    set(inside ${view}/${name})
+  else()
+    set(inside ${view}/${root}/${name})
+  endif()
+  get_filename_component(above ${inside} DIRECTORY)
+  file(MAKE_DIRECTORY ${above})
+  file(CREATE_LINK ${CMAKE_CURRENT_SOURCE_DIR}/${name} ${inside} SYMBOLIC)
+  list(TRANSFORM ARG_SOURCES PREPEND ${CMAKE_CURRENT_SOURCE_DIR}/${name}/)
+  if(ARG_SOURCES)
+    add_library(${target} STATIC ${ARG_SOURCES})
+    target_include_directories(${target} PUBLIC ${view})
+    target_link_libraries(${target} PUBLIC ${ARG_USES} ${ARG_LIBRARIES})
+  else()
+    add_library(${target} INTERFACE)
+    target_include_directories(${target} INTERFACE ${view})
+    target_link_libraries(${target} INTERFACE ${ARG_USES} ${ARG_LIBRARIES})
+  endif()
+endfunction()
--- a/src/sidecar_main.cpp
+++ b/src/apps/bitternmux.cpp
@@ -8,11 +8,11 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "config.h"
+#include "config/config.h"
+#include "core/facade.h"
 #include "core/job_table.h"
 #include "core/machine_list.h"
 #include "core/timer_wheel.h"
-#include "facade.h"
 #include "net/discovery_watch.h"
 #include "net/node_pool.h"
 #include "net/protocol.h"
--- a/src/main.cpp
+++ b/src/apps/cartspring_simhost.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "simhost.h"
+#include "simhost/simhost.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/fields.cpp
+++ b/src/cartspring/fields.cpp
@@ -1,4 +1,4 @@
-#include "fields.h"
+#include "cartspring/fields.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/fields.h
+++ b/src/cartspring/fields.h
@@ -1,7 +1,7 @@
 // Named values, however they came: a line of the simulator's wire or a JSON object. Every reader of settings
 // and events goes through this, so that there is one list of names and one wording for what is wrong.
-#ifndef CARTSPRING_SRC_FIELDS_H_
-#define CARTSPRING_SRC_FIELDS_H_
+#ifndef CARTSPRING_SRC_CARTSPRING_FIELDS_H_
+#define CARTSPRING_SRC_CARTSPRING_FIELDS_H_
 
 #include <cstdint>
 #include <optional>
@@ -45,4 +45,4 @@
 
 }  // namespace cartspring
 
-#endif  // CARTSPRING_SRC_FIELDS_H_
+#endif  // CARTSPRING_SRC_CARTSPRING_FIELDS_H_
--- a/src/settings.cpp
+++ b/src/cartspring/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "cartspring/settings.h"
 
 #include <array>
 
--- a/src/settings.h
+++ b/src/cartspring/settings.h
@@ -1,9 +1,9 @@
 // The settings as the simulator's first message and a sidecar's configuration both name them.
-#ifndef CARTSPRING_SRC_SETTINGS_H_
-#define CARTSPRING_SRC_SETTINGS_H_
+#ifndef CARTSPRING_SRC_CARTSPRING_SETTINGS_H_
+#define CARTSPRING_SRC_CARTSPRING_SETTINGS_H_
 
 #include "cartspring/balancer.h"
-#include "fields.h"
+#include "cartspring/fields.h"
 
 namespace cartspring {
 
@@ -11,4 +11,4 @@
 
 }  // namespace cartspring
 
-#endif  // CARTSPRING_SRC_SETTINGS_H_
+#endif  // CARTSPRING_SRC_CARTSPRING_SETTINGS_H_
--- a/src/config.cpp
+++ b/src/config/config.cpp
@@ -1,11 +1,11 @@
-#include "config.h"
+#include "config/config.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
 #include <random>
 
-#include "settings.h"
+#include "cartspring/settings.h"
 
 namespace bitternmux {
 namespace {
--- a/src/config.h
+++ b/src/config/config.h
@@ -1,6 +1,6 @@
 // The one place where configuration is read, checked and given defaults.
-#ifndef BITTERNMUX_SRC_CONFIG_H_
-#define BITTERNMUX_SRC_CONFIG_H_
+#ifndef BITTERNMUX_SRC_CONFIG_CONFIG_H_
+#define BITTERNMUX_SRC_CONFIG_CONFIG_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "cartspring/balancer.h"
-#include "fields.h"
+#include "cartspring/fields.h"
 
 namespace bitternmux {
 
@@ -54,4 +54,4 @@
 
 }  // namespace bitternmux
 
-#endif  // BITTERNMUX_SRC_CONFIG_H_
+#endif  // BITTERNMUX_SRC_CONFIG_CONFIG_H_
--- a/src/facade.cpp
+++ b/src/core/facade.cpp
@@ -1,4 +1,4 @@
-#include "facade.h"
+#include "core/facade.h"
 
 namespace bitternmux {
 
--- a/src/facade.h
+++ b/src/core/facade.h
@@ -1,7 +1,7 @@
 // The module's face towards the sidecar, in blocking style: pick, report, tick. The module's events and
 // actions stay behind it. It decides nothing itself.
-#ifndef BITTERNMUX_SRC_FACADE_H_
-#define BITTERNMUX_SRC_FACADE_H_
+#ifndef BITTERNMUX_SRC_CORE_FACADE_H_
+#define BITTERNMUX_SRC_CORE_FACADE_H_
 
 #include <cstdint>
 #include <queue>
@@ -88,4 +88,4 @@
 
 }  // namespace bitternmux
 
-#endif  // BITTERNMUX_SRC_FACADE_H_
+#endif  // BITTERNMUX_SRC_CORE_FACADE_H_
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "core/facade.h"
 #include "core/machine_list.h"
-#include "facade.h"
 
 namespace bitternmux {
 
--- a/src/simhost.cpp
+++ b/src/simhost/simhost.cpp
@@ -1,4 +1,4 @@
-#include "simhost.h"
+#include "simhost/simhost.h"
 
 #include <exception>
 
--- a/src/simhost.h
+++ b/src/simhost/simhost.h
@@ -1,6 +1,6 @@
 // Hosts many balancers behind the simulator's wire: batches in, one reply a batch out.
-#ifndef CARTSPRING_SRC_SIMHOST_H_
-#define CARTSPRING_SRC_SIMHOST_H_
+#ifndef CARTSPRING_SRC_SIMHOST_SIMHOST_H_
+#define CARTSPRING_SRC_SIMHOST_SIMHOST_H_
 
 #include <array>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "cartspring/balancer.h"
-#include "wire.h"
+#include "simhost/wire.h"
 
 namespace cartspring {
 
@@ -47,4 +47,4 @@
 
 }  // namespace cartspring
 
-#endif  // CARTSPRING_SRC_SIMHOST_H_
+#endif  // CARTSPRING_SRC_SIMHOST_SIMHOST_H_
--- a/src/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "simhost/wire.h"
 
 #include <array>
 #include <charconv>
--- a/src/wire.h
+++ b/src/simhost/wire.h
@@ -1,6 +1,6 @@
 // The simulator's wire: parsing its events and writing actions. Its names stay in wire.cpp.
-#ifndef CARTSPRING_SRC_WIRE_H_
-#define CARTSPRING_SRC_WIRE_H_
+#ifndef CARTSPRING_SRC_SIMHOST_WIRE_H_
+#define CARTSPRING_SRC_SIMHOST_WIRE_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "cartspring/balancer.h"
-#include "fields.h"
-#include "settings.h"
+#include "cartspring/fields.h"
+#include "cartspring/settings.h"
 
 namespace cartspring::wire {
 
@@ -113,4 +113,4 @@
 
 }  // namespace cartspring::wire
 
-#endif  // CARTSPRING_SRC_WIRE_H_
+#endif  // CARTSPRING_SRC_SIMHOST_WIRE_H_
--- a/tests/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -1,7 +1,7 @@
 // The built program over loopback, between a submitter, scripted execute nodes and a scripted discovery.
 #include <catch2/catch.hpp>
 
-#include "peers.h"
+#include "support/peers.h"
 
 namespace bitternmux::peers {
 namespace {
--- a/tests/embedding_test.cpp
+++ b/tests/cartspring/embedding_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "fixture.h"
+#include "cartspring/fixture.h"
 
 namespace {
 
--- a/tests/module_test.cpp
+++ b/tests/cartspring/module_test.cpp
@@ -3,7 +3,7 @@
 
 #include <stdexcept>
 
-#include "fixture.h"
+#include "cartspring/fixture.h"
 
 namespace cartspring {
 namespace {
--- a/tests/random_events_test.cpp
+++ b/tests/cartspring/random_events_test.cpp
@@ -4,7 +4,7 @@
 
 #include <random>
 
-#include "fixture.h"
+#include "cartspring/fixture.h"
 
 namespace cartspring {
 namespace {
--- a/tests/rules_test.cpp
+++ b/tests/cartspring/rules_test.cpp
@@ -1,7 +1,7 @@
 // The four rules, each case by itself.
 #include <gtest/gtest.h>
 
-#include "fixture.h"
+#include "cartspring/fixture.h"
 
 namespace cartspring {
 namespace {
--- a/tests/walk_test.cpp
+++ b/tests/cartspring/walk_test.cpp
@@ -3,7 +3,7 @@
 
 #include <cmath>
 
-#include "fixture.h"
+#include "cartspring/fixture.h"
 
 namespace cartspring {
 namespace {
--- a/tests/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -2,15 +2,15 @@
 // table; and the watch with a clock that the test turns.
 #include <catch2/catch.hpp>
 
-#include "config.h"
+#include "cartspring/settings.h"
+#include "config/config.h"
+#include "core/facade.h"
 #include "core/job_table.h"
 #include "core/timer_wheel.h"
-#include "facade.h"
 #include "http/parser.h"
 #include "net/discovery_watch.h"
 #include "net/protocol.h"
-#include "peers.h"
-#include "settings.h"
+#include "support/peers.h"
 
 namespace bitternmux {
 namespace {
--- a/tests/wire_test.cpp
+++ b/tests/simhost/wire_test.cpp
@@ -1,12 +1,12 @@
 // The wire and the adapter: round trips, what is skipped, and malformed input.
-#include "wire.h"
+#include "simhost/wire.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 #include <sstream>
 
-#include "simhost.h"
+#include "simhost/simhost.h"
 
 namespace cartspring {
 namespace {
