Split the decisions into one file for each step of a request

Change: the class is now a handful of classes, each with its own state, its invariants on top of its file, and the settings, the time and the others that it needs by reference. hosts.h: HostTable, Discovery; beliefs.h: TimeShape, Estimates, Health; attempts.h: legality and number of attempts; reports.h: load reports and the sample; walk.h: Walk, Admission; policy.h ties them to the events. Whole lists and changes go one way through the table; filters are std::erase_if.

Three tests are new, of classes alone, each seen to fail: the bound of the host table (reuse taken out, a row in use given away), of a pause (without the bound), of a host's slowness (without its bound, without its fading).

Ruled out: a file for each class (some 50 lines more of frame); one context that all steps change.

--- /dev/null
+++ b/src/cartspring/attempts.h
@@ -0,0 +1,84 @@
+// The attempt plan: which attempts and answers of a request are legal, how many there are, when one is cut.
+//
+// Invariants. Nothing new goes to a draining or gone host. What may have run is run again only if it is safe,
+// or keyed and within its group and window. A refusal promises that a retry does no harm. Further attempts of
+// what may have run are earned, which bounds retry storms.
+#ifndef CARTSPRING_SRC_CARTSPRING_ATTEMPTS_H_
+#define CARTSPRING_SRC_CARTSPRING_ATTEMPTS_H_
+
+#include "cartspring/hosts.h"
+
+namespace cartspring {
+
+constexpr double kRetryShare = 0.2;  // further attempts earned by each request
+constexpr double kRetrySaved = 5;    // most further attempts saved up
+constexpr double kCutAfter = 6;  // expected times after which a request that may run again is tried elsewhere
+
+inline bool ProvesNeverRan(Outcome outcome) {
+  return outcome == Outcome::kRefusedByHost || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kNotSent;
+}
+
+class Attempts {
+ public:
+  Attempts(const Context& ctx, const HostTable& hosts) : ctx_(ctx), hosts_(hosts) {}
+
+  // The last time at which a batch can still bring the request's end.
+  double LastCall(const Live& live) const { return live.end_at - ctx_.set.tick_ms; }
+
+  bool MaySend(const Live& live, int to) const {
+    const Host& host = hosts_[to];
+    const RequestClass& klass = ctx_.ClassOf(live.request);
+    const Settings& set = ctx_.set;
+    if (host.entry.state != HostState::kLive || live.begun) return false;
+    if (live.Count() >= set.max_attempts || ctx_.now >= live.request.give_up_ms) return false;
+    for (const Attempt& earlier : live.attempts) {
+      if (earlier.pending && !set.may_duplicate) return false;
+      if (!earlier.may_have_run || klass.effect == Effect::kSafe) continue;
+      if (klass.effect == Effect::kUnsafe) return false;
+      if (ctx_.now - earlier.sent_at > klass.repeat_window_ms - set.tick_ms) return false;
+      const HostEntry& first = hosts_[earlier.host].entry;
+      if (klass.group == RepeatGroup::kZone && first.zone != host.entry.zone) return false;
+      if (klass.group == RepeatGroup::kCell && first.cell != host.entry.cell) return false;
+    }
+    return true;
+  }
+
+  bool MayRefuse(const Live& live) const {
+    const RequestClass& klass = ctx_.ClassOf(live.request);
+    if (klass.effect == Effect::kSafe) return true;
+    if (klass.effect == Effect::kKeyed && klass.group == RepeatGroup::kAll) return true;
+    return !live.MayHaveRun();
+  }
+
+  // A request that may run again is not left to wait for its host for all its time.
+  double AttemptEnd(const Live& live, double expected_ms) const {
+    const double end = LastCall(live), cut = ctx_.now + kCutAfter * expected_ms;
+    const bool again = ctx_.ClassOf(live.request).effect == Effect::kSafe &&
+                       live.Count() < ctx_.set.max_attempts && tokens_ >= 1 && cut + expected_ms < end;
+    return again ? cut : end;
+  }
+
+  void Earn() { tokens_ = std::min(kRetrySaved, tokens_ + kRetryShare); }
+
+  // After a failure: another attempt if it is legal, can still make it, and is earned. One that is known not
+  // to have run has cost its host nothing and needs no earning.
+  bool WorthAnother(const Live& live, Outcome outcome, double typical_ms) {
+    if (live.Count() >= ctx_.set.max_attempts) return false;
+    if (LastCall(live) - ctx_.now < typical_ms / 2) return false;
+    if (ctx_.ClassOf(live.request).effect == Effect::kUnsafe && !MayRefuse(live)) return false;
+    if (ProvesNeverRan(outcome)) return true;
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  const Context& ctx_;
+  const HostTable& hosts_;
+  double tokens_ = kRetrySaved / 2;
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_ATTEMPTS_H_
--- /dev/null
+++ b/src/cartspring/beliefs.h
@@ -0,0 +1,215 @@
+// What is believed of hosts: how long answers take (Estimates), which hosts are fit to be sent to (Health).
+//
+// Invariants. A host's slowness stays within kSlowMost of its kind and fades with the time since its last
+// outcome; all else of time moves by outcomes alone, and what one class meets does not move the level of
+// another. Doubt stays within kDoubtLeast and kDoubtMost. A pause is never longer than 1.5 times the most
+// patient class waits. If most of the fleet looks ill, none of it is left out.
+#ifndef CARTSPRING_SRC_CARTSPRING_BELIEFS_H_
+#define CARTSPRING_SRC_CARTSPRING_BELIEFS_H_
+
+#include <cmath>
+
+#include "cartspring/hosts.h"
+
+namespace cartspring {
+
+constexpr double kFirstGuess = 0.2;  // an unloaded host is taken to answer in this share of the aim
+constexpr double kGuessOff = 1.5;  // and the first outcome is believed within this factor of what was thought
+constexpr double kSlowWeight = 0.25;    // weight of a new outcome in what is thought of its host
+constexpr double kSlowMost = 8;         // a host is held to be this many times slower than its kind at most
+constexpr double kTypicalWeight = 0.1;  // weight of a new sample in running means
+constexpr double kShapeFade = 0.98;     // what the time's shape keeps of its past at each new outcome
+constexpr double kFirstOffset = 4;      // figure at which a host takes twice its unloaded time, at first
+constexpr double kOffsetLeast = 0.5;    // and the bounds within which that is learned
+constexpr double kOffsetMost = 16;
+constexpr double kShapeSpread = 0.01;   // least squared variation of the figures seen that tells a slope
+constexpr double kFailing = 0.6;        // a failing host is taken to fail this share of its requests
+constexpr double kSpoiltWeight = 0.01;  // weight of an outcome in the share that fails on any host
+constexpr double kSpoiltLeast = 0.003;
+constexpr double kDoubtMost = 4;
+constexpr double kPauseTypical = 4;  // first pause of a host set aside, in usual times of an answer
+constexpr double kSilentAfter = 3;   // expected times after which a host that says nothing is held silent
+
+// How the time of an attempt grows with its host's figure: in proportion to figure + offset, and 1 at the
+// mean of the figures seen. The offset is read from a fading straight-line fit over this instance's own
+// outcomes; the level is kept apart, by class and kind, so that what one class meets does not move what is
+// expected of another. Held at the mean, it stays true when the offset moves.
+class TimeShape {
+ public:
+  TimeShape() {
+    constexpr double kMean = (1.0 + 5.0 + 20.0) / 3;
+    for (const double figure : {1.0, 5.0, 20.0})
+      Add(figure, (figure + kFirstOffset) / (kMean + kFirstOffset));
+  }
+  void Add(double figure, double time) {
+    for (double* sum : {&n_, &x_, &y_, &xx_, &xy_}) *sum *= kShapeFade;
+    n_ += 1;
+    x_ += figure;
+    y_ += time;
+    xx_ += figure * figure;
+    xy_ += figure * time;
+    const double spread = n_ * xx_ - x_ * x_;
+    if (spread < kShapeSpread * x_ * x_) return;  // figures all alike tell no slope, only noise
+    const double slope = (n_ * xy_ - x_ * y_) / spread;
+    const double offset = slope > 0 ? (y_ / slope - x_) / n_ : kOffsetMost;
+    offset_ = std::clamp(offset, kOffsetLeast, kOffsetMost);
+  }
+  // `share`: the request's own work against its class's mean, where clients hint at it.
+  double At(double figure, double share) const { return (figure + offset_ * share) * Slope(); }
+  double Offset() const { return offset_ * Slope(); }  // of the time, not of the figure
+  double Slope() const { return 1 / (x_ / n_ + offset_); }
+
+ private:
+  double n_ = 0, x_ = 0, y_ = 0, xx_ = 0, xy_ = 0;
+  double offset_ = kFirstOffset;
+};
+
+class Estimates {
+ public:
+  explicit Estimates(const Context& ctx) : ctx_(ctx) {
+    for (const RequestClass& c : ctx.set.classes) {
+      if (c.aim_ms < ctx.set.classes[hastiest_].aim_ms) hastiest_ = static_cast<int>(learned_.size());
+      learned_.push_back({c.aim_ms * kFirstGuess, c.aim_ms * kFirstGuess / shape_.At(1, 1)});
+    }
+  }
+
+  int hastiest() const { return hastiest_; }  // the class with the shortest aim
+  double Typical(int klass) const { return learned_[klass].typical_ms; }
+  double UsualAnswer() const { return Typical(hastiest_); }
+  double PerFigure(int klass) const { return learned_[klass].per_figure; }
+
+  // What a unit of figure costs a class on the host's kind of machine: kinds suit classes differently, and
+  // where the list tells no sizes this is all that is known of them.
+  double PerFigure(int klass, const Host& host) const {
+    const Learned& learned = learned_[klass];
+    const std::size_t kind = static_cast<std::size_t>(host.entry.kind);
+    const double known = kind < learned.on_kind.size() ? learned.on_kind[kind] : 0;
+    return (known > 0 ? known : learned.per_figure) * Slower(host);
+  }
+  // Of the whole attempt, and the part of it that is due to the figure.
+  double Expected(int klass, const Host& host, double figure, double share) const {
+    return PerFigure(klass, host) * shape_.At(figure, share);
+  }
+  double DueToFigure(int klass, const Host& host, double figure) const {
+    return figure * PerFigure(klass, host) * shape_.Slope();
+  }
+
+  void LearnTypical(int klass, double took) {
+    learned_[klass].typical_ms += kTypicalWeight * (took - learned_[klass].typical_ms);
+  }
+
+  // `figure`, `share`: the host's figure and the request's share of work when it was sent.
+  void LearnTime(int klass, Host& host, double figure, double share, double took) {
+    Learned& learned = learned_[klass];
+    const double shape = shape_.At(figure, share), level = took / shape;
+    const std::size_t kind = static_cast<std::size_t>(host.entry.kind);
+    if (kind >= learned.on_kind.size()) learned.on_kind.resize(kind + 1, 0);
+    double& on_kind = learned.on_kind[kind];
+    // The first outcome stands for its kind, within reason: held against a guess, the hosts tried first would
+    // all look unusually fast or slow beside those not tried yet.
+    if (on_kind <= 0)
+      on_kind = std::clamp(level, learned.per_figure / kGuessOff, learned.per_figure * kGuessOff);
+    const double slower = std::clamp(level / on_kind, 1 / kSlowMost, kSlowMost);
+    const double usual = took / Slower(host);  // had the host been like its kind
+    host.slow_log = SlowLog(host) * (1 - kSlowWeight) + std::log(slower) * kSlowWeight;
+    host.slow_at = ctx_.now;
+    shape_.Add(figure, usual / on_kind - shape_.Offset() * (share - 1));
+    // By the difference, not by the ratio: hints are rough, and small requests that took long would else
+    // count most.
+    on_kind += kTypicalWeight * (std::min(usual, kSlowMost * on_kind * shape) - on_kind * shape);
+    learned.per_figure += kTypicalWeight * (usual - learned.per_figure * shape);
+  }
+
+ private:
+  struct Learned {
+    double typical_ms;                 // of an answer
+    double per_figure;                 // ms for each unit of figure + offset, over all kinds
+    std::vector<double> on_kind = {};  // the same on each kind of machine, 0: not tried
+  };
+
+  // Own outcomes speak of a host for a while: about as long as one takes to warm up.
+  double SlowLog(const Host& host) const {
+    return host.slow_log * std::exp(-(ctx_.now - host.slow_at) / std::max(1.0, ctx_.set.warm_within_ms));
+  }
+
+  // Only ever slower: hosts that were tried would else look faster than those that were not.
+  double Slower(const Host& host) const { return std::exp(std::max(0.0, SlowLog(host))); }
+
+  const Context& ctx_;
+  std::vector<Learned> learned_;  // by class
+  TimeShape shape_;
+  int hastiest_ = 0;
+};
+
+class Health {
+ public:
+  Health(Context& ctx, const Estimates& estimates) : ctx_(ctx), estimates_(estimates) {
+    for (const RequestClass& c : ctx.set.classes) patience_ = std::max(patience_, c.deadline_ms);
+  }
+
+  // Before the attempt is counted as out, and when the host is heard of in any way.
+  void Sent(Host& host, double expected_ms) {
+    host.expected_ms = expected_ms;
+    if (host.own == 0) Heard(host);
+  }
+  void Heard(Host& host) { host.waiting_since = ctx_.now; }
+
+  // A failure is weighed by how usual failures are just now on hosts that nothing is held against: where any
+  // host spoils some answers, one spoilt answer says little of its host. Odds that speak against a host are
+  // worked off by its answers.
+  void Weigh(Host& host, bool failed, bool silent = false) {
+    if (host.doubt <= 0 && !silent)
+      spoilt_ = std::clamp(spoilt_ + kSpoiltWeight * (failed - spoilt_), kSpoiltLeast, kFailing / 2);
+    const double odds = failed ? kFailing / spoilt_ : (1 - kFailing) / (1 - spoilt_);
+    host.doubt = std::clamp(host.doubt + std::log(odds), kDoubtLeast, kDoubtMost);
+    if (!failed) host.set_asides = 0;
+    if (host.doubt > 0) SetAside(host);
+  }
+
+  // The pauses grow and are jittered, so that instances do not come back in step.
+  void SetAside(Host& host) {
+    if (ctx_.now < host.out_until) return;
+    const double pause =
+        std::min(patience_, kPauseTypical * estimates_.UsualAnswer() * (1 << std::min(host.set_asides, 8)));
+    host.out_until = ctx_.now + pause * (0.5 + ctx_.random.Unit());
+    ++host.set_asides;
+  }
+
+  // Guards against hosts that take requests and say nothing: no outcome tells of them before a time-out does,
+  // and all that while their last report looks as good as ever.
+  bool Silent(const Host& host) const {
+    return host.own > 0 && ctx_.now - host.waiting_since > kSilentAfter * host.expected_ms;
+  }
+
+  // `safe`: for a request that may run again.
+  std::vector<int> Ready(const HostTable& hosts, bool safe) const {
+    std::vector<int> ready, all;
+    std::size_t well = 0;
+    for (int i = 0; i < hosts.size(); ++i) {
+      const Host& host = hosts[i];
+      if (host.entry.state != HostState::kLive) continue;
+      all.push_back(i);
+      if (ctx_.now < host.out_until || Silent(host)) continue;
+      if (host.doubt <= 0) {
+        ++well;
+        ready.push_back(i);
+      } else if (host.own == 0 && (safe || ctx_.now > host.out_until + patience_)) {
+        // Back from being set aside, a host gets one attempt at a time, of a request that may run again if
+        // there are any, until its answers speak for it.
+        ready.push_back(i);
+      }
+    }
+    // If most of the fleet looks ill, the fault is likelier in this instance's view: use them all.
+    return 2 * well < all.size() ? all : ready;
+  }
+
+ private:
+  Context& ctx_;
+  const Estimates& estimates_;
+  double patience_ = 0;           // of the most patient class
+  double spoilt_ = kSpoiltLeast;  // share of attempts that fail on hosts that nothing is held against
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_BELIEFS_H_
--- /dev/null
+++ b/src/cartspring/hosts.h
@@ -0,0 +1,146 @@
+// The host table: what the list says of each host, and the row in which the steps keep what they know of it.
+// And discovery, where it speaks only when asked.
+//
+// Invariants. A row in use is never given to another host, and none is added while one is free. A started
+// process begins with nothing held against it. Discovery is asked until it answers, every ask_within_ms / 2
+// at the latest; pauses after refusals are jittered, so that instances do not ask in step.
+#ifndef CARTSPRING_SRC_CARTSPRING_HOSTS_H_
+#define CARTSPRING_SRC_CARTSPRING_HOSTS_H_
+
+#include <functional>
+#include <unordered_map>
+
+#include "cartspring/check.h"
+#include "cartspring/records.h"
+
+namespace cartspring {
+
+constexpr double kDoubtLeast = -3.5;  // log odds that a host is failing before anything is held against it
+constexpr std::uint64_t kDiscoveryTimer = ~std::uint64_t{0} >> 1;
+
+class HostTable {
+ public:
+  explicit HostTable(const Context& ctx) : ctx_(ctx) {}
+
+  Host& operator[](int row) { return rows_[row]; }
+  const Host& operator[](int row) const { return rows_[row]; }
+  int size() const { return static_cast<int>(rows_.size()); }
+  int live() const { return live_; }
+
+  int RowOf(const std::string& name) const {
+    const auto found = index_.find(name);
+    Check(found != index_.end(), "a host that no list has named");
+    return found->second;
+  }
+
+  // A host that a whole list leaves out is gone, though nothing says so by name.
+  void Take(const std::vector<HostEntry>& entries, bool whole) {
+    for (Host& host : rows_) host.listed = !whole;
+    for (const HostEntry& entry : entries) Learn(entry);
+    double weight = 0;
+    live_ = 0;
+    for (Host& host : rows_) {
+      if (!host.listed) host.entry.state = HostState::kGone;
+      if (host.entry.state != HostState::kLive) continue;
+      ++live_;
+      weight += host.entry.weight;
+    }
+    mean_weight_ = live_ > 0 && weight > 0 ? weight / live_ : 1;
+  }
+
+  // Share of its capacity that a started host has for sure by now.
+  double Warmth(const Host& host) const {
+    const Settings& set = ctx_.set;
+    if (host.entry.started_ms <= 0 || set.warm_within_ms <= 0) return 1;
+    const double age = std::max(0.0, ctx_.now - host.entry.started_ms);
+    return std::min(1.0, set.cold_from + (1 - set.cold_from) * age / set.warm_within_ms);
+  }
+
+  // Size against the fleet's mean, where the list tells sizes.
+  double Size(const Host& host) const {
+    return ctx_.set.weights_known && host.entry.weight > 0 ? host.entry.weight / mean_weight_ : 1;
+  }
+
+ private:
+  void Learn(const HostEntry& entry) {
+    const auto found = index_.find(entry.host);
+    const bool known = found != index_.end();
+    Host& host = rows_[known ? found->second : FreeRow(entry.host)];
+    if (!known || entry.started_ms > host.entry.started_ms) {
+      // A new process: what was held against the old one, and its figure, are void.
+      host.doubt = kDoubtLeast;
+      host.set_asides = 0;
+      host.out_until = 0;
+      host.load = -1;
+    }
+    host.entry = entry;
+    host.listed = true;
+  }
+
+  // Rows of hosts that are gone for good are used again: ids that come and go all day must not pile up.
+  int FreeRow(const std::string& name) {
+    const auto unused = std::find_if_not(rows_.begin(), rows_.end(), std::mem_fn(&Host::InUse));
+    const int row = static_cast<int>(unused - rows_.begin());
+    if (unused == rows_.end()) rows_.emplace_back();
+    index_.erase(rows_[row].entry.host);
+    rows_[row] = Host();
+    return index_[name] = row;
+  }
+
+  const Context& ctx_;
+  std::vector<Host> rows_;
+  std::unordered_map<std::string, int> index_;  // looked up, never walked
+  int live_ = 0;
+  double mean_weight_ = 1;
+};
+
+class Discovery {
+ public:
+  Discovery(Context& ctx, ActionSink& sink) : ctx_(ctx), sink_(sink) {}
+
+  // At the start, with nothing but what was remembered, and when kDiscoveryTimer rings.
+  void Started() {
+    if (ctx_.set.must_subscribe) Ask();
+  }
+  void Due() {
+    if (!subscribed_ && ctx_.now >= due_ - kSettled) Ask();
+  }
+
+  void Answered() {
+    if (!asked_) return;
+    asked_ = false;
+    subscribed_ = true;
+    refusals_ = 0;
+  }
+
+  void Refused() {
+    if (!ctx_.set.must_subscribe) return;
+    subscribed_ = false;
+    asked_ = false;
+    const double longest = ctx_.set.ask_within_ms / 2;
+    const double base = std::min(longest, ctx_.set.ask_within_ms / 8 * (1 << std::min(refusals_, 4)));
+    ++refusals_;
+    due_ = ctx_.now + base * (0.5 + 0.5 * ctx_.random.Unit());
+    sink_.SetTimer(due_, kDiscoveryTimer);
+  }
+
+ private:
+  void Ask() {
+    asked_ = true;
+    sink_.Subscribe();
+    // An answer that never comes must not leave this instance deaf.
+    due_ = ctx_.now + ctx_.set.ask_within_ms / 2;
+    sink_.SetTimer(due_, kDiscoveryTimer);
+  }
+
+  Context& ctx_;
+  ActionSink& sink_;
+  bool asked_ = false;
+  bool subscribed_ = false;
+  int refusals_ = 0;
+  double due_ = 0;
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_HOSTS_H_
--- /dev/null
+++ b/src/cartspring/policy.h
@@ -0,0 +1,234 @@
+// The decisions of cartspring, tied together by the events. The interface is include/cartspring/balancer.h.
+//
+// The mechanism is Stochastic Skip, after Klein, Metzler and Bar-Yam, "Handling Emergent Resource Use
+// Oscillations": ready hosts are ranked by last reported load, each is passed over with one fixed chance, a
+// passed-over request moves on at once. The steps of a request, in order: host table (hosts.h), beliefs about
+// hosts (beliefs.h), legality (attempts.h), report gathering (reports.h), walk and admission (walk.h).
+//
+// Invariants. Every request that is held has a timer at its end, and gets at most one answer from here.
+// Its entry goes as soon as it is over. Events that no longer matter change nothing but the time.
+#ifndef CARTSPRING_SRC_CARTSPRING_POLICY_H_
+#define CARTSPRING_SRC_CARTSPRING_POLICY_H_
+
+#include "cartspring/attempts.h"
+#include "cartspring/walk.h"
+
+namespace cartspring {
+
+constexpr int kLooksMax = 3;      // samples drawn for one attempt before giving up
+constexpr double kCutFactor = 2;  // an attempt cut off would have taken about this many times as long
+
+class Balancer::Impl {
+ public:
+  Impl(const Settings& settings, std::uint64_t seed, ActionSink& sink)
+      : ctx_{(CheckSettings(settings), settings), Random(seed)}, sink_(sink) {}
+
+  void OnHosts(double now, const std::vector<HostEntry>& entries, bool whole, bool remembered) {
+    Advance(now);
+    hosts_.Take(entries, whole);
+    remembered ? discovery_.Started() : discovery_.Answered();
+  }
+
+  void OnDiscoveryRefused(double now) {
+    Advance(now);
+    discovery_.Refused();
+  }
+
+  void OnRequest(double now, const Request& request) {
+    Check(request.klass >= 0 && request.klass < static_cast<int>(ctx_.set.classes.size()),
+          "request of no known class");
+    Check(requests_.find(request.id) == requests_.end(), "request id in use");
+    Check(std::isfinite(request.give_up_ms), "request without an end");
+    Advance(now);
+    Live& live = requests_[request.id];
+    live.request = request;
+    attempts_.Earn();
+    live.aim_at = admission_.AimOf(request);
+    live.share = admission_.ShareOf(request);
+    // Past its aim such a request is worth nothing: ending it then frees the host.
+    live.end_at =
+        ctx_.ClassOf(request).late_worth > 0 ? request.give_up_ms : std::min(request.give_up_ms, live.aim_at);
+    sink_.SetTimer(std::max(attempts_.LastCall(live), ctx_.now), Token(request.id, kEndTimer));
+    if (attempts_.LastCall(live) <= ctx_.now) return;  // the timer answers it in the next batch
+    Gather(request.id, live);
+  }
+
+  void OnStreamBegun(double now, RequestId id, int attempt) {
+    Advance(now);
+    const auto found = requests_.find(id);
+    if (found == requests_.end() || attempt < 0 || attempt >= found->second.Count()) return;
+    found->second.begun = true;  // from here on it belongs to the client: no deadline, no further attempt
+  }
+
+  void OnOutcome(double now, RequestId id, int attempt, Outcome outcome, bool over, double took,
+                 const LoadReport* report) {
+    Advance(now);
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    Live& live = found->second;
+    if (attempt < 0 || attempt >= live.Count() || !live.attempts[attempt].pending) return;
+    Attempt& tried = live.attempts[attempt];
+    tried.pending = false;
+    tried.may_have_run = !ProvesNeverRan(outcome);
+    reports_.CountOwn(hosts_[tried.host], -1);
+    if (report != nullptr) reports_.Take(hosts_[tried.host], *report);
+    Judge(live, tried, outcome, took);
+    if (over) return Forget(id, live);
+    if (live.begun || live.gathering || live.Pending()) return;
+    if (attempts_.WorthAnother(live, outcome, estimates_.Typical(live.request.klass))) {
+      Gather(id, live);
+    } else {
+      End(id, live);
+    }
+  }
+
+  void OnProbeResult(double now, const std::string& name, bool answered, double took,
+                     const LoadReport* report) {
+    Host& host = hosts_[hosts_.RowOf(name)];
+    Advance(now);
+    const std::vector<RequestId> waiters = reports_.Probed(host, answered, took, report);
+    if (!answered) health_.Weigh(host, true);
+    for (const RequestId id : waiters) {
+      const auto found = requests_.find(id);
+      if (found == requests_.end() || !found->second.gathering) continue;
+      --found->second.reports_due;
+      if (found->second.reports_due <= 0) Decide(id, found->second);
+    }
+  }
+
+  void OnClientGone(double now, RequestId id) {
+    Advance(now);
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    CancelPending(id, found->second);
+    Forget(id, found->second);
+  }
+
+  void OnTimer(double now, std::uint64_t token) {
+    Advance(now);
+    if (token == kDiscoveryTimer) return discovery_.Due();
+    const RequestId id = token / kTimerKinds;
+    const auto found = requests_.find(id);
+    if (found == requests_.end() || found->second.begun) return;
+    Live& live = found->second;
+    if (token % kTimerKinds == kEndTimer) {
+      if (ctx_.now >= attempts_.LastCall(live) - kSettled) End(id, live);
+    } else if (live.gathering && ctx_.now >= live.hold_until - kSettled) {
+      live.sample.empty() ? Gather(id, live) : Decide(id, live);
+    }
+  }
+
+ private:
+  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kTimerKinds };
+  static std::uint64_t Token(RequestId id, TimerKind kind) { return id * kTimerKinds + kind; }
+
+  void Advance(double now) { ctx_.now = std::max(ctx_.now, now); }  // a clock that goes back: ignored
+
+  void Gather(RequestId id, Live& live) {
+    const bool safe = ctx_.ClassOf(live.request).effect == Effect::kSafe;
+    std::vector<int> pool = health_.Ready(hosts_, safe);
+    std::erase_if(pool, [&](int i) { return !attempts_.MaySend(live, i) || live.Barred(i); });
+    if (!reports_.Gather(id, live, std::move(pool))) return Decide(id, live);
+    sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
+  }
+
+  void Decide(RequestId id, Live& live) {
+    live.gathering = false;
+    std::vector<int> legal = live.sample;
+    std::erase_if(legal, [&](int i) { return !attempts_.MaySend(live, i); });
+    const Ranked kept = walk_.Choose(live, legal);
+    if (kept.host < 0) return LookAgain(id, live);
+    if (!admission_.InTime(live, kept)) return End(id, live);  // before it costs anyone work
+    SendTo(id, live, kept);
+  }
+
+  // No host to keep it: look again soon, then less and less often until the request's end.
+  void LookAgain(RequestId id, Live& live) {
+    ++live.looks;
+    const double left = live.end_at - ctx_.now;
+    live.sample.clear();
+    live.gathering = true;
+    live.hold_until = ctx_.now + std::max(ctx_.set.tick_ms, live.looks < kLooksMax ? 0 : left / 4);
+    sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
+  }
+
+  void SendTo(RequestId id, Live& live, const Ranked& kept) {
+    Host& host = hosts_[kept.host];
+    live.attempts.push_back({kept.host, ctx_.now, kept.figure, true, true});
+    health_.Sent(host, estimates_.Expected(live.request.klass, host, kept.figure, live.share));
+    ++host.held;
+    reports_.CountOwn(host, 1);
+    live.barred.push_back(kept.host);
+    live.looks = 0;
+    sink_.Send(id, host.entry.host, attempts_.AttemptEnd(live, host.expected_ms));
+  }
+
+  // What an outcome says of the host and of how long such requests take.
+  void Judge(const Live& live, const Attempt& tried, Outcome outcome, double took) {
+    Host& host = hosts_[tried.host];
+    const int klass = live.request.klass;
+    const bool heard = outcome == Outcome::kServed || outcome == Outcome::kError ||
+                       outcome == Outcome::kRefusedByHost || outcome == Outcome::kConnectionLost;
+    if (heard) health_.Heard(host);
+    switch (outcome) {
+      case Outcome::kServed:
+        reports_.Served(host);
+        health_.Weigh(host, false);
+        estimates_.LearnTypical(klass, took);
+        return estimates_.LearnTime(klass, host, tried.figure, live.share, took);
+      case Outcome::kTimeout:
+        // It would have taken longer still. Counted as it stands, the fit could never expect a time-out. Of a
+        // host that said nothing all the while, it tells nothing about the time that answers take.
+        if (host.waiting_since <= tried.sent_at) return health_.Weigh(host, true, true);
+        return estimates_.LearnTime(klass, host, tried.figure, live.share, kCutFactor * took);
+      case Outcome::kError:
+      case Outcome::kConnectFailed:
+      case Outcome::kConnectionLost:
+        return health_.Weigh(host, true);
+      case Outcome::kRefusedByHost:
+        return health_.SetAside(host);
+      case Outcome::kCancelled:
+      case Outcome::kNotSent:
+        return;
+    }
+  }
+
+  void CancelPending(RequestId id, const Live& live) {
+    for (int k = 0; k < live.Count(); ++k) {
+      if (live.attempts[k].pending && ctx_.set.may_cancel) sink_.Cancel(id, k);
+    }
+  }
+
+  void Forget(RequestId id, const Live& live) {
+    for (const Attempt& attempt : live.attempts) {
+      Host& host = hosts_[attempt.host];
+      if (attempt.pending && health_.Silent(host))
+        health_.Weigh(host, true);  // or its silence would be forgotten with the request
+      if (attempt.pending) reports_.CountOwn(host, -1);
+      --host.held;
+    }
+    requests_.erase(id);
+  }
+
+  void End(RequestId id, const Live& live) {
+    CancelPending(id, live);
+    attempts_.MayRefuse(live) ? sink_.Refuse(id, 0) : sink_.Fail(id);
+    Forget(id, live);
+  }
+
+  Context ctx_;
+  ActionSink& sink_;
+  HostTable hosts_{ctx_};
+  Estimates estimates_{ctx_};
+  Health health_{ctx_, estimates_};
+  Attempts attempts_{ctx_, hosts_};
+  Reports reports_{ctx_, hosts_, estimates_, sink_};
+  Walk walk_{ctx_, hosts_, estimates_, reports_};
+  Admission admission_{ctx_, hosts_, estimates_};
+  Discovery discovery_{ctx_, sink_};
+  std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_POLICY_H_
--- /dev/null
+++ b/src/cartspring/reports.h
@@ -0,0 +1,127 @@
+// Report gathering: what hosts report of their load, what of it is this instance's own doing, and which hosts
+// are looked at for a request.
+//
+// Invariants. At most one probe of a host is out. Where probes are asked, an attempt looks at kSampleMax
+// hosts at most. A row that is too old is not ranked by.
+#ifndef CARTSPRING_SRC_CARTSPRING_REPORTS_H_
+#define CARTSPRING_SRC_CARTSPRING_REPORTS_H_
+
+#include "cartspring/beliefs.h"
+
+namespace cartspring {
+
+constexpr double kLookSpend = 0.012;  // share of the result that may be spent on the probes of a request
+constexpr int kSampleMin = 2;         // hosts looked at for a request: fewer is no choice
+constexpr int kSampleMax = 5;         // more add little to the best of the sample
+constexpr int kHoldTicks = 2;         // a request waits this long for its sample's reports
+constexpr double kProbedLife = 0.25;  // a probed row is ranked by for this multiple of an answer's usual time
+constexpr double kAnsweredLife = 8;   // one that came with an answer for this multiple
+constexpr double kOwnMemory = 4;      // usual times of an answer over which own attempts are averaged
+
+class Reports {
+ public:
+  Reports(Context& ctx, HostTable& hosts, const Estimates& estimates, ActionSink& sink)
+      : ctx_(ctx), hosts_(hosts), estimates_(estimates), sink_(sink) {
+    const double price = ctx.set.probe_price, affordable = price > 0 ? kLookSpend / price : kSampleMax;
+    sample_size_ = static_cast<int>(std::clamp<double>(affordable, kSampleMin, kSampleMax));
+  }
+
+  bool Probing() const { return ctx_.set.reporting == Reporting::kProbe && ctx_.set.may_probe; }
+  // Has this instance a connection to the host that nothing uses?
+  bool Linked(const Host& host) const { return host.own == 0 && ctx_.now < host.linked_until; }
+  double Rtt(int zone) const {  // 0: not known
+    return static_cast<std::size_t>(zone) < rtt_.size() ? rtt_[static_cast<std::size_t>(zone)] : 0;
+  }
+
+  // Is the host's row recent enough to rank by? A probe is sent anew after a fraction of a request's time;
+  // rows that only answers bring are kept longer, but not for good: a host last seen busy would never be
+  // chosen again.
+  bool Reported(const Host& host, const Live& live) const {
+    const double life = (Probing() ? kProbedLife : kAnsweredLife) * estimates_.Typical(live.request.klass);
+    return host.load >= 0 &&
+           (ctx_.now - host.load_at <= life || (Probing() && host.load_at >= live.looked_at));
+  }
+
+  void Take(Host& host, const LoadReport& report) {
+    const double load = report.in_flight >= 0 ? report.in_flight : report.queue;
+    if (load < 0) return;
+    CountOwn(host, 0);
+    // A report that came with an answer tells of some time before it, of which the mean is all that is known.
+    host.others = std::max(0.0, load - (Probing() ? host.own : host.own_mean));
+    host.load = load;
+    host.load_at = ctx_.now;
+  }
+
+  void CountOwn(Host& host, int more) {
+    const double kept = std::exp((host.own_at - ctx_.now) / (kOwnMemory * estimates_.UsualAnswer()));
+    host.own_mean = host.own + (host.own_mean - host.own) * kept;
+    host.own_at = ctx_.now;
+    host.own += more;
+  }
+
+  void Served(Host& host) { host.linked_until = ctx_.now + ctx_.set.connection_idle_ms; }
+
+  // Where only probes report, a small random sample is looked at as the request arrives: at full size an
+  // instance's rows are seconds old, and ranking those sends every instance to the same hosts (the paper's
+  // oscillation). Elsewhere all ready hosts are ranked by what answers told. False: no need to wait.
+  bool Gather(RequestId id, Live& live, std::vector<int> pool) {
+    live.sample.clear();
+    live.reports_due = 0;
+    live.looked_at = ctx_.now;
+    live.considered = 1;
+    if (!Probing()) {
+      live.sample = std::move(pool);
+      return false;
+    }
+    if (ctx_.set.connection_idle_ms > 0) {
+      // Part of the sample has a connection open: with many hosts and few requests every send would else
+      // pay for a new one. Cold hosts are left out, or they would be drawn more often than their share is cut
+      // for.
+      std::vector<int> linked = pool;
+      std::erase_if(linked, [&](int i) { return !Linked(hosts_[i]) || hosts_.Warmth(hosts_[i]) < 1; });
+      ctx_.random.Draw(linked, sample_size_ / 2, live.sample);
+    }
+    std::vector<int> others = pool;
+    std::erase_if(others, [&](int i) { return live.Sampled(i); });
+    ctx_.random.Draw(others, sample_size_ - static_cast<int>(live.sample.size()), live.sample);
+    if (!pool.empty())
+      live.considered = static_cast<double>(live.sample.size()) / static_cast<double>(pool.size());
+    double wait = kHoldTicks * ctx_.set.tick_ms;
+    for (const int i : live.sample) {
+      Host& host = hosts_[i];
+      if (Reported(host, live)) continue;
+      if (!host.probe_out) sink_.Probe(host.entry.host);
+      host.probe_out = true;
+      host.waiters.push_back(id);
+      ++live.reports_due;
+      wait = std::max(wait, Rtt(host.entry.zone) + ctx_.set.tick_ms);
+    }
+    live.gathering = true;
+    live.hold_until = ctx_.now + wait;
+    return live.reports_due > 0;
+  }
+
+  // Hands over the requests that waited for the probe.
+  std::vector<RequestId> Probed(Host& host, bool answered, double took, const LoadReport* report) {
+    host.probe_out = false;
+    if (answered && report != nullptr) Take(host, *report);
+    if (answered) {
+      const std::size_t zone = static_cast<std::size_t>(host.entry.zone);
+      if (zone >= rtt_.size()) rtt_.resize(zone + 1);
+      rtt_[zone] = rtt_[zone] == 0 ? took : rtt_[zone] + kTypicalWeight * (took - rtt_[zone]);
+    }
+    return std::exchange(host.waiters, {});
+  }
+
+ private:
+  Context& ctx_;
+  HostTable& hosts_;
+  const Estimates& estimates_;
+  ActionSink& sink_;
+  int sample_size_ = kSampleMin;
+  std::vector<double> rtt_;  // by zone
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_REPORTS_H_
--- /dev/null
+++ b/src/cartspring/walk.h
@@ -0,0 +1,162 @@
+// The walk, Stochastic Skip: candidates ranked by load as time, each passed over with one fixed chance. And
+// admission: when an answer is wanted, and whether the host that the walk chose will give it by then.
+//
+// Invariants. The walk ends: its rounds are bounded. A cold host is drawn for once a request, neither walk
+// restarts nor retries try again; all instances together, each keeping its share of it, stay well under what
+// makes it fall. A host seen idle takes any request. A hint counts within kShareMost of its class's mean.
+#ifndef CARTSPRING_SRC_CARTSPRING_WALK_H_
+#define CARTSPRING_SRC_CARTSPRING_WALK_H_
+
+#include "cartspring/reports.h"
+
+namespace cartspring {
+
+constexpr double kSkip = 0.1;        // r, the chance that a ranked host is passed over
+constexpr int kRounds = 4;           // walks over the ranking before the first host is taken unskipped
+constexpr double kAimShare = 0.8;    // expected time over time left at which a request is still taken on
+constexpr double kRoomShare = 0.65;  // and share of the shortest aim that is left to those behind it
+constexpr double kShareMost = 8;     // a hint is believed within this factor of its class's mean
+constexpr double kTryOff = 0.01;     // of a deadline, by which the time of first tries varies
+constexpr double kOtherTry = 0.3;    // weight of a try that comes with another time
+constexpr double kFirstTriesMost = 20;
+
+class Walk {
+ public:
+  Walk(Context& ctx, const HostTable& hosts, const Estimates& estimates, const Reports& reports)
+      : ctx_(ctx), hosts_(hosts), estimates_(estimates), reports_(reports) {}
+
+  // Of the hosts that the request may be sent to. None if all were passed over for being cold.
+  Ranked Choose(Live& live, const std::vector<int>& legal) {
+    std::vector<int> candidates = legal;
+    if (reports_.Probing())
+      std::erase_if(candidates, [&](int i) { return !reports_.Reported(hosts_[i], live); });
+    // Hosts whose probes have not answered are ranked only if none has.
+    if (candidates.empty()) candidates = legal;
+    double known = 0, known_count = 0;
+    for (const int i : candidates) {
+      if (!reports_.Reported(hosts_[i], live)) continue;
+      known += hosts_[i].others;
+      ++known_count;
+    }
+    const double unreported = known / std::max(1.0, known_count);
+    std::vector<Ranked> ranking;
+    for (const int i : candidates) {
+      if (!KeptThoughCold(live, i)) continue;
+      const Host& host = hosts_[i];
+      // A cold host without a row ranks as if it had less than the mean to do: it is held back by being
+      // passed over, and must be tried to be known.
+      const double warmth = hosts_.Warmth(host);
+      const double others = reports_.Reported(host, live) ? host.others : unreported * warmth - (1 - warmth);
+      // This instance's own requests as they are now, and this request.
+      const double figure = (others + host.own + 1) / (hosts_.Size(host) * warmth);
+      const double key = estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
+      ranking.push_back({key, ctx_.random.Unit(), i, figure});
+    }
+    if (ranking.empty()) return {0, 0, -1, 0};
+    std::sort(ranking.begin(), ranking.end(), [](const Ranked& a, const Ranked& b) {
+      return a.key != b.key ? a.key < b.key : a.tie < b.tie;
+    });
+    for (int round = 0; round < kRounds; ++round) {
+      for (const Ranked& ranked : ranking) {
+        if (ctx_.random.Unit() >= kSkip) return ranked;
+      }
+    }
+    return ranking.front();
+  }
+
+ private:
+  // Crossing zones costs time on the way and a price, a new connection a price; prices are taken as time of
+  // the aim, and all of it ranks beside the load's time.
+  double Distance(const Host& host, const Live& live) const {
+    const Settings& set = ctx_.set;
+    const double aim = ctx_.ClassOf(live.request).aim_ms;
+    const double link = reports_.Linked(host) ? 0 : set.handshake_price * aim;
+    if (host.entry.zone == set.own_zone) return link;
+    const double way = std::max(0.0, reports_.Rtt(host.entry.zone) - reports_.Rtt(set.own_zone));
+    return link + way + set.cross_zone_price * aim;
+  }
+
+  bool KeptThoughCold(Live& live, int i) {
+    const double warmth = hosts_.Warmth(hosts_[i]);
+    if (warmth >= 1) return true;
+    const double fair = hosts_.Size(hosts_[i]) / std::max(1, hosts_.live());
+    const double keep = warmth * (ctx_.set.fall_multiple / 2) * fair / live.considered;
+    if (ctx_.random.Unit() < keep) return true;
+    live.barred.push_back(i);
+    return false;
+  }
+
+  Context& ctx_;
+  const HostTable& hosts_;
+  const Estimates& estimates_;
+  const Reports& reports_;
+};
+
+class Admission {
+ public:
+  Admission(const Context& ctx, const HostTable& hosts, const Estimates& estimates)
+      : ctx_(ctx), hosts_(hosts), estimates_(estimates), seen_(ctx.set.classes.size()) {}
+
+  // When the answer is wanted. A client's retry keeps the clock of its first try. First tries of a class all
+  // come with the same time, and they are most of what comes; one that comes with more or less than that is a
+  // retry, which began a deadline before its end.
+  double AimOf(const Request& request) {
+    const RequestClass& klass = ctx_.ClassOf(request);
+    Seen& seen = seen_[request.klass];
+    const double budget = request.give_up_ms - ctx_.now,
+                 off = kTryOff * klass.deadline_ms + 2 * ctx_.set.tick_ms;
+    if (seen.first_tries < kOtherTry) seen.first_try_ms = budget;
+    const bool first = std::abs(budget - seen.first_try_ms) <= off;
+    seen.first_tries = std::min(kFirstTriesMost, seen.first_tries + (first ? 1 : -kOtherTry));
+    const double began = first ? ctx_.now : request.give_up_ms - klass.deadline_ms;
+    const double aim = klass.aim_ms + klass.aim_stretch * request.work_hint_ms;
+    return std::min(std::min(began, ctx_.now) + aim, request.give_up_ms);
+  }
+
+  // The request's own work against its class's mean, by the client's hint; 1 without one.
+  double ShareOf(const Request& request) {
+    const double hint = request.work_hint_ms;
+    if (hint <= 0) return 1;
+    double& mean = seen_[request.klass].mean_hint_ms;
+    mean = mean > 0 ? mean + kTypicalWeight * (std::min(hint, kShareMost * mean) - mean) : hint;
+    return std::clamp(hint / mean, 1 / kShareMost, kShareMost);
+  }
+
+  // A request is taken on if it is expected within its aim, or within its time for what it is worth then, and
+  // if another behind it would be within the shortest aim of all, or nearly so if it is worth less: else
+  // patient and late ones fill the hosts and shut the others out. Judged by what its own class met: what
+  // another one meets is no measure of the host.
+  bool InTime(const Live& live, const Ranked& kept) const {
+    const Host& host = hosts_[kept.host];
+    const int klass = live.request.klass, hastiest = estimates_.hastiest();
+    // A host seen idle is always worth a try: were it refused for what was learned, nothing could be learned
+    // again.
+    if (kept.figure * hosts_.Size(host) * hosts_.Warmth(host) < 2) return true;
+    const double time = estimates_.Expected(klass, host, kept.figure, live.share);
+    double worth = WorthForWork(klass) / WorthForWork(hastiest);
+    if (time > kAimShare * (live.aim_at - ctx_.now)) worth *= ctx_.set.classes[klass].late_worth;
+    return worth > 0 && time <= kAimShare * (live.end_at - ctx_.now) &&
+           estimates_.Expected(klass, host, kept.figure, 1) <=
+               kRoomShare * ctx_.set.classes[hastiest].aim_ms * std::sqrt(std::min(1.0, worth));
+  }
+
+ private:
+  struct Seen {
+    double first_try_ms = 0;  // the time that first tries come with
+    double first_tries = 0;   // how surely
+    double mean_hint_ms = 0;
+  };
+
+  double WorthForWork(int klass) const {
+    return ctx_.set.classes[klass].worth / (ctx_.set.worth_by_work ? 1 : estimates_.PerFigure(klass));
+  }
+
+  const Context& ctx_;
+  const HostTable& hosts_;
+  const Estimates& estimates_;
+  std::vector<Seen> seen_;  // by class
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_WALK_H_
--- /dev/null
+++ b/tests/cartspring/steps_test.cpp
@@ -0,0 +1,52 @@
+// The steps of a decision, each alone: the bounds that their headers state.
+#include <gtest/gtest.h>
+
+#include "cartspring/beliefs.h"
+#include "cartspring/fixture.h"
+
+namespace cartspring {
+namespace {
+
+TEST(Steps, TheHostTableHoldsNoMoreRowsThanWereInUseAtOnce) {
+  Context ctx{TestSettings(), Random(1)};
+  HostTable hosts(ctx);
+  for (int day = 0; day < 50; ++day) {
+    HostEntry entry;
+    entry.host = "host-" + std::to_string(day);
+    hosts.Take({entry}, true);
+    if (day == 0) hosts[hosts.RowOf("host-0")].held = 1;  // an attempt whose request is not over
+  }
+  EXPECT_EQ(hosts[hosts.RowOf("host-0")].entry.host, "host-0");
+  EXPECT_LE(hosts.size(), 3);  // the one that is held, the one before and the one that takes its place
+}
+
+TEST(Steps, APauseStaysWithinThePatienceOfTheMostPatientClass) {
+  Context ctx{TestSettings(), Random(1)};
+  const Estimates estimates(ctx);
+  Health health(ctx, estimates);
+  Host host;
+  for (int pause = 0; pause < 20; ++pause) {
+    ctx.now = host.out_until + 1;
+    health.SetAside(host);
+    EXPECT_GT(host.out_until, ctx.now);
+    EXPECT_LE(host.out_until - ctx.now, 1.5 * ctx.set.classes[kSafeClass].deadline_ms);
+  }
+}
+
+TEST(Steps, OutcomesOfOneHostMoveItsTimeWithinABoundThatFades) {
+  Context ctx{TestSettings(), Random(1)};
+  Estimates estimates(ctx);
+  Host slow, other;
+  for (int i = 0; i < 50; ++i) estimates.LearnTime(kSafeClass, other, 1, 1, 50);
+  for (int i = 0; i < 50; ++i) estimates.LearnTime(kSafeClass, slow, 1, 1, 1e9);
+  const auto ratio = [&] {
+    return estimates.PerFigure(kSafeClass, slow) / estimates.PerFigure(kSafeClass, other);
+  };
+  EXPECT_GT(ratio(), 2);
+  EXPECT_LE(ratio(), kSlowMost);
+  ctx.now += 20 * ctx.set.warm_within_ms;
+  EXPECT_NEAR(ratio(), 1, 1e-6);
+}
+
+}  // namespace
+}  // namespace cartspring
