Bound what a host holds by count, so that a burst tips no host into staying slow

Admission went by time alone: with work of 7 ms against aims of 200 to 380 ms it let a host hold up to some 18 requests.

A host is full at six requests for its size. Refusals advise a time to come back: half a usual answer time, spread out. What every host passed over, or nobody took in half its time, is given up at once. No number that is not finite, no time longer than the deadline and no absurd report enters an estimate.

--- a/src/cartspring/hosts.h
+++ b/src/cartspring/hosts.h
@@ -25,7 +25,7 @@
   Host& operator[](int row) { return rows_[row]; }
   const Host& operator[](int row) const { return rows_[row]; }
   int size() const { return static_cast<int>(rows_.size()); }
-  int live() const { return live_; }
+  const std::vector<int>& live() const { return live_; }  // rows
 
   int RowOf(const std::string& name) const {
     const auto found = index_.find(name);
@@ -37,15 +37,15 @@
   void Take(const std::vector<HostEntry>& entries, bool whole) {
     for (Host& host : rows_) host.listed = !whole;
     for (const HostEntry& entry : entries) Learn(entry);
+    live_.clear();
     double weight = 0;
-    live_ = 0;
-    for (Host& host : rows_) {
-      if (!host.listed) host.entry.state = HostState::kGone;
-      if (host.entry.state != HostState::kLive) continue;
-      ++live_;
-      weight += host.entry.weight;
+    for (int i = 0; i < size(); ++i) {
+      if (!rows_[i].listed) rows_[i].entry.state = HostState::kGone;
+      if (rows_[i].entry.state != HostState::kLive) continue;
+      live_.push_back(i);
+      weight += rows_[i].entry.weight;
     }
-    mean_weight_ = live_ > 0 && weight > 0 ? weight / live_ : 1;
+    mean_weight_ = weight > 0 ? weight / static_cast<double>(live_.size()) : 1;
   }
 
   // Share of its capacity that a started host has for sure by now.
@@ -90,7 +90,7 @@
   const Context& ctx_;
   std::vector<Host> rows_;
   std::unordered_map<std::string, int> index_;  // looked up, never walked
-  int live_ = 0;
+  std::vector<int> live_;
   double mean_weight_ = 1;
 };
 
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -42,12 +42,14 @@
     Advance(now);
     Live& live = requests_[request.id];
     live.request = request;
+    if (!std::isfinite(request.work_hint_ms)) live.request.work_hint_ms = 0;
     attempts_.Earn();
-    live.aim_at = admission_.AimOf(request);
-    live.share = admission_.ShareOf(request);
+    live.aim_at = admission_.AimOf(live.request);
+    live.share = admission_.ShareOf(live.request);
     // Past its aim such a request is worth nothing: ending it then frees the host.
     live.end_at =
         ctx_.ClassOf(request).late_worth > 0 ? request.give_up_ms : std::min(request.give_up_ms, live.aim_at);
+    live.half_at = (ctx_.now + request.give_up_ms) / 2 - ctx_.set.tick_ms;
     sink_.SetTimer(std::max(attempts_.LastCall(live), ctx_.now), Token(request.id, kEndTimer));
     if (attempts_.LastCall(live) <= ctx_.now) return;  // the timer answers it in the next batch
     Gather(request.id, live);
@@ -72,7 +74,8 @@
     tried.may_have_run = !ProvesNeverRan(outcome);
     reports_.CountOwn(hosts_[tried.host], -1);
     if (report != nullptr) reports_.Take(hosts_[tried.host], *report);
-    Judge(live, tried, outcome, took);
+    // What is no number, or longer than anyone waits, must not enter an estimate.
+    Judge(live, tried, outcome, std::min(std::max(0.0, took), ctx_.ClassOf(live.request).deadline_ms));
     if (over) return Forget(id, live);
     if (live.begun || live.gathering || live.Pending()) return;
     if (attempts_.WorthAnother(live, outcome, estimates_.Typical(live.request.klass))) {
@@ -142,13 +145,19 @@
     SendTo(id, live, kept);
   }
 
-  // No host to keep it: look again soon, then less and less often until the request's end.
+  // No host to keep it: look again soon, then less and less often. But one that all hosts have passed over,
+  // or that nobody took in half its time, is given up: what cannot be done is told while the client can act
+  // on it.
   void LookAgain(RequestId id, Live& live) {
     ++live.looks;
-    const double left = live.end_at - ctx_.now;
     live.sample.clear();
     live.gathering = true;
+    const double left = std::max(live.half_at, ctx_.now) - ctx_.now;
     live.hold_until = ctx_.now + std::max(ctx_.set.tick_ms, live.looks < kLooksMax ? 0 : left / 4);
+    const std::vector<int>& all = hosts_.live();
+    const bool hope =
+        all.empty() || !std::all_of(all.begin(), all.end(), [&](int i) { return live.Barred(i); });
+    if (!hope || live.hold_until >= live.half_at) return End(id, live);
     sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
   }
 
@@ -212,7 +221,7 @@
 
   void End(RequestId id, const Live& live) {
     CancelPending(id, live);
-    attempts_.MayRefuse(live) ? sink_.Refuse(id, 0) : sink_.Fail(id);
+    attempts_.MayRefuse(live) ? sink_.Refuse(id, admission_.ComeBack(live.request.klass)) : sink_.Fail(id);
     Forget(id, live);
   }
 
@@ -224,7 +233,7 @@
   Attempts attempts_{ctx_, hosts_};
   Reports reports_{ctx_, hosts_, estimates_, sink_};
   Walk walk_{ctx_, hosts_, estimates_, reports_};
-  Admission admission_{ctx_, hosts_, estimates_};
+  Admission admission_{ctx_, hosts_, estimates_, reports_};
   Discovery discovery_{ctx_, sink_};
   std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
 };
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -52,7 +52,8 @@
   Request request;
   double aim_at = 0;
   double end_at = 0;
-  double share = 1;  // of its class's mean work, by the client's hint
+  double half_at = 0;  // by then one that was not sent is given up
+  double share = 1;    // of its class's mean work, by the client's hint
   std::vector<Attempt> attempts;
   std::vector<int> sample;
   std::vector<int> barred;  // hosts that this request tried, or passed over for being cold
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -17,6 +17,9 @@
 constexpr double kProbedLife = 0.25;  // a probed row is ranked by for this multiple of an answer's usual time
 constexpr double kAnsweredLife = 8;   // one that came with an answer for this multiple
 constexpr double kOwnMemory = 4;      // usual times of an answer over which own attempts are averaged
+constexpr double kShareMemoryMs = 1000;  // over which this instance's share of what hosts hold is averaged
+constexpr double kLoadMost = 24;         // requests that a host of the mean size is believed to hold at most
+constexpr double kShareLeast = 0.5;      // of an equal share among the instances
 
 class Reports {
  public:
@@ -43,13 +46,29 @@
   }
 
   void Take(Host& host, const LoadReport& report) {
-    const double load = report.in_flight >= 0 ? report.in_flight : report.queue;
-    if (load < 0) return;
+    const double told = report.in_flight >= 0 ? report.in_flight : report.queue;
+    if (told < 0) return;
+    const double load = std::min(told, kLoadMost * hosts_.Size(host));
     CountOwn(host, 0);
     // A report that came with an answer tells of some time before it, of which the mean is all that is known.
     host.others = std::max(0.0, load - (Probing() ? host.own : host.own_mean));
     host.load = load;
     host.load_at = ctx_.now;
+    // Each report counts for the time since the one before it; half a request beside an equal share's worth
+    // of others stands for what is not known yet.
+    const double kept = std::exp((share_at_ - ctx_.now) / kShareMemoryMs), equal = 1.0 / ctx_.set.balancers;
+    share_at_ = ctx_.now;
+    own_ += (1 - kept) * (host.own_mean - own_);
+    all_ += (1 - kept) * (std::max(load, host.own_mean) - all_);
+    share_ = std::clamp((own_ + 0.5) / (all_ + 0.5 / equal), kShareLeast * equal, 1.0);
+  }
+
+  // What the host holds with `more` own requests, for its size. Told by the own ones and this instance's
+  // share of what all hosts hold: a report is renewed now and then and comes late, and in a second in which
+  // hosts leave or a burst sets in it says next to nothing; what others send grows and shrinks as this
+  // instance's own does.
+  double Held(const Host& host, int more) const {
+    return (host.own + more) / (share_ * hosts_.Size(host) * hosts_.Warmth(host));
   }
 
   void CountOwn(Host& host, int more) {
@@ -119,7 +138,9 @@
   const Estimates& estimates_;
   ActionSink& sink_;
   int sample_size_ = kSampleMin;
-  std::vector<double> rtt_;  // by zone
+  std::vector<double> rtt_;   // by zone
+  double own_ = 0, all_ = 0;  // fading means of what a host holds, own and in all
+  double share_ = 1.0 / ctx_.set.balancers, share_at_ = 0;
 };
 
 }  // namespace cartspring
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -15,9 +15,12 @@
 constexpr int kRounds = 4;           // walks over the ranking before the first host is taken unskipped
 constexpr double kAimShare = 0.8;    // expected time over time left at which a request is still taken on
 constexpr double kRoomShare = 0.65;  // and share of the shortest aim that is left to those behind it
-constexpr double kShareMost = 8;     // a hint is believed within this factor of its class's mean
-constexpr double kTryOff = 0.01;     // of a deadline, by which the time of first tries varies
-constexpr double kOtherTry = 0.3;    // weight of a try that comes with another time
+constexpr double kSeenIdle = 2.5;    // figure up to which a host is not full, whatever the own share says
+constexpr double kFullest = 6;       // requests that a host of the mean size holds at most
+constexpr double kComeBack = 0.5;  // usual times of an answer after which one that was refused may come back
+constexpr double kShareMost = 8;   // a hint is believed within this factor of its class's mean
+constexpr double kTryOff = 0.01;   // of a deadline, by which the time of first tries varies
+constexpr double kOtherTry = 0.3;  // weight of a try that comes with another time
 constexpr double kFirstTriesMost = 20;
 
 class Walk {
@@ -79,7 +82,7 @@
   bool KeptThoughCold(Live& live, int i) {
     const double warmth = hosts_.Warmth(hosts_[i]);
     if (warmth >= 1) return true;
-    const double fair = hosts_.Size(hosts_[i]) / std::max(1, hosts_.live());
+    const double fair = hosts_.Size(hosts_[i]) / static_cast<double>(hosts_.live().size());
     const double keep = warmth * (ctx_.set.fall_multiple / 2) * fair / live.considered;
     if (ctx_.random.Unit() < keep) return true;
     live.barred.push_back(i);
@@ -94,8 +97,8 @@
 
 class Admission {
  public:
-  Admission(const Context& ctx, const HostTable& hosts, const Estimates& estimates)
-      : ctx_(ctx), hosts_(hosts), estimates_(estimates), seen_(ctx.set.classes.size()) {}
+  Admission(Context& ctx, const HostTable& hosts, const Estimates& estimates, const Reports& reports)
+      : ctx_(ctx), hosts_(hosts), estimates_(estimates), reports_(reports), seen_(ctx.set.classes.size()) {}
 
   // When the answer is wanted. A client's retry keeps the clock of its first try. First tries of a class all
   // come with the same time, and they are most of what comes; one that comes with more or less than that is a
@@ -122,6 +125,13 @@
     return std::clamp(hint / mean, 1 / kShareMost, kShareMost);
   }
 
+  // When one that is refused should come back: once hosts have ended about half of what they hold, in time
+  // for its aim, and not in step with others. 0: no advice.
+  double ComeBack(int klass) {
+    const double longest = ctx_.set.may_advise_retry ? ctx_.set.max_retry_after_ms : 0;
+    return std::min(longest, kComeBack * estimates_.Typical(klass) * (0.5 + ctx_.random.Unit()));
+  }
+
   // A request is taken on if it is expected within its aim, or within its time for what it is worth then, and
   // if another behind it would be within the shortest aim of all, or nearly so if it is worth less: else
   // patient and late ones fill the hosts and shut the others out. Judged by what its own class met: what
@@ -132,6 +142,10 @@
     // A host seen idle is always worth a try: were it refused for what was learned, nothing could be learned
     // again.
     if (kept.figure * hosts_.Size(host) * hosts_.Warmth(host) < 2) return true;
+    // Time alone would let a host be crowded where work is small beside the aims. Crowded for a second or
+    // two, a host turns slow, and stays so while it is kept busy: all of them so, and no load that they could
+    // bear before is borne again.
+    if (host.own > 0 && kept.figure > kSeenIdle && reports_.Held(host, 1) > kFullest) return false;
     const double time = estimates_.Expected(klass, host, kept.figure, live.share);
     double worth = WorthForWork(klass) / WorthForWork(hastiest);
     if (time > kAimShare * (live.aim_at - ctx_.now)) worth *= ctx_.set.classes[klass].late_worth;
@@ -151,9 +165,10 @@
     return ctx_.set.classes[klass].worth / (ctx_.set.worth_by_work ? 1 : estimates_.PerFigure(klass));
   }
 
-  const Context& ctx_;
+  Context& ctx_;
   const HostTable& hosts_;
   const Estimates& estimates_;
+  const Reports& reports_;
   std::vector<Seen> seen_;  // by class
 };
 
--- /dev/null
+++ b/tests/cartspring/fleet.h
@@ -0,0 +1,299 @@
+// A small fleet in simulated time for tests of whole runs: several instances of the module decide beside each
+// other for hosts that queue, tip over when crowded and recover by resting. It has no lists, no drains and no
+// network; the lab plays those.
+#ifndef CARTSPRING_TESTS_FLEET_H_
+#define CARTSPRING_TESTS_FLEET_H_
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cartspring/fixture.h"
+
+namespace cartspring {
+
+struct FleetPlan {
+  int hosts = 8;
+  int instances = 2;
+  double service_ms = 8;  // of a request on a host of speed 1
+  double load = 0.6;      // of what all hosts can do
+  double tip_at = 1e9;    // waiting at a host for `tip_ms` on end: it is `slower` until it has rested
+  double tip_ms = 1500;
+  double slower = 3;
+  double rest_ms = 2500;
+  double report_every_ms = 300;  // the figure that answers carry is renewed so often
+  bool reports = true;
+  std::uint32_t seed = 1;
+};
+
+class Fleet {
+ public:
+  struct Counts {
+    int asked = 0, served = 0, in_time = 0, refused = 0, failed = 0;
+    double refused_share() const { return asked > 0 ? static_cast<double>(refused + failed) / asked : 0; }
+    double in_time_share() const { return asked > 0 ? static_cast<double>(in_time) / asked : 1; }
+  };
+  struct Host {
+    double speed = 1;
+    bool tipped = false;
+    double crowded_since = -1, watched = 0, rested = 0;
+    bool was_idle = true;
+    double shown = 0, shown_at = -1e9;
+    std::deque<std::uint64_t> queue;  // of calls; the first is worked on
+    std::uint64_t turn = 0;           // of the end that is due
+  };
+  // What becomes of a call when it ends, where it is not just served.
+  using Spoil = std::function<Outcome(int host)>;
+
+  Fleet(const FleetPlan& plan, Settings settings)
+      : plan_(plan), settings_(std::move(settings)), draw_(plan.seed) {
+    settings_.balancers = plan.instances;
+    hosts_.resize(static_cast<std::size_t>(plan.hosts));
+    auto entries = TestHosts(plan.hosts);
+    for (int i = 0; i < plan.hosts; ++i) {
+      entries[static_cast<std::size_t>(i)].kind = i % 3;
+      hosts_[static_cast<std::size_t>(i)].speed = std::array{1.6, 1.0, 0.6}[static_cast<std::size_t>(i % 3)];
+      index_[entries[static_cast<std::size_t>(i)].host] = i;
+      capacity_ += hosts_[static_cast<std::size_t>(i)].speed;
+    }
+    for (int i = 0; i < plan.instances; ++i)
+      instances_.push_back(std::make_unique<Instance>(*this, i, entries));
+    Arrive(epoch_);
+  }
+
+  // Runs on to that time; what was counted since the last call is returned.
+  Counts PassTo(double until) {
+    counts_ = {};
+    while (!events_.empty() && events_.top().at <= until) {
+      const auto event = events_.top();
+      events_.pop();
+      now_ = std::max(now_, event.at);
+      event.what();
+    }
+    now_ = until;
+    return counts_;
+  }
+  double now() const { return now_; }
+  std::vector<Host>& hosts() { return hosts_; }
+  int tipped() const {
+    return static_cast<int>(
+        std::count_if(hosts_.begin(), hosts_.end(), [](const Host& h) { return h.tipped; }));
+  }
+  void Tip() {
+    for (Host& host : hosts_) {
+      host.tipped = true;
+      host.rested = 0;
+    }
+  }
+  void Restart(int instance) {
+    Instance& old = *instances_[static_cast<std::size_t>(instance)];
+    old.alive = false;
+    graves_.push_back(std::move(instances_[static_cast<std::size_t>(instance)]));
+    instances_[static_cast<std::size_t>(instance)] = std::make_unique<Instance>(*this, instance, Entries());
+  }
+
+  // The next request comes at once: after a long time without any it was drawn for far off.
+  void Wake() {
+    ++epoch_;
+    Arrive(epoch_);
+  }
+
+  FleetPlan& plan() { return plan_; }
+  Spoil spoil;                            // absent: all is served
+  std::function<double(double)> report;   // what a report says instead of the truth
+  std::function<double(double)> took_of;  // what an outcome says of its time
+
+ private:
+  struct Event {
+    double at;
+    std::uint64_t order;
+    std::function<void()> what;
+    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+  struct Call {
+    RequestId id;
+    int instance_number, attempt, host, klass;
+    std::shared_ptr<bool> open;
+    double sent, work;
+  };
+  struct Asked {
+    int klass;
+    double at, work;
+    int attempts = 0;
+    std::map<int, std::uint64_t> out;
+  };
+  struct Instance : ActionSink {
+    Instance(Fleet& fleet, int index, const std::vector<HostEntry>& entries)
+        : fleet_(fleet),
+          number(index),
+          balancer(fleet.settings_, static_cast<std::uint64_t>(index) + 7 * fleet.plan_.seed, *this) {
+      balancer.OnHostList(fleet.now_, entries, false);
+    }
+    void Send(RequestId id, const std::string& host, double until) override {
+      fleet_.Send(*this, id, host, until);
+    }
+    void Cancel(RequestId id, int attempt) override { fleet_.Cancel(*this, id, attempt); }
+    void Refuse(RequestId id, double) override { fleet_.Over(*this, id, &Counts::refused); }
+    void Fail(RequestId id) override { fleet_.Over(*this, id, &Counts::failed); }
+    void Probe(const std::string&) override {}
+    void Subscribe() override {}
+    void SetTimer(double at, std::uint64_t token) override {
+      fleet_.At(std::max(at, fleet_.now_), [this, token] {
+        if (alive) balancer.OnTimer(fleet_.now_, token);
+      });
+    }
+    void Log(const std::string&) override {}
+
+    Fleet& fleet_;
+    int number;
+    bool alive = true;
+    std::map<RequestId, Asked> open;
+    Balancer balancer;
+  };
+
+  double Unit() { return std::uniform_real_distribution<double>(1e-9, 1)(draw_); }
+  void At(double at, std::function<void()> what) { events_.push({at, ++order_, std::move(what)}); }
+  std::vector<HostEntry> Entries() const {
+    auto entries = TestHosts(plan_.hosts);
+    for (int i = 0; i < plan_.hosts; ++i) entries[static_cast<std::size_t>(i)].kind = i % 3;
+    return entries;
+  }
+
+  void Arrive(int epoch) {
+    if (epoch != epoch_) return;
+    At(now_ - std::log(Unit()) * plan_.service_ms / (plan_.load * capacity_),
+       [this, epoch] { Arrive(epoch); });
+    Instance& to = *instances_[static_cast<std::size_t>(Unit() * plan_.instances)];
+    const int klass = static_cast<int>(Unit() * static_cast<double>(settings_.classes.size()));
+    Request request;
+    request.id = ++last_id_;
+    request.klass = klass;
+    request.give_up_ms = now_ + settings_.classes[static_cast<std::size_t>(klass)].deadline_ms;
+    to.open[request.id] = {klass, now_, plan_.service_ms * (0.5 + Unit()), 0, {}};
+    ++counts_.asked;
+    to.balancer.OnRequest(now_, request);
+  }
+
+  void Over(Instance& at, RequestId id, int Counts::*kind) {
+    const auto found = at.open.find(id);
+    if (found == at.open.end()) return;
+    ++(counts_.*kind);
+    at.open.erase(found);
+  }
+
+  void Send(Instance& from, RequestId id, const std::string& name, double until) {
+    const auto asked = from.open.find(id);
+    if (asked == from.open.end()) return;
+    const int host = index_.at(name);
+    const std::uint64_t call = ++last_call_;
+    const int attempt = asked->second.attempts++;
+    calls_[call] = {id, from.number, attempt, host, asked->second.klass, nullptr, now_, asked->second.work};
+    asked->second.out[attempt] = call;
+    if (until > 0) {
+      At(until, [this, call] { End(call, Outcome::kTimeout); });
+    }
+    Host& at = hosts_[static_cast<std::size_t>(host)];
+    at.queue.push_back(call);
+    Watch(at);
+    if (at.queue.size() == 1) Work(host);
+  }
+
+  void Cancel(Instance& from, RequestId id, int attempt) {
+    const auto asked = from.open.find(id);
+    if (asked == from.open.end() || asked->second.out.count(attempt) == 0) return;
+    Drop(asked->second.out.at(attempt));
+  }
+
+  // The state that crowding brings on, and its end.
+  void Watch(Host& host) {
+    if (static_cast<double>(host.queue.size()) > plan_.tip_at) {
+      if (host.crowded_since < 0) host.crowded_since = now_;
+      if (now_ - host.crowded_since >= plan_.tip_ms) host.tipped = true;
+    } else {
+      host.crowded_since = -1;
+    }
+    // Mostly idle: what it is busy for counts thrice against its rest.
+    const double since = now_ - std::exchange(host.watched, now_);
+    host.rested = std::max(0.0, host.rested + (host.was_idle ? since : -2.3 * since));
+    host.was_idle = host.queue.empty();
+    if (host.rested >= plan_.rest_ms) host.tipped = false;
+  }
+
+  void Work(int number) {
+    Host& host = hosts_[static_cast<std::size_t>(number)];
+    if (host.queue.empty()) return;
+    const std::uint64_t call = host.queue.front(), turn = ++host.turn;
+    At(now_ + calls_.at(call).work / host.speed * (host.tipped ? plan_.slower : 1),
+       [this, number, call, turn] {
+         if (hosts_[static_cast<std::size_t>(number)].turn == turn)
+           End(call, spoil ? spoil(number) : Outcome::kServed);
+       });
+  }
+
+  void Drop(std::uint64_t call) {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) return;
+    const int number = found->second.host;
+    Host& host = hosts_[static_cast<std::size_t>(number)];
+    const bool first = !host.queue.empty() && host.queue.front() == call;
+    std::erase(host.queue, call);
+    calls_.erase(found);
+    Watch(host);
+    if (first) {
+      ++host.turn;
+      Work(number);
+    }
+  }
+
+  void End(std::uint64_t call, Outcome outcome) {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) return;
+    const Call ended = found->second;
+    Drop(call);
+    Host& host = hosts_[static_cast<std::size_t>(ended.host)];
+    Instance& to = *instances_[static_cast<std::size_t>(ended.instance_number)];
+    const auto asked = to.open.find(ended.id);
+    if (asked == to.open.end()) return;
+    asked->second.out.erase(ended.attempt);
+    if (now_ - host.shown_at >= plan_.report_every_ms) {
+      host.shown = static_cast<double>(host.queue.size());
+      host.shown_at = now_;
+    }
+    const LoadReport load{report ? report(host.shown) : host.shown, -1};
+    const double took = now_ - ended.sent;
+    const bool over = outcome == Outcome::kServed;
+    if (over) {
+      ++counts_.served;
+      counts_.in_time +=
+          now_ - asked->second.at <= settings_.classes[static_cast<std::size_t>(ended.klass)].aim_ms;
+      to.open.erase(asked);
+    }
+    to.balancer.OnOutcome(now_, ended.id, ended.attempt, outcome, over, took_of ? took_of(took) : took,
+                          plan_.reports && outcome != Outcome::kTimeout ? &load : nullptr);
+  }
+
+  FleetPlan plan_;
+  Settings settings_;
+  std::mt19937 draw_;
+  double now_ = 1e6;
+  double capacity_ = 0;
+  int epoch_ = 0;
+  std::uint64_t order_ = 0, last_call_ = 0;
+  RequestId last_id_ = 0;
+  std::priority_queue<Event> events_;
+  std::map<std::string, int> index_;
+  std::vector<Host> hosts_;
+  std::map<std::uint64_t, Call> calls_;
+  Counts counts_;
+  std::vector<std::unique_ptr<Instance>> instances_, graves_;
+};
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_TESTS_FLEET_H_
