Keep sessions held for jobs below what submitters can hold; keepers that asked once go first

CloseLeast walked all sessions for each accept.

Change: src/limits/sessions, a decider without I/O. Sessions that have carried a job are kept at three quarters of what submitters are believed to be able to hold: a third of the descriptors, or less where that is learned (arrivals again and again at the same height while most idle; a lull while most have asked once), raised by an eighth in 10 s and at once by what is seen. What is over goes by idle time, which counts four times for those that asked once; where none has idled for 100 ms, the answer carries Connection: close. Silent ones have 2 s, down to 250 ms as they crowd. Lists in place of the walk, so that every event costs the same. An accept that waits for room goes on when a session ends, and not only after 20 ms.

--- a/src/apps/bitternmux.cpp
+++ b/src/apps/bitternmux.cpp
@@ -28,6 +28,7 @@
 constexpr int kOtherDescriptors = 24;  // standard streams, listener, watch, reactor, and some to spare
 // Submitters hold a third of the descriptors for requests at most, and more for nothing; each request takes
 // one connection to a node.
+constexpr double kRequestShare = 1.0 / 3;
 constexpr double kSubmitterShare = 0.6;
 constexpr double kUnreadShare = 0.125;    // of the memory, for requests that are not whole
 constexpr double kRestartWindowMs = 500;  // new connections may come for so long after SIGTERM
@@ -42,14 +43,13 @@
   return std::chrono::duration<double, std::milli>(now).count() - NowMs();
 }
 
-// Connections in all, so that they stay under the descriptors that there are.
-double Connections(int sockets) {
+// The descriptors that there are, and the connections in all that stay under them.
+int Descriptors(int sockets) {
   rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-    sockets = static_cast<int>(std::min<rlim_t>(static_cast<rlim_t>(sockets), limit.rlim_cur));
-  }
-  return std::max(8, sockets - kOtherDescriptors);
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return sockets;
+  return static_cast<int>(std::min<rlim_t>(static_cast<rlim_t>(sockets), limit.rlim_cur));
 }
+double Connections(int sockets) { return std::max(8, Descriptors(sockets) - kOtherDescriptors); }
 
 class Sidecar {
  public:
@@ -71,6 +71,7 @@
             }),
         server_(runtime_, jobs_, config_.settings,
                 static_cast<std::size_t>(kSubmitterShare * Connections(config.sockets)),
+                static_cast<std::size_t>(kRequestShare * Descriptors(config.sockets)),
                 static_cast<std::size_t>(kUnreadShare * config.memory_mb * 1024 * 1024)),
         turn_(runtime_.strand),
         signals_(runtime_.strand, SIGTERM, SIGINT, SIGHUP) {
--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -22,9 +22,9 @@
 constexpr double kWholeMs = 2000;      // for a connection's first request, or one that has begun, to be whole
 constexpr double kWriteMs = 5000;      // for a submitter to take its answer
 constexpr double kLingerMs = 1000;     // for a submitter to read why it was turned away while it still sends
-constexpr double kNewMs = 250;         // for a new connection to send its request, when descriptors run short
-constexpr int kRoomTries = 8;          // a request may have come on the first ones tried
 constexpr double kAcceptPauseMs = 20;  // when there are no descriptors left
+constexpr double kTrimMs = 100;        // between two looks at what is to go for the time alone
+constexpr double kSayMs = 10'000;      // between two lines on places that run short
 
 }  // namespace
 
@@ -32,35 +32,30 @@
 // same, so that a submitter who leaves is noticed.
 class SubmitterServer::Session : public std::enable_shared_from_this<Session>, private asio::coroutine {
  public:
-  Session(SubmitterServer& server, tcp::socket socket)
-      : server_(server), runtime_(server.runtime_), socket_(std::move(socket)) {}
+  Session(SubmitterServer& server, limits::Sessions::Id id, tcp::socket socket)
+      : server_(server), runtime_(server.runtime_), id_(id), socket_(std::move(socket)) {}
 
   void Start() {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    Touch();
     LimitTo(kWholeMs);
     Read();
   }
 
-  // Which sessions go first when descriptors run short: those that were turned away, those that have had the
-  // time to send a good request and never did, those that idle, and only then those that have just come. One
-  // with a request open stays, and so does one with a request on its way that has sent a good one before.
-  enum class Use { kTurnedAway, kUnproven, kIdle, kNew, kInUse };
-  Use UseOf() const {
-    if (state_ == State::kLingering) return Use::kTurnedAway;
-    if (state_ != State::kReading) return Use::kInUse;
-    if (proven_) return Begun() ? Use::kInUse : Use::kIdle;
-    return runtime_.now_ms() - active_ms_ < kNewMs ? Use::kNew : Use::kUnproven;
+  // Ends the connection, unless a request has come on it that is not read yet: that one is served first.
+  void Retire() {
+    error_code error;
+    if (state_ == State::kReading && socket_.available(error) > 0 && !error) {
+      server_.limits_.Began(runtime_.now_ms(), id_);
+    } else {
+      Close();
+    }
   }
-  double active_ms() const { return active_ms_; }
 
-  // Ends the connection between requests. One that has come but is not read yet is served first.
+  // The same when the program stops. One that is being served ends with its answer.
   void CloseWhenIdle() {
-    error_code error;
-    if (state_ != State::kReading) return;
-    socket_.available(error) > 0 && !error ? Touch() : Close();
+    if (state_ == State::kReading) Retire();
   }
 
   void Close() {
@@ -70,13 +65,12 @@
     socket_.close(ignored);
     runtime_.wheel.Cancel(limit_);
     CountUnread(0);
-    server_.Ended(shared_from_this());
+    server_.Ended(id_);
   }
 
  private:
   enum class State { kReading, kServing, kWriting, kLingering, kClosed };
 
-  void Touch() { active_ms_ = runtime_.now_ms(); }
   bool Begun() const { return parser_.started() || buffer_.size() > 0; }
 
   // Guards the descriptors against connections that say nothing, stop in the middle or never read: what is
@@ -91,6 +85,7 @@
 
   void TurnAway(int status, const char* reason) {
     keep_alive_ = false;
+    if (!proven_) server_.limits_.Leaves(runtime_.now_ms(), id_);
     Write(WriteBadRequest({status, reason, {}}, false));
   }
 
@@ -126,6 +121,7 @@
     if (error == asio::error::would_block) return true;
     if (error) return false;
     buffer_.Commit(count);
+    if (state_ == State::kReading) server_.limits_.Began(runtime_.now_ms(), id_);
     return true;
   }
 
@@ -158,7 +154,6 @@
         case http::Progress::kBad:
           return TurnAway(parser_.error(), "the request cannot be read");
         case http::Progress::kDone:
-          Touch();
           CountUnread(0);
           keep_alive_ = parser_.message().keep_alive && !server_.closing_;
           Serve(ReadRequest(parser_.Take(), server_.settings_));
@@ -175,9 +170,13 @@
     if (const auto* bad = std::get_if<BadRequest>(&asked)) {
       // One that never sent a good request would only send the same again.
       keep_alive_ = keep_alive_ && proven_;
+      if (!proven_) server_.limits_.Leaves(runtime_.now_ms(), id_);
       return Write(WriteBadRequest(*bad, keep_alive_));
     }
     proven_ = true;
+    using Ask = limits::Sessions::Ask;
+    server_.limits_.Taken(runtime_.now_ms(), id_, job != nullptr ? Ask::kJob : Ask::kProbe);
+    server_.Trim();
     if (std::holds_alternative<Ready>(asked)) return Write(WriteReady(keep_alive_));
     state_ = State::kServing;
     LimitTo(0);
@@ -187,7 +186,10 @@
 
   void Answered(const Answer& answer) {
     if (state_ != State::kServing) return;
-    if (server_.closing_) keep_alive_ = false;
+    // With the next request read already, there is no telling the submitter in time.
+    if (server_.closing_ || (buffer_.size() == 0 && !server_.limits_.MayStay(runtime_.now_ms(), id_))) {
+      keep_alive_ = false;
+    }
     Write(WriteAnswer(answer, keep_alive_));
   }
 
@@ -202,10 +204,11 @@
   void Written(const error_code& error) {
     if (state_ == State::kClosed) return;
     if (error || left_) return Close();
-    Touch();
     if (!keep_alive_) return Linger();
     state_ = State::kReading;
     LimitTo(0);
+    server_.limits_.Rests(runtime_.now_ms(), id_);
+    if (buffer_.size() > 0) server_.limits_.Began(runtime_.now_ms(), id_);
     if (server_.closing_ && buffer_.size() == 0) return CloseWhenIdle();
     Process();  // the next request may have come already
     if (std::exchange(paused_, false)) Read();
@@ -214,6 +217,7 @@
   // Closing at once with bytes unread would reset the connection, and the answer could be lost on its way.
   void Linger() {
     state_ = State::kLingering;
+    server_.limits_.Leaves(runtime_.now_ms(), id_);
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     LimitTo(kLingerMs);
@@ -221,6 +225,7 @@
 
   SubmitterServer& server_;
   Runtime& runtime_;
+  const limits::Sessions::Id id_;
   tcp::socket socket_;
   State state_ = State::kReading;
   http::Buffer buffer_;
@@ -230,21 +235,20 @@
   bool proven_ = false;  // a good request has come
   bool paused_ = false;
   bool left_ = false;
-  double active_ms_ = 0;
   TimerWheel::Id limit_ = 0;
   std::size_t unread_ = 0;
   std::string out_;
 };
 
 SubmitterServer::SubmitterServer(Runtime& runtime, JobTable& jobs, const cartspring::Settings& settings,
-                                 std::size_t most_sessions, std::size_t most_unread)
+                                 std::size_t most_sessions, std::size_t clients_hold, std::size_t most_unread)
     : runtime_(runtime),
       jobs_(jobs),
       settings_(settings),
-      most_sessions_(most_sessions),
       most_unread_(most_unread),
       acceptor_(runtime.strand),
-      incoming_(runtime.strand) {}
+      incoming_(runtime.strand),
+      limits_({most_sessions, clients_hold, kWholeMs}) {}
 
 SubmitterServer::~SubmitterServer() = default;
 
@@ -254,15 +258,19 @@
   acceptor_.bind(at);
   acceptor_.listen(asio::socket_base::max_listen_connections);
   Accept();
+  TrimOften();
 }
 
 void SubmitterServer::Accept() {
-  if (sessions_.size() >= most_sessions_ && !MakeRoom()) return AcceptLater();
+  while (!limits_.HasRoom()) {
+    if (!MakeRoom()) return AcceptLater();
+  }
   acceptor_.async_accept(incoming_, [this](const error_code& error) { Accepted(error); });
 }
 
 void SubmitterServer::AcceptLater() {
-  runtime_.wheel.Add(runtime_.now_ms() + kAcceptPauseMs, [this] {
+  accept_timer_ = runtime_.wheel.Add(runtime_.now_ms() + kAcceptPauseMs, [this] {
+    accept_timer_ = 0;
     if (!closing_) Accept();
   });
 }
@@ -276,38 +284,58 @@
     // Guards against a storm at the descriptor limit (EMFILE): the connection stays in the backlog, so that
     // trying again at once would only spin.
     std::cerr << "accept: " << error.message() << "\n";
-    CloseLeast();
+    MakeRoom();
     return AcceptLater();
   }
-  const auto session = std::make_shared<Session>(*this, std::move(incoming_));
+  const limits::Sessions::Id id = limits_.Opened(runtime_.now_ms());
+  if (id >= sessions_.size()) sessions_.resize(id + 1);
+  const auto session = std::make_shared<Session>(*this, id, std::move(incoming_));
   incoming_ = tcp::socket(runtime_.strand);
-  sessions_.insert(session);
+  sessions_[id] = session;
   session->Start();
+  Trim();
   Accept();
 }
 
+// Tries the session of least use. False: there is none that may go.
 bool SubmitterServer::MakeRoom() {
-  for (int tries = 0; tries < kRoomTries && sessions_.size() >= most_sessions_; ++tries) CloseLeast();
-  return sessions_.size() < most_sessions_;
+  const auto least = limits_.MakeRoom(runtime_.now_ms());
+  if (!least) return false;
+  SayShort();
+  std::shared_ptr<Session>(sessions_[*least])->Retire();
+  return true;
 }
 
-// Ends the connection that is of the least use, and among those the one on which nothing has been asked for
-// the longest time.
-void SubmitterServer::CloseLeast() {
-  std::shared_ptr<Session> least;
-  std::pair<Session::Use, double> rank{Session::Use::kInUse, 0};
-  for (const auto& session : sessions_) {
-    const std::pair<Session::Use, double> of{session->UseOf(), session->active_ms()};
-    if (of.first == Session::Use::kInUse || (least && rank <= of)) continue;
-    least = session;
-    rank = of;
+void SubmitterServer::Trim() {
+  while (const auto id = limits_.Retire(runtime_.now_ms())) {
+    if (limits_.held() > limits_.kept()) SayShort();
+    std::shared_ptr<Session>(sessions_[*id])->Retire();
   }
-  if (least) rank.first == Session::Use::kTurnedAway ? least->Close() : least->CloseWhenIdle();
 }
 
-void SubmitterServer::Ended(const std::shared_ptr<Session>& session) {
-  sessions_.erase(session);
-  if (closing_ && sessions_.empty() && closed_) asio::post(runtime_.strand, std::exchange(closed_, nullptr));
+void SubmitterServer::TrimOften() {
+  Trim();
+  runtime_.wheel.Add(runtime_.now_ms() + kTrimMs, [this] {
+    if (!closing_) TrimOften();
+  });
+}
+
+void SubmitterServer::SayShort() {
+  const double now_ms = runtime_.now_ms();
+  if (said_short_ms_ > 0 && now_ms - said_short_ms_ < kSayMs) return;
+  said_short_ms_ = now_ms;
+  std::cerr << "submitters: places run short: " << limits_.Describe() << "\n";
+}
+
+void SubmitterServer::Ended(limits::Sessions::Id id) {
+  limits_.Closed(runtime_.now_ms(), id);
+  sessions_[id] = nullptr;
+  if (closing_ && limits_.open() == 0 && closed_) {
+    asio::post(runtime_.strand, std::exchange(closed_, nullptr));
+  } else if (!closing_ && accept_timer_ != 0) {
+    runtime_.wheel.Cancel(std::exchange(accept_timer_, 0));
+    Accept();
+  }
 }
 
 void SubmitterServer::Close(std::function<void()> done) {
@@ -315,9 +343,11 @@
   closed_ = std::move(done);
   error_code ignored;
   acceptor_.close(ignored);
-  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
-  for (const auto& session : sessions) session->CloseWhenIdle();
-  if (sessions_.empty() && closed_) asio::post(runtime_.strand, std::exchange(closed_, nullptr));
+  const std::vector<std::shared_ptr<Session>> sessions = sessions_;
+  for (const auto& session : sessions) {
+    if (session) session->CloseWhenIdle();
+  }
+  if (limits_.open() == 0 && closed_) asio::post(runtime_.strand, std::exchange(closed_, nullptr));
 }
 
 }  // namespace bitternmux::net
--- a/src/net/submitter_server.h
+++ b/src/net/submitter_server.h
@@ -4,18 +4,20 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_set>
+#include <vector>
 
 #include "core/job_table.h"
+#include "limits/sessions.h"
 #include "net/runtime.h"
 
 namespace bitternmux::net {
 
 class SubmitterServer {
  public:
-  // `most_unread`: bytes of requests that are not whole yet, over all sessions.
+  // Of `clients_hold` submitters can hold for jobs at most, of `most_sessions` in all, and of `most_unread`
+  // bytes of requests that are not whole yet, over all sessions.
   SubmitterServer(Runtime& runtime, JobTable& jobs, const cartspring::Settings& settings,
-                  std::size_t most_sessions, std::size_t most_unread);
+                  std::size_t most_sessions, std::size_t clients_hold, std::size_t most_unread);
   ~SubmitterServer();
 
   void Listen(const tcp::endpoint& at);  // throws boost::system::system_error
@@ -31,17 +33,22 @@
   void Accepted(const error_code& error);
   void AcceptLater();
   bool MakeRoom();
-  void CloseLeast();
-  void Ended(const std::shared_ptr<Session>& session);
+  void Trim();
+  void TrimOften();
+  void SayShort();
+  void Ended(limits::Sessions::Id id);
 
   Runtime& runtime_;
   JobTable& jobs_;
   const cartspring::Settings& settings_;
-  const std::size_t most_sessions_, most_unread_;
+  const std::size_t most_unread_;
   std::size_t unread_ = 0;
   tcp::acceptor acceptor_;
   tcp::socket incoming_;
-  std::unordered_set<std::shared_ptr<Session>> sessions_;
+  TimerWheel::Id accept_timer_ = 0;  // an accept waits for room
+  limits::Sessions limits_;
+  std::vector<std::shared_ptr<Session>> sessions_;  // by their ids; null where there is none
+  double said_short_ms_ = 0;
   bool closing_ = false;
   std::function<void()> closed_;
 };
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -372,6 +372,38 @@
   CHECK(waiting.Read().ends_with("ok"));
 }
 
+TEST_CASE("those who asked once make room before they hold all that submitters may") {
+  Bed bed(1,
+          /*sockets=*/96);  // a third of which submitters may hold for jobs; a quarter of that is kept free
+  std::vector<Peer> keepers;
+  Peer node(-1);
+  for (int i = 0; i <= 24; ++i) {
+    keepers.push_back(bed.Submitter());
+    keepers.back().Send(Get("id-" + std::to_string(i)));
+    if (i == 0) node = bed.nodes[0].Accept();
+    node.Read();
+    if (i == 24) CHECK(keepers[0].Ends());
+    node.Send(Served("ok"));
+    CHECK_FALSE(Has(keepers.back().Read(), "Connection: close\r\n"));
+  }
+}
+
+TEST_CASE("where submitters hold too many and none idles, the answer says that its connection ends") {
+  Bed bed(9, /*sockets=*/96);
+  std::vector<Peer> submitters, claims;
+  for (int i = 0; i <= 24; ++i) {
+    submitters.push_back(bed.Submitter());
+    submitters.back().Send(Get("id-" + std::to_string(i)));
+    claims.push_back(bed.nodes[bed.AwaitDial()].Accept());
+    claims.back().Read();
+  }
+  for (std::size_t i = 0; i < 2; ++i) {
+    claims[i].Send(Served("ok"));
+    CHECK(Has(submitters[i].Read(), "Connection: close\r\n") == (i == 0));
+  }
+  CHECK(submitters[0].Ends());
+}
+
 TEST_CASE("a submitter that says nothing or stops in the middle is told or closed") {
   Bed bed;
   Peer keeper = bed.Submitter(), silent = bed.Submitter(), head = bed.Submitter(), body = bed.Submitter();
