Give the program its face: arguments, a check, an operator file and a structured log

Need: the program took no arguments, said one fault of its configuration at a time and only by starting, had no place for what later subsystems add, and wrote its log with std::cerr from the strand: a reader of standard error that stopped reading stopped service with it.

- `check` names every fault of the configuration and of the operator file, or prints every value with where it came from, and the keys of the file that nothing reads.
- The log (spdlog): one event a line, text or JSON, stable names in one catalogue, limited for each event with a count of what was left out, and never waiting: each write says for itself that it must not wait (RWF_NOWAIT), so that the shared descriptor's mode stays as it is and no thread is needed.
The parts know only a sink for events.

--- a/src/cartspring/fields.cpp
+++ b/src/cartspring/fields.cpp
@@ -45,23 +45,35 @@
   return *value;
 }
 
+std::string_view Fields::Text(std::string_view field, std::string_view absent) const {
+  const auto value = Find(field);
+  if (!value) StandIn(field, absent);
+  return value.value_or(absent);
+}
+
 double Fields::Number(std::string_view field) const { return ToNumber(Text(field), field); }
 
 double Fields::Number(std::string_view field, double absent) const {
   const auto value = Find(field);
-  return value ? ToNumber(*value, field) : absent;
+  if (value) return ToNumber(*value, field);
+  StandIn(field, absent);
+  return absent;
 }
 
 std::uint64_t Fields::Whole(std::string_view field) const { return ToWhole(Text(field), field); }
 
 std::uint64_t Fields::Whole(std::string_view field, std::uint64_t absent) const {
   const auto value = Find(field);
-  return value ? ToWhole(*value, field) : absent;
+  if (value) return ToWhole(*value, field);
+  StandIn(field, static_cast<double>(absent));
+  return absent;
 }
 
 bool Fields::Flag(std::string_view field) const {
   const auto value = Find(field);
-  return value && ToFlag(*value, field);
+  if (value) return ToFlag(*value, field);
+  StandIn(field, std::string_view("false"));
+  return false;
 }
 
 }  // namespace cartspring
--- a/src/cartspring/fields.h
+++ b/src/cartspring/fields.h
@@ -36,11 +36,17 @@
   virtual std::optional<std::string_view> Find(std::string_view field) const = 0;
 
   std::string_view Text(std::string_view field) const;  // throws ParseError if absent
+  std::string_view Text(std::string_view field, std::string_view absent) const;
   double Number(std::string_view field) const;
   double Number(std::string_view field, double absent) const;
   std::uint64_t Whole(std::string_view field) const;
   std::uint64_t Whole(std::string_view field, std::uint64_t absent) const;
   bool Flag(std::string_view field) const;  // absent: false
+
+ protected:
+  // Told of what stands in for a field that is absent, so that a reader can say which values are defaults.
+  virtual void StandIn(std::string_view /*field*/, std::string_view /*value*/) const {}
+  virtual void StandIn(std::string_view /*field*/, double /*value*/) const {}
 };
 
 }  // namespace cartspring
--- a/src/cartspring/settings.cpp
+++ b/src/cartspring/settings.cpp
@@ -17,7 +17,7 @@
 
 RequestClass ReadClass(const Fields& fields, const std::string& at) {
   RequestClass out;
-  out.name = fields.Find(at + "name").value_or("");
+  out.name = fields.Text(at + "name", "");
   out.aim_ms = fields.Number(at + "promiseMs");
   out.aim_stretch = fields.Number(at + "aimStretch", 0);
   out.deadline_ms = fields.Number(at + "deadlineMs");
@@ -53,16 +53,16 @@
   out.own_zone = ToIndex(fields.Whole("az", 0), "az");
   out.balancers = ToIndex(fields.Whole("balancers", 1), "balancers");
   out.tick_ms = fields.Number("tickMs", 1);
-  const auto weights = fields.Find("weights").value_or("none");
+  const auto weights = fields.Text("weights", "none");
   out.weights_known = weights == "nominal" || weights == "rough";
   out.may_probe = fields.Flag("bounds.probes");
   out.may_cancel = fields.Flag("bounds.mayCancel");
   out.may_duplicate = fields.Flag("bounds.mayDuplicate");
   out.may_advise_retry = fields.Flag("bounds.retryAfter");
-  out.must_subscribe = fields.Find("discovery").value_or("automatic") == "subscribe";
+  out.must_subscribe = fields.Text("discovery", "automatic") == "subscribe";
   out.max_attempts = ToIndex(fields.Whole("bounds.sendCap"), "bounds.sendCap");
   out.max_retry_after_ms = fields.Number("bounds.maxRetryAfterMs", 0);
-  out.worth_by_work = fields.Find("worthBy").value_or("request") == "work";
+  out.worth_by_work = fields.Text("worthBy", "request") == "work";
   out.over_share_worth = fields.Number("overShareWorth", 1);
   out.ask_within_ms = fields.Number("contract.askWithinMs", 0);
   out.drain_grace_ms = fields.Number("contract.drainGraceMs", 0);
@@ -75,8 +75,8 @@
   out.connection_idle_ms = fields.Number("bounds.connIdleMs", 0);
   out.cross_zone_price = fields.Number("prices.crossZone", 0);
   out.dial_timeout_ms = fields.Number("bounds.dialTimeoutMs", 0);
-  out.zones = Names(fields.Find("zones").value_or(""));
-  out.kinds = Names(fields.Find("models").value_or(""));
+  out.zones = Names(fields.Text("zones", ""));
+  out.kinds = Names(fields.Text("models", ""));
   return out;
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,11 +1,14 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
-#include <fstream>
 #include <random>
+#include <set>
 
 #include "cartspring/settings.h"
+#include "config/operator_schema.h"
+#include "config/text_file.h"
 
 namespace bitternmux {
 namespace {
@@ -13,84 +16,208 @@
 constexpr int kFewestSockets = 32;
 constexpr int kLeastMemoryMb = 16;
 
-std::string TextOf(const nlohmann::json& json, const char* key, const char* variable,
-                   const Environment& environment) {
-  const char* given = environment(variable);
-  if (given != nullptr && *given != '\0') return given;
-  const auto found = json.find(key);
-  if (found == json.end()) throw ConfigError(std::string(key) + ": missing, and " + variable + " is not set");
-  if (!found->is_string() || found->get_ref<const std::string&>().empty()) {
-    throw ConfigError(std::string(key) + ": must be a text");
-  }
-  return *found;
+std::string Joined(const std::vector<std::string>& faults) {
+  std::string out;
+  for (const std::string& fault : faults) out.append(out.empty() ? "" : "; ").append(fault);
+  return out;
 }
 
-std::string AddressOf(const nlohmann::json& json, const char* key, const char* variable,
-                      const Environment& environment) {
-  const std::string text = TextOf(json, key, variable, environment);
-  const auto colon = text.rfind(':');
-  boost::system::error_code error;
-  std::uint16_t port = 0;
-  if (colon != text.npos) {
-    boost::asio::ip::make_address(text.substr(0, colon), error);
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (!error && parsed.ec == std::errc() && parsed.ptr == end) return text;
-  }
-  throw ConfigError(std::string(key) + ": no address of the form ip:port: '" + text + "'");
-}
+// Settings that keep note of which fields were asked for, and of what stood in for those that were absent.
+class NotedFields : public cartspring::Fields {
+ public:
+  NotedFields(const JsonFields& fields, ConfigReport& report) : fields_(fields), report_(report) {}
 
-std::uint64_t SeedOf(const nlohmann::json& json) {
-  const auto found = json.find("seed");
-  if (found == json.end()) return std::random_device()();
-  if (found->is_string()) {
-    const auto& text = found->get_ref<const std::string&>();
-    std::uint64_t seed = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-    if (error == std::errc() && end == text.data() + text.size()) return seed;
+  std::optional<std::string_view> Find(std::string_view field) const override {
+    const auto value = fields_.Find(field);
+    if (value) Note(field, std::string(*value), "file");
+    return value;
   }
-  throw ConfigError("seed: must be a text of up to 16 hexadecimal digits");
-}
+  bool WasRead(const std::string& field) const { return read_.count(field) > 0; }
+
+ private:
+  void StandIn(std::string_view field, std::string_view value) const override {
+    Note(field, std::string(value), "default");
+  }
+  void StandIn(std::string_view field, double value) const override {
+    Note(field, schema::ShowNumber(value), "default");
+  }
+  void Note(std::string_view field, std::string value, const char* origin) const {
+    if (!read_.insert(std::string(field)).second) return;
+    report_.values.push_back({"settings." + std::string(field), std::move(value), origin});
+  }
+
+  const JsonFields& fields_;
+  ConfigReport& report_;
+  mutable std::set<std::string> read_;
+};
 
-int LimitOf(const nlohmann::json& json, const char* key, int fewest, int absent) {
-  const auto limits = json.find("limits");
-  if (limits == json.end()) return absent;
-  if (!limits->is_object()) throw ConfigError("limits: must be an object");
-  const auto found = limits->find(key);
-  if (found == limits->end()) return absent;
-  if (!found->is_number_integer() || *found < fewest || *found > 1'000'000) {
-    throw ConfigError(std::string("limits.") + key + ": must be a whole number from " +
-                      std::to_string(fewest) + " to 1000000");
-  }
-  return *found;
+// The paths of plain values and of lists of such, with how they stand in the settings' flat fields.
+void Leaves(const std::string& path, const nlohmann::json& value, std::vector<std::string>& out) {
+  const bool holds_objects = value.is_array() && !value.empty() && value.front().is_structured();
+  if (!value.is_object() && !holds_objects) return out.push_back(path);
+  std::size_t at = 0;
+  for (const auto& item : value.items()) {
+    const std::string key = value.is_array() ? std::to_string(at++) : item.key();
+    Leaves(path.empty() ? key : path + "." + key, item.value(), out);
+  }
 }
 
-nlohmann::json FileOf(const Environment& environment) {
+class Reader {
+ public:
+  Reader(const nlohmann::json& json, const Environment& environment, ConfigReport& report)
+      : json_(json), environment_(environment), report_(report) {}
+
+  // Every fault is looked for, so that whoever mends the file need not start the program once for each.
+  Config Read() {
+    Config config;
+    Try([&] { config.name = TextOf("name", "RELAY_NAME"); });
+    Try([&] { config.listen = AddressOf("listen", "RELAY_LISTEN"); });
+    Try([&] { config.discovery = AddressOf("discovery", "RELAY_DISCOVERY"); });
+    Try([&] { config.seed = SeedOf(); });
+    Try([&] { config.sockets = LimitOf("sockets", kFewestSockets, config.sockets); });
+    Try([&] { config.memory_mb = LimitOf("memory_mb", kLeastMemoryMb, config.memory_mb); });
+    Try([&] { config.settings = SettingsOf(); });
+    config.known = json_.value("known", nlohmann::json());
+    if (!faults_.empty()) throw ConfigError(faults_);
+    NoteUnread(json_, "", {"name", "listen", "discovery", "seed", "limits", "settings", "known"});
+    NoteUnread(json_.value("limits", nlohmann::json::object()), "limits.", {"sockets", "memory_mb"});
+    return config;
+  }
+
+ private:
+  template <class Part>
+  void Try(Part part) {
+    try {
+      part();
+    } catch (const ConfigError& error) {
+      faults_.insert(faults_.end(), error.faults().begin(), error.faults().end());
+    }
+  }
+
+  void Note(const std::string& key, std::string value, std::string origin) {
+    report_.values.push_back({key, std::move(value), std::move(origin)});
+  }
+
+  void NoteUnread(const nlohmann::json& object, const std::string& at, const std::set<std::string>& read) {
+    for (const auto& item : object.items()) {
+      if (read.count(item.key()) == 0) report_.unread.push_back(at + item.key());
+    }
+  }
+
+  std::string TextOf(const char* key, const char* variable) {
+    const char* given = environment_(variable);
+    if (given != nullptr && *given != '\0') {
+      Note(key, given, std::string("variable ") + variable);
+      return given;
+    }
+    const auto found = json_.find(key);
+    if (found == json_.end()) {
+      throw ConfigError(std::string(key) + ": missing, and " + variable + " is not set");
+    }
+    if (!found->is_string() || found->get_ref<const std::string&>().empty()) {
+      throw ConfigError(std::string(key) + ": must be a text");
+    }
+    Note(key, *found, "file");
+    return *found;
+  }
+
+  std::string AddressOf(const char* key, const char* variable) {
+    const std::string text = TextOf(key, variable);
+    const auto colon = text.rfind(':');
+    boost::system::error_code error;
+    std::uint16_t port = 0;
+    if (colon != text.npos) {
+      boost::asio::ip::make_address(text.substr(0, colon), error);
+      const char* end = text.data() + text.size();
+      const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+      if (!error && parsed.ec == std::errc() && parsed.ptr == end) return text;
+    }
+    throw ConfigError(std::string(key) + ": no address of the form ip:port: '" + text + "'");
+  }
+
+  std::uint64_t SeedOf() {
+    const auto found = json_.find("seed");
+    if (found == json_.end()) {
+      Note("seed", "random at each start", "default");
+      return std::random_device()();
+    }
+    if (found->is_string()) {
+      const auto& text = found->get_ref<const std::string&>();
+      std::uint64_t seed = 0;
+      const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+      if (error == std::errc() && end == text.data() + text.size()) {
+        Note("seed", text, "file");
+        return seed;
+      }
+    }
+    throw ConfigError("seed: must be a text of up to 16 hexadecimal digits");
+  }
+
+  int LimitOf(const std::string& key, int fewest, int absent) {
+    const nlohmann::json limits = json_.value("limits", nlohmann::json::object());
+    if (!limits.is_object()) throw ConfigError("limits: must be an object");
+    const auto found = limits.find(key);
+    if (found == limits.end()) {
+      Note("limits." + key, std::to_string(absent), "default");
+      return absent;
+    }
+    if (!found->is_number_integer() || *found < fewest || *found > 1'000'000) {
+      throw ConfigError("limits." + key + ": must be a whole number from " + std::to_string(fewest) +
+                        " to 1000000");
+    }
+    Note("limits." + key, found->dump(), "file");
+    return *found;
+  }
+
+  cartspring::Settings SettingsOf() {
+    const auto found = json_.find("settings");
+    if (found == json_.end()) throw ConfigError("settings: missing");
+    if (!found->is_object()) throw ConfigError("settings: must be an object");
+    const JsonFields fields(*found);
+    const NotedFields noted(fields, report_);
+    cartspring::Settings settings;
+    try {
+      settings = cartspring::ReadSettings(noted);
+    } catch (const cartspring::ParseError& error) {
+      throw ConfigError(std::string("settings: ") + error.what());
+    }
+    for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+      if (settings.classes[i].name.empty()) {
+        throw ConfigError("settings.services." + std::to_string(i) + ".name: missing");
+      }
+    }
+    std::vector<std::string> leaves;
+    Leaves("", *found, leaves);
+    for (const std::string& leaf : leaves) {
+      // An empty list of objects is read by its length only.
+      if (!noted.WasRead(leaf) && !noted.WasRead(leaf + ".count"))
+        report_.unread.push_back("settings." + leaf);
+    }
+    return settings;
+  }
+
+  const nlohmann::json& json_;
+  const Environment& environment_;
+  ConfigReport& report_;
+  std::vector<std::string> faults_;
+};
+
+std::string PathOf(const Environment& environment) {
   const char* path = environment("RELAY_CONFIG");
   if (path == nullptr || *path == '\0') throw ConfigError("RELAY_CONFIG: not set");
-  std::ifstream file(path);
-  if (!file) throw ConfigError(std::string("RELAY_CONFIG: cannot open '") + path + "'");
-  auto json = nlohmann::json::parse(file, nullptr, /*allow_exceptions=*/false);
-  if (json.is_discarded()) throw ConfigError(std::string("RELAY_CONFIG: no JSON in '") + path + "'");
-  return json;
+  return path;
 }
 
-cartspring::Settings SettingsOf(const nlohmann::json& json) {
-  const auto found = json.find("settings");
-  if (found == json.end()) throw ConfigError("settings: missing");
-  if (!found->is_object()) throw ConfigError("settings: must be an object");
-  cartspring::Settings settings;
+nlohmann::json FileOf(const std::string& path) {
+  const auto text = ReadTextFile(path);
+  if (!text) throw ConfigError("RELAY_CONFIG: cannot read '" + path + "'");
   try {
-    settings = cartspring::ReadSettings(JsonFields(*found));
-  } catch (const cartspring::ParseError& error) {
-    throw ConfigError(std::string("settings: ") + error.what());
-  }
-  for (std::size_t i = 0; i < settings.classes.size(); ++i) {
-    if (settings.classes[i].name.empty()) {
-      throw ConfigError("settings.services." + std::to_string(i) + ".name: missing");
-    }
+    return nlohmann::json::parse(*text);
+  } catch (const nlohmann::json::parse_error& error) {
+    const auto end = text->begin() + static_cast<std::ptrdiff_t>(std::min(error.byte, text->size()));
+    throw ConfigError("RELAY_CONFIG: no JSON in '" + path + "', line " +
+                      std::to_string(1 + std::count(text->begin(), end, '\n')));
   }
-  return settings;
 }
 
 }  // namespace
@@ -121,24 +248,23 @@
   }
 }
 
-Config ReadConfig(const nlohmann::json& json, const Environment& environment) {
+ConfigError::ConfigError(std::vector<std::string> faults)
+    : std::runtime_error(Joined(faults)), faults_(std::move(faults)) {}
+
+Config ReadConfig(const nlohmann::json& json, const Environment& environment, ConfigReport* report) {
   if (!json.is_object()) throw ConfigError("RELAY_CONFIG: must hold an object");
-  Config config;
-  config.name = TextOf(json, "name", "RELAY_NAME", environment);
-  config.listen = AddressOf(json, "listen", "RELAY_LISTEN", environment);
-  config.discovery = AddressOf(json, "discovery", "RELAY_DISCOVERY", environment);
-  config.seed = SeedOf(json);
-  config.sockets = LimitOf(json, "sockets", kFewestSockets, config.sockets);
-  config.memory_mb = LimitOf(json, "memory_mb", kLeastMemoryMb, config.memory_mb);
-  config.settings = SettingsOf(json);
-  config.known = json.value("known", nlohmann::json());
-  return config;
+  ConfigReport unwanted;
+  return Reader(json, environment, report != nullptr ? *report : unwanted).Read();
 }
 
-Config ReadConfig(const Environment& environment) { return ReadConfig(FileOf(environment), environment); }
+Config ReadConfig(const Environment& environment, ConfigReport* report) {
+  const std::string path = PathOf(environment);
+  if (report != nullptr) report->path = path;
+  return ReadConfig(FileOf(path), environment, report);
+}
 
 Config RereadConfig(const Environment& environment) {
-  const nlohmann::json json = FileOf(environment);
+  const nlohmann::json json = FileOf(PathOf(environment));
   const bool named = json.is_object() && json.contains("discovery");
   return ReadConfig(json, [&](const char* name) {
     return named && std::string_view(name) == "RELAY_DISCOVERY" ? nullptr : environment(name);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,16 +9,23 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "cartspring/balancer.h"
 #include "cartspring/fields.h"
 
 namespace bitternmux {
 
-// Names the faulty key first.
+// Each fault names its key first.
 class ConfigError : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  explicit ConfigError(const std::string& fault) : ConfigError(std::vector{fault}) {}
+  explicit ConfigError(std::vector<std::string> faults);
+
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
 };
 
 // A JSON object seen as the flat fields that the settings are read from: 'a.b' for nested values, 'a.count'
@@ -45,12 +52,23 @@
 
 using Environment = std::function<const char*(const char* name)>;
 
-// From the variables and the file that they name; throws ConfigError.
-Config ReadConfig(const Environment& environment);
+// Where each value came from, for people.
+struct ConfigReport {
+  struct Value {
+    std::string key, value;
+    std::string origin;  // "file", "default" or "variable NAME"
+  };
+  std::string path;
+  std::vector<Value> values;
+  std::vector<std::string> unread;  // keys of the file that nothing reads
+};
+
+// From the variables and the file that they name; throws ConfigError with every fault.
+Config ReadConfig(const Environment& environment, ConfigReport* report = nullptr);
 // The same while the program runs: the file may have been replaced since the variables were set, so that its
 // `discovery` goes before theirs.
 Config RereadConfig(const Environment& environment);
-Config ReadConfig(const nlohmann::json& json, const Environment& environment);
+Config ReadConfig(const nlohmann::json& json, const Environment& environment, ConfigReport* report = nullptr);
 
 }  // namespace bitternmux
 
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -1,7 +1,8 @@
 #include "core/job_table.h"
 
 #include <algorithm>
-#include <iostream>
+
+#include "events/catalogue.h"
 
 namespace bitternmux {
 
@@ -64,7 +65,7 @@
   }
   for (const auto& [id, verdict] : errands.verdicts) Apply(now_ms, id, verdict);
   for (const std::string& node : errands.probes) runner_->Probe(node, machines_.AddressOf(node));
-  for (const std::string& line : errands.log) std::cerr << "module: " << line << "\n";
+  for (const std::string& line : errands.log) events_.Write(events::kModuleNote, {{"line", line}});
   if (errands.watch) watch_discovery_();
 }
 
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -11,6 +11,7 @@
 
 #include "core/facade.h"
 #include "core/machine_list.h"
+#include "events/event.h"
 
 namespace bitternmux {
 
@@ -58,8 +59,9 @@
 
 class JobTable {
  public:
-  JobTable(const cartspring::Settings& settings, Facade& facade, const MachineList& machines)
-      : settings_(settings), facade_(facade), machines_(machines) {}
+  JobTable(const cartspring::Settings& settings, Facade& facade, const MachineList& machines,
+           EventSink& events = Unheard())
+      : settings_(settings), facade_(facade), machines_(machines), events_(events) {}
   void Attach(ClaimRunner& runner, std::function<void()> watch_discovery) {
     runner_ = &runner;
     watch_discovery_ = std::move(watch_discovery);
@@ -97,6 +99,7 @@
   const cartspring::Settings& settings_;
   Facade& facade_;
   const MachineList& machines_;
+  EventSink& events_;
   ClaimRunner* runner_ = nullptr;
   std::function<void()> watch_discovery_;
   JobId last_id_ = 0;
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -1,9 +1,9 @@
 #include "net/discovery_watch.h"
 
 #include <boost/asio/coroutine.hpp>
-#include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "events/catalogue.h"
 #include "http/parser.h"
 #include "net/protocol.h"
 // Last: defines reenter and yield.
@@ -36,7 +36,7 @@
 
   void Break(const std::string& why) {
     if (closed_) return;
-    std::cerr << "discovery: the watch broke: " << why << " (" << address_ << ")\n";
+    runtime_.events.Write(events::kDiscoveryBroken, {{"why", why}, {"address", address_}});
     Close();
     watch_.Broke(shared_from_this());
   }
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -1,4 +1,4 @@
-// What every part with sockets shares: the strand, the clock, the wheel and the count of sockets.
+// What every part with sockets shares: the strand, the clock, the wheel and the log.
 #ifndef BITTERNMUX_SRC_NET_RUNTIME_H_
 #define BITTERNMUX_SRC_NET_RUNTIME_H_
 
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/timer_wheel.h"
+#include "events/event.h"
 
 namespace bitternmux::net {
 
@@ -18,6 +19,7 @@
   asio::strand<asio::io_context::executor_type> strand;
   std::function<double()> now_ms;  // monotonic
   TimerWheel& wheel;
+  EventSink& events = Unheard();
 };
 
 // The address of an ip:port that was checked when it was read.
--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <boost/asio/coroutine.hpp>
 #include <cerrno>
-#include <iostream>
 #include <vector>
 
+#include "events/catalogue.h"
 #include "http/parser.h"
 #include "net/protocol.h"
 // Last: defines reenter and yield.
@@ -275,7 +275,7 @@
   if (error) {
     // Guards against a storm at the descriptor limit (EMFILE): the connection stays in the backlog, so that
     // trying again at once would only spin.
-    std::cerr << "accept: " << error.message() << "\n";
+    runtime_.events.Write(events::kAcceptFailed, {{"why", error.message()}});
     CloseLeast();
     return AcceptLater();
   }
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -240,7 +240,7 @@
   auto [watch, asked] = bed.AcceptWatch();
   watch.Send(Chunk(List(42, true, bed.Members()).dump() + "\n"));
   watch.Send(Chunk(line));
-  CHECK_FALSE(Has(bed.program.AwaitLog("the watch broke"), "nothing heard"));
+  CHECK_FALSE(Has(bed.program.AwaitLog("discovery.broken"), "nothing heard"));
   CHECK(watch.Ends());
   auto [again, asked_again] = bed.AcceptWatch();
   CHECK(Has(asked_again, "since=42 "));
@@ -258,12 +258,12 @@
   old.Send(Chunk("\n"));
   bed.program.Configure("{\"name\":");
   bed.program.HangUp();
-  bed.program.AwaitLog("configuration not taken: RELAY_CONFIG: no JSON");
+  bed.program.AwaitLog("config.refused fault=\"RELAY_CONFIG: no JSON");
   Listener between, other;
   for (const Listener* next : {&between, &other}) {
     bed.program.Configure(ConfigOf(next->address(), 1024, nlohmann::json::array()).dump());
     bed.program.HangUp();
-    bed.program.AwaitLog("discovery at " + next->address());
+    bed.program.AwaitLog("config.reloaded discovery=" + next->address());
   }
   Peer watch = other.Accept();
   CHECK(watch.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
@@ -310,7 +310,7 @@
   Peer node = bed.nodes[0].Accept();
   node.Read();
   bed.program.Terminate();
-  bed.program.AwaitLog("told to stop");
+  bed.program.AwaitLog("stopping held=1");
   Peer late = bed.Submitter();
   Peer second(-1);
   for (int i = 0; i < 50; ++i) {
@@ -432,12 +432,34 @@
   bed.program.port();
   bed.program.LimitDescriptors(3);
   Peer submitter = bed.Submitter();
-  bed.program.AwaitLog("accept: ");
+  bed.program.AwaitLog("accept.failed");
   bed.program.LimitDescriptors(1024);
   submitter.Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(Status(submitter.Read()) == 200);
 }
 
+TEST_CASE(
+    "a log that nobody reads stops neither service nor the end, and what it could not take comes later") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  bed.program.FillLog();
+  bed.program.Configure("{");
+  const bool read_again = GENERATE(true, false);
+  bed.program.HangUp();
+  for (int i = 0; i < 3; ++i) {
+    submitter.Send(Get("id-1"));
+    Peer node = bed.nodes[0].Accept();
+    node.Read();
+    node.Send(Served("ok"));
+    node.Close();
+    CHECK(submitter.Read().ends_with("ok"));
+  }
+  if (read_again) CHECK(Has(bed.program.AwaitLog("config.refused"), "config.refused fault="));
+  bed.program.Terminate();
+  submitter.Close();
+  CHECK(bed.program.Exit() == 0);
+}
+
 TEST_CASE("a faulty configuration is named and ends the program") {
   const nlohmann::json good = ConfigOf("127.0.0.1:1", 1024, List(41, true, nlohmann::json::array()));
   struct Case {
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -3,6 +3,7 @@
 #ifndef BITTERNMUX_TESTS_PEERS_H_
 #define BITTERNMUX_TESTS_PEERS_H_
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
@@ -182,7 +183,7 @@
 // The built program with a configuration of its own; it ends with the test.
 class Program {
  public:
-  explicit Program(const nlohmann::json& config) {
+  explicit Program(const nlohmann::json& config, std::vector<std::string> arguments = {}) {
     std::string folder = (std::filesystem::temp_directory_path() / "bitternmux-XXXXXX").string();
     if (::mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no temporary folder");
     folder_ = folder;
@@ -191,6 +192,7 @@
     if (::pipe(ends) != 0) throw std::runtime_error("no pipe");
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::dup2(ends[1], 1);
       ::dup2(ends[1], 2);
       ::close(ends[0]);
       ::close(ends[1]);
@@ -199,7 +201,10 @@
       if (named != config.end() && named->is_string()) {
         ::setenv("RELAY_DISCOVERY", named->get_ref<const std::string&>().c_str(), 1);
       }
-      ::execl(BITTERNMUX_PROGRAM, BITTERNMUX_PROGRAM, nullptr);
+      std::vector<char*> words = {const_cast<char*>(BITTERNMUX_PROGRAM)};
+      for (std::string& word : arguments) words.push_back(word.data());
+      words.push_back(nullptr);
+      ::execv(BITTERNMUX_PROGRAM, words.data());
       ::_exit(127);
     }
     ::close(ends[1]);
@@ -226,7 +231,7 @@
     return log_;
   }
   int port() {
-    const std::string mark = "serving at 127.0.0.1:";
+    const std::string mark = "serving address=127.0.0.1:";
     AwaitLog("\n");
     const auto at = log_.find(mark);
     if (at == log_.npos) throw std::runtime_error("not serving: " + log_);
@@ -236,6 +241,14 @@
     const rlimit limit{count, 1024};
     ::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
   }
+  // Leaves no room for a line of the log until AwaitLog reads it.
+  void FillLog() {
+    const int fd = ::open(("/proc/" + std::to_string(pid_) + "/fd/2").c_str(), O_WRONLY | O_NONBLOCK);
+    if (fd < 0) throw std::runtime_error("the log cannot be opened");
+    const std::string bytes(4096, '-');
+    while (::write(fd, bytes.data(), bytes.size()) > 0) continue;
+    ::close(fd);
+  }
   void Configure(const std::string& text) { std::ofstream(folder_ / "config.json") << text; }
   void Terminate() { ::kill(pid_, SIGTERM); }
   void HangUp() { ::kill(pid_, SIGHUP); }
