--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <boost/asio/coroutine.hpp>
 #include <cerrno>
-#include <iostream>
 #include <vector>
 
+#include "events/catalogue.h"
 #include "http/parser.h"
 #include "net/protocol.h"
 // Last: defines reenter and yield.
@@ -283,7 +283,7 @@
   if (error) {
     // Guards against a storm at the descriptor limit (EMFILE): the connection stays in the backlog, so that
     // trying again at once would only spin.
-    std::cerr << "accept: " << error.message() << "\n";
+    runtime_.events.Write(events::kAcceptFailed, {{"why", error.message()}});
     MakeRoom();
     return AcceptLater();
   }
@@ -324,7 +324,7 @@
   const double now_ms = runtime_.now_ms();
   if (said_short_ms_ > 0 && now_ms - said_short_ms_ < kSayMs) return;
   said_short_ms_ = now_ms;
-  std::cerr << "submitters: places run short: " << limits_.Describe() << "\n";
+  runtime_.events.Write(events::kPlacesShort, {{"sessions", limits_.Describe()}});
 }
 
 void SubmitterServer::Ended(limits::Sessions::Id id) {
