Pass over full hosts while others are not, and refuse only when all are full

The bound on what a host holds was asked of the host that the walk had chosen. An outcome that took no time at all made the memory of own requests zero long, and with it the own share not a number.

Full hosts are no candidates while others are; a request is refused when all that it may go to are full. No answer counts as sooner than 0.1 ms.

--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -15,6 +15,7 @@
 
 namespace cartspring {
 
+constexpr double kSoonest = 0.1;  // ms in which an answer can come
 constexpr int kLooksMax = 3;      // samples drawn for one attempt before giving up
 constexpr double kCutFactor = 2;  // an attempt cut off would have taken about this many times as long
 
@@ -74,8 +75,8 @@
     tried.may_have_run = !ProvesNeverRan(outcome);
     reports_.CountOwn(hosts_[tried.host], -1);
     if (report != nullptr) reports_.Take(hosts_[tried.host], *report);
-    // What is no number, or longer than anyone waits, must not enter an estimate.
-    Judge(live, tried, outcome, std::min(std::max(0.0, took), ctx_.ClassOf(live.request).deadline_ms));
+    // What is no number, no time at all, or longer than anyone waits must not enter an estimate.
+    Judge(live, tried, outcome, std::min(std::max(kSoonest, took), ctx_.ClassOf(live.request).deadline_ms));
     if (over) return Forget(id, live);
     if (live.begun || live.gathering || live.Pending()) return;
     if (attempts_.WorthAnother(live, outcome, estimates_.Typical(live.request.klass))) {
@@ -140,8 +141,9 @@
     std::vector<int> legal = live.sample;
     std::erase_if(legal, [&](int i) { return !attempts_.MaySend(live, i); });
     const Ranked kept = walk_.Choose(live, legal);
-    if (kept.host < 0) return LookAgain(id, live);
-    if (!admission_.InTime(live, kept)) return End(id, live);  // before it costs anyone work
+    if (kept.host == kNoHost) return LookAgain(id, live);
+    // Before it costs anyone work.
+    if (kept.host == kAllFull || !admission_.InTime(live, kept)) return End(id, live);
     SendTo(id, live, kept);
   }
 
@@ -233,7 +235,7 @@
   Attempts attempts_{ctx_, hosts_};
   Reports reports_{ctx_, hosts_, estimates_, sink_};
   Walk walk_{ctx_, hosts_, estimates_, reports_};
-  Admission admission_{ctx_, hosts_, estimates_, reports_};
+  Admission admission_{ctx_, hosts_, estimates_};
   Discovery discovery_{ctx_, sink_};
   std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
 };
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -80,9 +80,10 @@
 struct Ranked {
   double key;
   double tie;
-  int host;  // -1: none
+  int host;  // or one of the two below
   double figure;
 };
+constexpr int kNoHost = -1, kAllFull = -2;
 
 }  // namespace cartspring
 
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -19,6 +19,7 @@
 constexpr double kOwnMemory = 4;      // usual times of an answer over which own attempts are averaged
 constexpr double kShareMemoryMs = 1000;  // over which this instance's share of what hosts hold is averaged
 constexpr double kLoadMost = 24;         // requests that a host of the mean size is believed to hold at most
+constexpr double kFullest = 6;           // requests that a host of the mean size holds at most
 constexpr double kShareLeast = 0.5;      // of an equal share among the instances
 
 class Reports {
@@ -63,12 +64,14 @@
     share_ = std::clamp((own_ + 0.5) / (all_ + 0.5 / equal), kShareLeast * equal, 1.0);
   }
 
-  // What the host holds with `more` own requests, for its size. Told by the own ones and this instance's
-  // share of what all hosts hold: a report is renewed now and then and comes late, and in a second in which
-  // hosts leave or a burst sets in it says next to nothing; what others send grows and shrinks as this
-  // instance's own does.
-  double Held(const Host& host, int more) const {
-    return (host.own + more) / (share_ * hosts_.Size(host) * hosts_.Warmth(host));
+  // Time alone would let a host be crowded where work is small beside the aims. Crowded for a second or two,
+  // a host turns slow, and stays so while it is kept busy: all of them so, and no load that they could bear
+  // before is borne again. What a host holds is told by the own requests there and this instance's share of
+  // what all hosts hold: a report is renewed now and then and comes late, and in a second in which hosts
+  // leave or a burst sets in it says next to nothing; what others send grows and shrinks as this instance's
+  // own does.
+  bool Full(const Host& host) const {
+    return host.own > 0 && host.own + 1 > kFullest * share_ * hosts_.Size(host) * hosts_.Warmth(host);
   }
 
   void CountOwn(Host& host, int more) {
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -15,8 +15,6 @@
 constexpr int kRounds = 4;           // walks over the ranking before the first host is taken unskipped
 constexpr double kAimShare = 0.8;    // expected time over time left at which a request is still taken on
 constexpr double kRoomShare = 0.65;  // and share of the shortest aim that is left to those behind it
-constexpr double kSeenIdle = 2.5;    // figure up to which a host is not full, whatever the own share says
-constexpr double kFullest = 6;       // requests that a host of the mean size holds at most
 constexpr double kComeBack = 0.5;  // usual times of an answer after which one that was refused may come back
 constexpr double kShareMost = 8;   // a hint is believed within this factor of its class's mean
 constexpr double kTryOff = 0.01;   // of a deadline, by which the time of first tries varies
@@ -28,7 +26,8 @@
   Walk(Context& ctx, const HostTable& hosts, const Estimates& estimates, const Reports& reports)
       : ctx_(ctx), hosts_(hosts), estimates_(estimates), reports_(reports) {}
 
-  // Of the hosts that the request may be sent to. None if all were passed over for being cold.
+  // Of the hosts that the request may be sent to. kNoHost if all were passed over for being cold, kAllFull if
+  // some of these were full.
   Ranked Choose(Live& live, const std::vector<int>& legal) {
     std::vector<int> candidates = legal;
     if (reports_.Probing())
@@ -43,9 +42,14 @@
     }
     const double unreported = known / std::max(1.0, known_count);
     std::vector<Ranked> ranking;
+    bool full = false;
     for (const int i : candidates) {
-      if (!KeptThoughCold(live, i)) continue;
       const Host& host = hosts_[i];
+      if (reports_.Full(host)) {
+        full = true;
+        continue;
+      }
+      if (!KeptThoughCold(live, i)) continue;
       // A cold host without a row ranks as if it had less than the mean to do: it is held back by being
       // passed over, and must be tried to be known.
       const double warmth = hosts_.Warmth(host);
@@ -55,7 +59,7 @@
       const double key = estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
       ranking.push_back({key, ctx_.random.Unit(), i, figure});
     }
-    if (ranking.empty()) return {0, 0, -1, 0};
+    if (ranking.empty()) return {0, 0, full ? kAllFull : kNoHost, 0};
     std::sort(ranking.begin(), ranking.end(), [](const Ranked& a, const Ranked& b) {
       return a.key != b.key ? a.key < b.key : a.tie < b.tie;
     });
@@ -97,8 +101,8 @@
 
 class Admission {
  public:
-  Admission(Context& ctx, const HostTable& hosts, const Estimates& estimates, const Reports& reports)
-      : ctx_(ctx), hosts_(hosts), estimates_(estimates), reports_(reports), seen_(ctx.set.classes.size()) {}
+  Admission(Context& ctx, const HostTable& hosts, const Estimates& estimates)
+      : ctx_(ctx), hosts_(hosts), estimates_(estimates), seen_(ctx.set.classes.size()) {}
 
   // When the answer is wanted. A client's retry keeps the clock of its first try. First tries of a class all
   // come with the same time, and they are most of what comes; one that comes with more or less than that is a
@@ -142,10 +146,6 @@
     // A host seen idle is always worth a try: were it refused for what was learned, nothing could be learned
     // again.
     if (kept.figure * hosts_.Size(host) * hosts_.Warmth(host) < 2) return true;
-    // Time alone would let a host be crowded where work is small beside the aims. Crowded for a second or
-    // two, a host turns slow, and stays so while it is kept busy: all of them so, and no load that they could
-    // bear before is borne again.
-    if (host.own > 0 && kept.figure > kSeenIdle && reports_.Held(host, 1) > kFullest) return false;
     const double time = estimates_.Expected(klass, host, kept.figure, live.share);
     double worth = WorthForWork(klass) / WorthForWork(hastiest);
     if (time > kAimShare * (live.aim_at - ctx_.now)) worth *= ctx_.set.classes[klass].late_worth;
@@ -168,7 +168,6 @@
   Context& ctx_;
   const HostTable& hosts_;
   const Estimates& estimates_;
-  const Reports& reports_;
   std::vector<Seen> seen_;  // by class
 };
 
--- a/tests/cartspring/recovery_test.cpp
+++ b/tests/cartspring/recovery_test.cpp
@@ -58,6 +58,17 @@
   }
 }
 
+TEST(Recovery, ManyInstancesWithASmallShareEachRefuseNothingThatTheFleetCanCarry) {
+  FleetPlan plan = Plan(0.7, 5);
+  plan.instances = 8;
+  Fleet fleet(plan, FleetSettings());
+  fleet.PassTo(fleet.now() + 3000);
+  const Fleet::Counts counts = fleet.PassTo(fleet.now() + 20000);
+  EXPECT_GT(counts.asked, 5000);
+  EXPECT_LT(counts.refused_share(), 0.01);
+  EXPECT_EQ(fleet.tipped(), 0);
+}
+
 TEST(Recovery, NoBeliefHoldsItselfInPlace) {
   constexpr double kInf = std::numeric_limits<double>::infinity();
   constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
