--- /dev/null
+++ b/lab/model/network.h
@@ -0,0 +1,53 @@
+// The ways between clients, sidecars, execute nodes and discovery: how long a message takes and what becomes
+// of it.
+//
+// What goes wrong on the network is known when the day is drawn, so that this holds no state but the list of
+// it: each question has one answer, whoever asks first. Messages are told apart by a key of the caller's; the
+// same key gives the same delay. That the messages of one connection do not overtake each other is the
+// caller's to see to.
+#ifndef BITTERNMUX_LAB_MODEL_NETWORK_H_
+#define BITTERNMUX_LAB_MODEL_NETWORK_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "lab/model/figures.h"
+#include "lab/model/random.h"
+
+namespace bitternmux::lab::model {
+
+class Network {
+ public:
+  // `figures` must outlive it.
+  Network(const Figures& figures, const Seeds& seeds);
+
+  // When a message that is sent at `now` arrives; kNever if it is lost in a cut.
+  double ToNode(double now, int sidecar, int machine, std::uint64_t key) const;
+  double FromNode(double now, int sidecar, int machine, std::uint64_t key) const;
+  double ToDiscovery(double now, int sidecar, std::uint64_t key) const;
+  double FromDiscovery(double now, int sidecar, std::uint64_t key) const;
+  // Between a client and its sidecar, either way: the two share a host.
+  double Local(double now, std::uint64_t key) const;
+
+  // When a dial begun at `now` has its connection, the handshake's round trips included but not the node's
+  // work for it; kNever if it never comes up.
+  double DialUp(double now, int sidecar, int machine, std::uint64_t key) const;
+  // When a connection that stands at `now` is reset by the end of a cut that holds it or is to come; kNever:
+  // by none.
+  double ResetAt(double now, int sidecar, int machine) const;
+  // The same for the way to discovery.
+  double DiscoveryResetAt(double now, int sidecar) const;
+
+ private:
+  enum class Way { kThere, kBack };
+  double Delay(int zone, int other_zone, std::uint64_t key) const;
+  double Arrives(double now, double delay, Way way, int sidecar, int machine) const;
+  bool Hits(const LinkTrouble& trouble, int sidecar, int machine) const;
+
+  const Figures& figures_;
+  const Use jitter_;
+};
+
+}  // namespace bitternmux::lab::model
+
+#endif  // BITTERNMUX_LAB_MODEL_NETWORK_H_
