--- a/lab/model/clients.h
+++ b/lab/model/clients.h
@@ -74,7 +74,7 @@
   // Null once it is over.
   const Try* Find(TryId id) const;
   // Has the last wish come, and is each of them over?
-  bool Done() const { return arrivals_.empty() && open_.empty() && waiting_ == 0; }
+  bool Done() const { return arrivals_.empty() && open_.empty() && retries_.empty(); }
   std::size_t open() const { return open_.size(); }
 
  private:
@@ -89,32 +89,34 @@
     double at = 0;
     std::uint64_t order = 0;
     enum class What { kSend, kLeave, kLost } what = What::kSend;
-    Try attempt;  // kSend; else only the id
+    std::uint64_t of = 0;  // a try; for kSend the key of `retries_`
     bool operator>(const Timer& other) const { return at != other.at ? at > other.at : order > other.order; }
   };
-  struct Open {
-    Try attempt;
-    double retry_advised = 0;
-  };
 
-  double Rate(double at) const;  // against the mean
+  const ClassFigures& ClassOf(const Try& attempt) const {
+    return figures_.classes[static_cast<std::size_t>(attempt.klass)];
+  }
+  double End() const { return figures_.first_ms + figures_.length_ms; }  // of the arrivals
+  double Rate(double at) const;                                          // against the mean
   double NextArrival(int sidecar, double after);
-  void Draw(int sidecar, double at);
+  Try Wish(int sidecar, double at);
+  void Ring(double now, const Timer& timer, ClientActions& out);
   void Send(double now, Try attempt, ClientActions& out);
   void Retry(double now, const Try& attempt, TryEnd end, double retry_after_ms);
-  void Add(double at, Timer::What what, const Try& attempt);
+  std::uint64_t Add(double at, Timer::What what, TryId of);
 
   const Figures& figures_;
-  const Use arrival_draws_, wish_draws_, attempt_draws_, try_draws_;
+  const Use class_draws_, work_draws_, hint_draws_, honour_draws_, attempt_draws_, leave_draws_,
+      backoff_draws_;
   double rate_most_ = 1;
-  std::vector<Stream> arrival_streams_;  // by sidecar
-  std::vector<std::uint64_t> wishes_;    // by sidecar, drawn so far
-  std::priority_queue<Arrival, std::vector<Arrival>, std::greater<>> arrivals_;
+  std::vector<Stream> arrival_streams_;                                          // by sidecar
+  std::vector<std::uint64_t> wishes_;                                            // by sidecar, drawn so far
+  std::priority_queue<Arrival, std::vector<Arrival>, std::greater<>> arrivals_;  // one for each sidecar
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::uint64_t timers_added_ = 0;
-  std::size_t waiting_ = 0;  // tries that are to be sent later
   TryId last_ = 0;
-  std::unordered_map<TryId, Open> open_;  // looked up, never walked
+  std::unordered_map<TryId, Try> open_;             // looked up, never walked
+  std::unordered_map<std::uint64_t, Try> retries_;  // that wait for their time, likewise
 };
 
 }  // namespace bitternmux::lab::model
--- a/lab/model/execute_node.h
+++ b/lab/model/execute_node.h
@@ -25,6 +25,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <unordered_map>
 #include <vector>
 
@@ -44,8 +45,8 @@
   kNoise,        // bytes that are no HTTP
   kBadHead,      // a head that cannot be read
   kEndlessHead,  // a head that goes on and on
-  kTooShort,     // ends before its length
-  kTooLong,      // goes on behind its length: the length is smaller than the body that was made
+  kBadLength,    // a length that is none, or two that differ
+  kTooShort,     // a body that ends before its length, on a connection that stays open
   kHuge,         // said to hold 3 GB, and keeps coming
   // Good, with more than is its own: the claim is served.
   kTwice,        // a second copy right behind
@@ -154,8 +155,8 @@
   };
   struct Link {
     bool busy = false;
-    bool forgotten = false;
     double idle_since = 0;
+    std::list<ConnectionId>::iterator at;  // in busy_ or idle_
   };
   struct Snapshot {
     double given_out = 0;
@@ -166,43 +167,46 @@
   double Efficiency() const;
   double TaskRate() const;      // work done on each task in a millisecond
   double OverheadRate() const;  // and on connections and probes
-  double NextInside() const;
-  void Run(double until);  // work goes on; nothing ends on the way
+  void Run(double until);       // work goes on; nothing ends on the way
   void Settle(NodeActions& out);
-  void Finish(Task task, NodeActions& out);
-  void End(const Task& task, ClaimEnd end, NodeActions& out);
+  void EndIdle(NodeActions& out);
+  NodeAction Ended(const Task& task, ClaimEnd end) const;
+  void Finish(const Task& task, NodeActions& out);
   void Answer(const Task& task, ClaimEnd end, Spoil spoil, NodeActions& out);
-  void Break(const Task& task, ClaimEnd end, NodeActions& out);
+  void AnswerProbe(ConnectionId connection, bool good, NodeActions& out);
+  void Break(const Task& task, NodeActions& out);
+  void Occupy(ConnectionId connection);
   void Release(ConnectionId connection);
-  void Accept(const Offered& offered, bool probe, NodeActions& out);
+  void Accept(const Task& task, NodeActions& out);
+  void DrawFate(Task& task);
   void FillSlots(NodeActions& out);
   void WatchCrowd();
-  void TakeReport(double at);
+  void TakeReport();
+  Report Current();
   bool Overdriven(double work);
   void Down(Reach reach, NodeActions& out);
-  Report Current() const;
 
   const NodeFigures figures_;
-  const Use fates_, spoils_, noise_;
-  const int number_;
+  const Use fails_draws_, error_draws_, reset_draws_, spoil_draws_, report_draws_;
+  const std::uint64_t number_;
   const double started_;
   Reach reach_ = Reach::kListens;
   double now_;
-  double worked_ = 0;  // in all, on a standard core: warms it
-  double overhead_ = 0;
+  double worked_ = 0;    // in all, on a standard core: warms it
+  double overhead_ = 0;  // work for connections and probes that is still to be done
 
   std::vector<Task> work_;  // in the order in which they came to a slot
   std::deque<Task> waiting_;
-  std::deque<std::pair<Offered, bool>> frozen_;         // came while it hangs; true: a probe
+  std::deque<Task> frozen_;                             // came while it hangs
   std::unordered_map<ConnectionId, Link> connections_;  // walked only to be sorted
-  std::deque<std::pair<double, ConnectionId>> idle_;    // by the time since when; some are out of date
+  std::list<ConnectionId> idle_, busy_;                 // the former by the time since when
   std::deque<std::pair<double, double>> received_;      // while cold: when and how much work
-  double received_sum_ = 0;
   std::deque<Snapshot> snapshots_;
   Report given_out_;
-  double next_report_;
+  double next_report_ = kNever;
   std::uint64_t reports_taken_ = 0;
-  double probe_tokens_ = 1;
+  double probe_tokens_;
+  double probe_tokens_at_;
 
   double crowd_since_ = kNever;
   double crowded_until_ = kNever;  // kNever: not crowded
--- a/lab/model/figures.h
+++ b/lab/model/figures.h
@@ -127,6 +127,7 @@
   double lines_per_s = 2000;       // capacity, in list lines
   double call_lines = 40;          // what a call costs beside the lines of its answer
   double timeout_ms = 3000;        // a call that waits longer fails
+  double line_ms = 2000;           // a watch on which nothing is told gets an empty line this often
   int history = 256;               // changes kept; a watch from before these gets the whole list
   double told_within_ms = 6000;    // what is published counts as told this much later
   double old_open_ms = 1500;       // after a move, until the old one closes what is open
@@ -179,7 +180,7 @@
   std::string name;
   int zone = 0;
   double share = 1;     // of all arrivals
-  double start_ms = 0;  // before the day's first arrival; all are up when it begins
+  double start_ms = 0;  // when its process first starts
   double boot_ms = 60;  // from the start of the process to its first answer
 };
 
@@ -201,11 +202,11 @@
     kReset,     // resets the connection of this share of the claims in the middle of them; 0 ends it
     kSpoil,     // spoils this share of its answers; 0 ends it
     kIdleKeep,  // ends idle connections after so many milliseconds; 0: as by its figures
-    // Sidecars; `target` is the sidecar's number.
-    kTerm,         // SIGTERM
+    // Sidecars; `target` is the sidecar's number. `amount`: after so many milliseconds from its end, it
+    // starts again.
+    kTerm,         // SIGTERM, and SIGKILL `kill_after_ms` later if it still runs then
     kSidecarKill,  // SIGKILL
-    kSidecarStart,
-    kHup,  // the configuration is read again
+    kHup,          // the configuration is read again
     // Discovery.
     kDiscoveryDown,
     kDiscoveryUp,
@@ -249,7 +250,8 @@
   double fall_ms = 3000;
   bool worth_by_work = true;
   bool weights_known = true;
-  int memory_mb = 128;  // of a sidecar
+  double kill_after_ms = 3700;  // from SIGTERM to SIGKILL
+  int memory_mb = 128;          // of a sidecar
   int descriptors = 1024;
   double goal_whole = 0.3, goal_worst_window = 0.5, goal_worst_class = 0.2;
   double probe_price = 0.0093, cross_zone_price = 0.03, handshake_price = 0.069;
@@ -260,6 +262,7 @@
 struct Figures {
   std::string name;
   std::uint64_t seed = 0;
+  double first_ms = 1000;          // when the arrivals begin: by then all sidecars are up
   double length_ms = 60000;        // of the arrivals; a run goes on until all is answered
   std::vector<std::string> kinds;  // of machines
   std::vector<MachineFigures> machines;
--- a/lab/model/fleet.h
+++ b/lab/model/fleet.h
@@ -48,9 +48,9 @@
   void Advance(double now, FleetActions& out);
 
   int size() const { return static_cast<int>(machines_.size()); }
-  MachineState state(int machine) const { return machines_[static_cast<std::size_t>(machine)].state; }
+  MachineState state(int machine) const { return Row(machine).state; }
   // When its process started; below 0: long ago, or not yet.
-  double started_ms(int machine) const { return machines_[static_cast<std::size_t>(machine)].started; }
+  double started_ms(int machine) const { return Row(machine).started; }
   // The process that stands at a place now, or was the last to; -1 before any has.
   int At(int place) const { return places_[static_cast<std::size_t>(place)]; }
   // Null until its process has started. Its own calls must go through the four below, which see to when it is
@@ -75,14 +75,17 @@
     double due = kNever;  // as the heap has it
   };
 
+  MachineRow& Row(int machine) { return machines_[static_cast<std::size_t>(machine)]; }
+  const MachineRow& Row(int machine) const { return machines_[static_cast<std::size_t>(machine)]; }
   void Carry(double now, const Step& step, FleetActions& out);
   void Start(double now, int machine, FleetActions& out);
   void Change(double now, int machine, MachineState state, bool announced, FleetActions& out);
-  // Takes over what a node has appended since `node_actions_` was cleared, and its next time.
+  // Takes over what a node has appended, and when it is due next.
   void Collect(double now, int machine, FleetActions& out);
+  void HandOutTold(FleetActions& out);
+  bool Before(int a, int b) const;
+  void Place(std::size_t at, int machine);
   void Reschedule(int machine);
-  void Sift(std::size_t at);
-  bool Before(std::size_t a, std::size_t b) const;
 
   const Figures& figures_;
   const Seeds seeds_;
--- a/lab/model/network.h
+++ b/lab/model/network.h
@@ -9,7 +9,6 @@
 #define BITTERNMUX_LAB_MODEL_NETWORK_H_
 
 #include <cstdint>
-#include <vector>
 
 #include "lab/model/figures.h"
 #include "lab/model/random.h"
@@ -26,21 +25,18 @@
   double FromNode(double now, int sidecar, int machine, std::uint64_t key) const;
   double ToDiscovery(double now, int sidecar, std::uint64_t key) const;
   double FromDiscovery(double now, int sidecar, std::uint64_t key) const;
-  // Between a client and its sidecar, either way: the two share a host.
-  double Local(double now, std::uint64_t key) const;
+  // How long a way between a client and its sidecar takes: the two share a host, and nothing comes between
+  // them.
+  double Local(std::uint64_t key) const;
 
   // When a dial begun at `now` has its connection, the handshake's round trips included but not the node's
   // work for it; kNever if it never comes up.
   double DialUp(double now, int sidecar, int machine, std::uint64_t key) const;
-  // When a connection that stands at `now` is reset by the end of a cut that holds it or is to come; kNever:
-  // by none.
-  double ResetAt(double now, int sidecar, int machine) const;
-  // The same for the way to discovery.
-  double DiscoveryResetAt(double now, int sidecar) const;
 
  private:
   enum class Way { kThere, kBack };
-  double Delay(int zone, int other_zone, std::uint64_t key) const;
+  double Delay(double one_way, std::uint64_t key) const;
+  double OneWay(int sidecar, int machine) const;
   double Arrives(double now, double delay, Way way, int sidecar, int machine) const;
   bool Hits(const LinkTrouble& trouble, int sidecar, int machine) const;
 
--- a/lab/scenario/scenario.h
+++ b/lab/scenario/scenario.h
@@ -11,6 +11,7 @@
 #define BITTERNMUX_LAB_SCENARIO_SCENARIO_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -32,11 +33,13 @@
 
 class Scenario {
  public:
-  // `text` is TOML; `file` is named in errors. Throws ScenarioError, with every fault that was found.
-  Scenario(std::string text, std::string file);
-  // Throws ScenarioError too if the file cannot be read.
+  // `text` is TOML; `file` is named in errors. A scenario may take over what another one says and it does
+  // not: its key `extends` names that one, from the folder that `file` is in. Throws ScenarioError, with
+  // every fault found.
+  Scenario(std::string text, const std::string& file);
   static Scenario Read(const std::string& file);
 
+  // With all that was taken over: it stands by itself.
   const std::string& text() const { return text_; }
   const std::string& name() const { return name_; }
   const std::string& about() const { return about_; }  // one sentence for people
@@ -46,7 +49,10 @@
   model::Figures Draw(std::optional<std::uint64_t> seed = std::nullopt) const;
 
  private:
+  struct Table;
+
   std::string text_, file_, name_, about_;
+  std::shared_ptr<const Table> table_;
   std::uint64_t seed_ = 0;
 };
 
--- /dev/null
+++ b/lab/scenario/troubles.cpp
@@ -0,0 +1,456 @@
+// Troubles: each is read, its figures are drawn, and it is written down as elementary steps of servers. A
+// last pass in the order of time turns servers into the numbers of the processes that stand for them at that
+// moment.
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numeric>
+#include <sstream>
+
+#include "lab/scenario/sections.h"
+
+namespace bitternmux::lab::scenario {
+namespace {
+
+using model::Figures;
+using model::LinkFault;
+using What = model::Step::What;
+
+constexpr double kSecond = 1000;
+constexpr Bounds kS{0, 86400};
+constexpr Bounds kShare{0, 1};
+constexpr int kDeepest = 4;  // chains within chains
+constexpr double kLeastKillAfterMs = 3000, kKillMarginMs = 700;
+
+enum class Kind {
+  kSlow,
+  kHang,
+  kMute,
+  kFastErrors,
+  kResets,
+  kSpoilt,
+  kShortIdle,
+  kKill,
+  kVanish,
+  kRestart,
+  kReplace,
+  kDrain,
+  kAdd,
+  kCut,
+  kStallTo,
+  kStallFrom,
+  kNoDial,
+  kDiscoveryCut,
+  kDiscoveryDown,
+  kReload,
+  kRestartSidecars,
+  kBurst,
+};
+const std::vector<std::string_view> kKinds = {
+    "slow",     "hang",       "mute",    "fast_errors",   "resets",         "spoilt", "short_idle",
+    "kill",     "vanish",     "restart", "replace",       "drain",          "add",    "cut",
+    "stall_to", "stall_from", "no_dial", "discovery_cut", "discovery_down", "reload", "restart_sidecars",
+    "burst"};
+
+std::string Said(std::string_view name, double figure) {
+  std::ostringstream out;
+  out << name << " " << std::round(figure * 1000) / 1000;
+  return out.str();
+}
+
+// A step of a server, before it is known which process that is.
+struct ServerStep {
+  double at_ms = 0;
+  What what = What::kStart;
+  int server = -1;  // or the target itself where that is no machine
+  double amount = 0;
+  bool new_machine = false;  // kStart: with a new id
+  bool new_place = false;    // and at a new address
+};
+
+class Troubles {
+ public:
+  Troubles(const Sure& sure, Figures& figures)
+      : sure_(sure), figures_(figures), servers_(static_cast<int>(figures.machines.size())) {
+    for (int i = 0; i < servers_; ++i) server_of_.push_back(i);
+  }
+
+  void Read(Reader& whole) {
+    for (Reader& table : whole.Tables("trouble")) {
+      if (!table.Has("at_s")) table.Fault("at_s", "must be there");
+      ReadTimes(table, figures_.first_ms + table.Number("at_s", 0, kS) * kSecond, nullptr, 0);
+    }
+  }
+
+  void Finish() {
+    std::stable_sort(steps_.begin(), steps_.end(),
+                     [](const ServerStep& a, const ServerStep& b) { return a.at_ms < b.at_ms; });
+    AssignProcesses();
+    // A trouble of a link goes on when the machine at its end is another.
+    for (model::LinkTrouble& trouble : figures_.network.troubles) {
+      if (trouble.machines.empty()) continue;
+      const std::vector<int> servers = std::exchange(trouble.machines, {});
+      for (std::size_t i = 0; i < figures_.machines.size(); ++i) {
+        if (std::find(servers.begin(), servers.end(), server_of_[i]) != servers.end()) {
+          trouble.machines.push_back(static_cast<int>(i));
+        }
+      }
+    }
+  }
+
+ private:
+  struct Frame {
+    const std::vector<int>* same = nullptr;  // the servers of the trouble that this one follows
+    std::vector<int> servers;
+    double from = 0, until = 0;
+    std::string detail;
+    std::vector<int> sidecars;
+  };
+
+  // The trouble as often as it is said to come.
+  void ReadTimes(Reader& table, double at, const std::vector<int>* same, int depth) {
+    const int times = table.Whole("times", 1, {1, 1000});
+    double next = at;
+    for (int k = 0; k < times; ++k) {
+      Reader again = table.Again(k);
+      const double every = again.Number("again_s", 0, kS) * kSecond;
+      if (times > 1 && !table.Has("again_s")) table.Fault("again_s", "must be there where times is above 1");
+      ReadOne(again, next, same, depth);
+      next += every;
+    }
+  }
+
+  void ReadOne(Reader& table, double at, const std::vector<int>* same, int depth) {
+    if (!table.Has("kind")) table.Fault("kind", "must be there");
+    const auto kind = static_cast<Kind>(table.Word("kind", kKinds, 0));
+    const std::string name = table.Text("name", kKinds[static_cast<std::size_t>(kind)]);
+    const auto index = figures_.troubles.size();
+    figures_.troubles.emplace_back();
+    Frame frame;
+    frame.same = same;
+    frame.from = frame.until = at;
+    steps_.push_back({at, What::kTroubleBegins, static_cast<int>(index)});
+    ReadKind(table, kind, frame);
+    steps_.push_back({frame.until, What::kTroubleEnds, static_cast<int>(index)});
+    figures_.troubles[index] = {name, frame.from, frame.until, frame.servers, frame.sidecars, frame.detail};
+    for (Reader& then : table.Tables("then")) {
+      if (depth >= kDeepest) {
+        then.Fault("", "chains go too deep");
+        return;
+      }
+      const std::size_t from = then.Word("from", {"end", "begin"}, 0);
+      const double after = then.Number("after_s", 0, kS) * kSecond;
+      ReadTimes(then, (from == 0 ? frame.until : frame.from) + after, &frame.servers, depth + 1);
+    }
+    table.Keep({"at_s", "times", "again_s", "from", "after_s"});
+    table.Finish();
+  }
+
+  void ReadKind(Reader& table, Kind kind, Frame& frame) {
+    switch (kind) {
+      case Kind::kSlow:
+        return Lasting(table, frame, What::kSlow, "factor", {1, 1000}, 1);
+      case Kind::kHang:
+        return Lasting(table, frame, What::kHang, nullptr, {}, 0);
+      case Kind::kMute:
+        return Lasting(table, frame, What::kMute, nullptr, {}, 0);
+      case Kind::kFastErrors:
+        return Lasting(table, frame, What::kFail, "share", kShare, 0);
+      case Kind::kResets:
+        return Lasting(table, frame, What::kReset, "share", kShare, 0);
+      case Kind::kSpoilt:
+        return Lasting(table, frame, What::kSpoil, "share", kShare, 0);
+      case Kind::kShortIdle:
+        return Lasting(table, frame, What::kIdleKeep, "keep_ms", {1, 3.6e6}, 0);
+      case Kind::kKill:
+        return Death(table, frame, What::kKill);
+      case Kind::kVanish:
+        return Death(table, frame, What::kVanish);
+      case Kind::kRestart:
+      case Kind::kReplace:
+      case Kind::kDrain:
+        return Planned(table, frame, kind);
+      case Kind::kAdd:
+        return Add(table, frame);
+      case Kind::kCut:
+        return Link(table, frame, LinkFault::kCut);
+      case Kind::kStallTo:
+        return Link(table, frame, LinkFault::kStallTo);
+      case Kind::kStallFrom:
+        return Link(table, frame, LinkFault::kStallFrom);
+      case Kind::kNoDial:
+        return Link(table, frame, LinkFault::kNoDial);
+      case Kind::kDiscoveryCut:
+        Length(table, frame);
+        Sidecars(table, frame);
+        figures_.network.troubles.push_back(
+            {frame.from, frame.until, LinkFault::kCut, frame.sidecars, {}, true});
+        return;
+      case Kind::kDiscoveryDown:
+        Length(table, frame);
+        steps_.push_back({frame.from, What::kDiscoveryDown});
+        steps_.push_back({frame.until, What::kDiscoveryUp});
+        return;
+      case Kind::kReload:
+        return Reload(table, frame);
+      case Kind::kRestartSidecars:
+        return RestartSidecars(table, frame);
+      case Kind::kBurst:
+        return BurstOf(table, frame);
+    }
+  }
+
+  void Length(Reader& table, Frame& frame) {
+    if (!table.Has("len_s")) table.Fault("len_s", "must be there");
+    frame.until = frame.from + table.Number("len_s", 0, kS) * kSecond;
+  }
+
+  // Which servers: by number, a share of them, those of a site, those of the trouble before; all if none is
+  // said.
+  void Servers(Reader& table, Frame& frame) {
+    const std::array<const char*, 4> ways = {"machines", "part", "site", "same_machines"};
+    int said = 0;
+    for (const char* way : ways) said += table.Has(way) ? 1 : 0;
+    if (said > 1) table.Fault("", "only one of machines, part, site and same_machines can be there");
+    frame.servers.clear();
+    if (table.Has("machines")) {
+      frame.servers = table.Numbers("machines", sure_.servers, "machine");
+    } else if (table.Has("part")) {
+      std::vector<int> all(static_cast<std::size_t>(servers_));
+      std::iota(all.begin(), all.end(), 0);
+      const double part = table.Number("part", 0, kShare);
+      Shuffle(all, table);
+      const auto count = static_cast<std::size_t>(std::max(1L, std::lround(part * servers_)));
+      frame.servers.assign(all.begin(),
+                           all.begin() + static_cast<std::ptrdiff_t>(std::min(count, all.size())));
+      std::sort(frame.servers.begin(), frame.servers.end());
+    } else if (table.Has("site")) {
+      const int zone = Zone(table, "site");
+      for (int i = 0; i < servers_; ++i) {
+        if (figures_.machines[static_cast<std::size_t>(i)].zone == zone) frame.servers.push_back(i);
+      }
+    } else if (table.Flag("same_machines", false)) {
+      if (frame.same == nullptr) {
+        table.Fault("same_machines", "no trouble stands before this one");
+      } else {
+        frame.servers = *frame.same;
+      }
+    } else {
+      frame.servers.resize(static_cast<std::size_t>(servers_));
+      std::iota(frame.servers.begin(), frame.servers.end(), 0);
+    }
+  }
+
+  int Zone(Reader& table, std::string_view key) {
+    const auto& zones = figures_.network.zones;
+    return static_cast<int>(table.Word(key, {zones.begin(), zones.end()}, 0));
+  }
+
+  void Sidecars(Reader& table, Frame& frame) {
+    frame.sidecars = table.Numbers("sidecars", sure_.sidecars, "sidecar");
+    if (!table.Has("sidecars")) {
+      frame.sidecars.resize(figures_.sidecars.size());
+      std::iota(frame.sidecars.begin(), frame.sidecars.end(), 0);
+    }
+  }
+
+  static void Shuffle(std::vector<int>& list, const Reader& table) {
+    model::Stream stream = table.seeds().Of("scenario." + table.Path("order"));
+    for (std::size_t i = list.size(); i > 1; --i) std::swap(list[i - 1], list[stream.Below(i)]);
+  }
+
+  void Lasting(Reader& table, Frame& frame, What what, const char* key, Bounds bounds, double ended) {
+    Servers(table, frame);
+    Length(table, frame);
+    double amount = 1;
+    if (key != nullptr) {
+      if (!table.Has(key)) table.Fault(key, "must be there");
+      amount = table.Number(key, ended, bounds);
+      frame.detail = Said(key, amount);
+    }
+    for (const int server : frame.servers) {
+      steps_.push_back({frame.from, what, server, amount});
+      steps_.push_back({frame.until, what, server, ended});
+    }
+  }
+
+  void Death(Reader& table, Frame& frame, What what) {
+    Servers(table, frame);
+    const double back = table.Number("back_s", 0, kS) * kSecond;
+    for (const int server : frame.servers) {
+      steps_.push_back({frame.from, what, server});
+      if (table.Has("back_s")) steps_.push_back({frame.from + back, What::kStart, server});
+    }
+    frame.until = frame.from + back;
+  }
+
+  // Drained, stopped, and up again: the same machine or another in its stead.
+  void Planned(Reader& table, Frame& frame, Kind kind) {
+    Servers(table, frame);
+    const double drain = table.Number("drain_s", 2, kS) * kSecond;
+    const double every = table.Number("every_s", 0, kS) * kSecond;
+    const bool back = kind != Kind::kDrain, replaced = kind == Kind::kReplace;
+    const double down = back ? table.Number("down_s", 1, kS) * kSecond : 0;
+    const bool same_address = replaced && table.Flag("same_address", false);
+    std::vector<int> order = frame.servers;
+    if (every > 0) Shuffle(order, table);
+    double at = frame.from;
+    for (const int server : order) {
+      steps_.push_back({at, What::kDrain, server});
+      steps_.push_back({at + drain, What::kStop, server});
+      if (back) {
+        steps_.push_back({at + drain + down, What::kStart, server, 0, replaced, replaced && !same_address});
+      }
+      frame.until = at + drain + down;
+      at += every;
+    }
+  }
+
+  // Further servers, cold, each like one that is drawn from those there.
+  void Add(Reader& table, Frame& frame) {
+    const int count = table.Whole("count", 1, {1, 10'000});
+    const double every = table.Number("every_s", 0, kS) * kSecond;
+    model::Stream stream = table.seeds().Of("scenario." + table.Path("like"));
+    for (int k = 0; k < count; ++k) {
+      const int server = servers_ + static_cast<int>(likes_.size());
+      likes_.push_back(static_cast<int>(stream.Below(static_cast<std::uint64_t>(servers_))));
+      frame.until = frame.from + k * every;
+      steps_.push_back({frame.until, What::kStart, server, 0, true, true});
+    }
+  }
+
+  void Link(Reader& table, Frame& frame, LinkFault fault) {
+    Length(table, frame);
+    if (table.Has("sites")) {
+      if (table.Texts("sites", {}).size() != 2) table.Fault("sites", "must name two sites");
+      const std::vector<std::string> sites = table.Texts("sites", {"", ""});
+      std::array<int, 2> zones{};
+      for (std::size_t k = 0; k < 2 && k < sites.size(); ++k) {
+        const auto& known = figures_.network.zones;
+        const auto found = std::find(known.begin(), known.end(), sites[k]);
+        if (found == known.end()) table.Fault("sites", "there is no site '" + sites[k] + "'");
+        zones[k] = static_cast<int>(found - known.begin());
+      }
+      for (const auto& [own, other] : {std::pair(zones[0], zones[1]), std::pair(zones[1], zones[0])}) {
+        model::LinkTrouble trouble{frame.from, frame.until, fault, {}, {}, false};
+        for (std::size_t i = 0; i < figures_.sidecars.size(); ++i) {
+          if (figures_.sidecars[i].zone == own) trouble.sidecars.push_back(static_cast<int>(i));
+        }
+        for (int i = 0; i < servers_; ++i) {
+          if (figures_.machines[static_cast<std::size_t>(i)].zone == other) trouble.machines.push_back(i);
+        }
+        // A site without sidecars or machines has nothing to cut; an empty list would mean all.
+        if (!trouble.sidecars.empty() && !trouble.machines.empty())
+          figures_.network.troubles.push_back(trouble);
+      }
+      return;
+    }
+    Servers(table, frame);
+    Sidecars(table, frame);
+    if (frame.servers.empty() || frame.sidecars.empty()) return;
+    figures_.network.troubles.push_back(
+        {frame.from, frame.until, fault, frame.sidecars, frame.servers, false});
+  }
+
+  void Reload(Reader& table, Frame& frame) {
+    const double spread = table.Number("spread_s", 0.2, kS) * kSecond;
+    frame.until = frame.from + spread;
+    steps_.push_back({frame.from, What::kDiscoveryMove});
+    model::Stream stream = table.seeds().Of("scenario." + table.Path("spread"));
+    for (std::size_t i = 0; i < figures_.sidecars.size(); ++i) {
+      steps_.push_back({frame.from + spread * stream.Unit(), What::kHup, static_cast<int>(i)});
+    }
+  }
+
+  void RestartSidecars(Reader& table, Frame& frame) {
+    Sidecars(table, frame);
+    const bool kill = table.Word("signal", {"term", "kill"}, 0) == 1;
+    const double down = table.Number("down_s", 0.3, kS) * kSecond;
+    const double every = table.Number("every_s", 0, kS) * kSecond;
+    double at = frame.from;
+    for (const int sidecar : frame.sidecars) {
+      steps_.push_back({at, kill ? What::kSidecarKill : What::kTerm, sidecar, down});
+      frame.until = at + down;
+      at += every;
+    }
+  }
+
+  void BurstOf(Reader& table, Frame& frame) {
+    Length(table, frame);
+    if (!table.Has("factor")) table.Fault("factor", "must be there");
+    model::Burst burst{frame.from, frame.until, table.Number("factor", 1, {0, 100}), 0, 0};
+    burst.rise_ms = table.Number("rise_s", 0, kS) * kSecond;
+    burst.fall_ms = table.Number("fall_s", 0, kS) * kSecond;
+    figures_.clients.bursts.push_back(burst);
+    frame.detail = Said("factor", burst.factor);
+  }
+
+  // ---- From servers to processes ----
+
+  struct Slot {
+    int process = -1;  // the last one
+    bool up = false;
+    bool draining = false;
+    int machines = 0;  // that have followed one another
+  };
+
+  void AssignProcesses() {
+    std::vector<Slot> slots(static_cast<std::size_t>(servers_) + likes_.size());
+    for (int i = 0; i < servers_; ++i) slots[static_cast<std::size_t>(i)] = {i, true, false, 0};
+    int places = servers_;
+    for (const ServerStep& step : steps_) {
+      model::Step out{step.at_ms, step.what, step.server, step.amount};
+      if (step.what == What::kTroubleBegins) {
+        std::vector<int>& machines = figures_.troubles[static_cast<std::size_t>(step.server)].machines;
+        for (int& machine : machines) machine = slots[static_cast<std::size_t>(machine)].process;
+      } else if (step.what <= What::kIdleKeep) {
+        Slot& slot = slots[static_cast<std::size_t>(step.server)];
+        if (step.what == What::kStart) {
+          if (slot.up) continue;
+          Start(step, slot, places);
+        } else {
+          // Two troubles may want the same server: what has ended cannot end again.
+          if (!slot.up || (step.what == What::kDrain && slot.draining)) continue;
+          slot.draining |= step.what == What::kDrain;
+          slot.up = step.what != What::kStop && step.what != What::kKill && step.what != What::kVanish;
+        }
+        out.target = slot.process;
+      }
+      figures_.steps.push_back(out);
+    }
+  }
+
+  void Start(const ServerStep& step, Slot& slot, int& places) {
+    const bool added = slot.process < 0;
+    const int like = added ? likes_[static_cast<std::size_t>(step.server - servers_)] : slot.process;
+    model::MachineFigures machine = figures_.machines[static_cast<std::size_t>(like)];
+    machine.from_start = false;
+    if (step.new_machine) machine.id = MachineId(figures_.seed, step.server, ++slot.machines);
+    if (step.new_place) machine.place = places++;
+    slot.process = static_cast<int>(figures_.machines.size());
+    slot.up = true;
+    slot.draining = false;
+    figures_.machines.push_back(machine);
+    server_of_.push_back(step.server);
+  }
+
+  const Sure sure_;
+  Figures& figures_;
+  const int servers_;
+  std::vector<int> likes_;      // of added servers: which of the first ones each is like
+  std::vector<int> server_of_;  // by process
+  std::vector<ServerStep> steps_;
+};
+
+}  // namespace
+
+void ReadTroubles(Reader& whole, const Sure& sure, Figures& figures) {
+  Troubles troubles(sure, figures);
+  troubles.Read(whole);
+  troubles.Finish();
+  double longest = 0;
+  for (const model::ClassFigures& klass : figures.classes) longest = std::max(longest, klass.deadline_ms);
+  figures.rules.kill_after_ms = std::max(kLeastKillAfterMs, longest) + kKillMarginMs;
+}
+
+}  // namespace bitternmux::lab::scenario
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -4,6 +4,7 @@
 #define BITTERNMUX_SRC_CORE_FACADE_H_
 
 #include <cstdint>
+#include <limits>
 #include <queue>
 #include <string>
 #include <utility>
@@ -49,6 +50,10 @@
   // Lets the module's timers ring that are due, and hands over all that it has asked for since the last call.
   // Due after every other call, in the same turn: an order to another job must not wait for the wheel.
   Errands Tick(double now_ms);
+  // When Tick is due for the module's timers; infinity where none is set.
+  double NextTimerMs() const {
+    return timers_.empty() ? std::numeric_limits<double>::infinity() : timers_.top().first;
+  }
 
   void SubmitterLeft(double now_ms, JobId job) { balancer_.OnClientGone(now_ms, job); }
   void NodeProbed(double now_ms, const std::string& node, bool answered, double took_ms,
