--- /dev/null
+++ b/lab/apps/commands.h
@@ -0,0 +1,19 @@
+// The commands of bitternmux-lab, one file each. A command adds itself to the program's arguments; what it
+// has run to leaves its exit code in `code`, which outlives the arguments.
+#ifndef BITTERNMUX_LAB_APPS_COMMANDS_H_
+#define BITTERNMUX_LAB_APPS_COMMANDS_H_
+
+namespace CLI {
+class App;
+}
+
+namespace bitternmux::lab {
+
+// Bad arguments, or what a command was to read cannot be read.
+constexpr int kExitUnusable = 2;
+
+void AddCheck(CLI::App& app, int& code);
+
+}  // namespace bitternmux::lab
+
+#endif  // BITTERNMUX_LAB_APPS_COMMANDS_H_
--- a/lab/record/reader.cpp
+++ b/lab/record/reader.cpp
@@ -45,7 +45,7 @@
 Reader::Reader(Source& source) : source_(source), buffer_(kReadAhead) {
   if (!Have(1)) Fail("empty");
   const Entry& entry = Parse();
-  if (!entry.has_header()) Fail("no record: the first entry is not a header");
+  if (!entry.has_header()) Fail("the first entry is not a header");
   if (entry.header().format() != kFormat) {
     Fail("format " + std::to_string(entry.header().format()) + ", and this version reads " +
          std::to_string(kFormat));
@@ -54,6 +54,10 @@
   header_ = entry.header();
 }
 
+void Reader::Fail(const std::string& reason) const {
+  throw ReadError(offset_, (next_seq_ == 0 ? "no record: " : "") + reason);
+}
+
 // Are there so many bytes to be read? Reads on as they come, so that a length that lies costs no memory.
 bool Reader::Have(std::size_t count) {
   while (end_ - begin_ < count) {
--- a/lab/record/reader.h
+++ b/lab/record/reader.h
@@ -83,7 +83,7 @@
  private:
   Entry& Parse();
   bool Have(std::size_t count);
-  [[noreturn]] void Fail(const std::string& reason) const { throw ReadError(offset_, reason); }
+  [[noreturn]] void Fail(const std::string& reason) const;
 
   Source& source_;
   Digest digest_;
