Play a scenario in virtual time with the program's own core: bitternmux-lab run and check-scenario

Any number of sidecars (job table, facade, module, machine list, wheel) run in one process against the model on one queue of events. The wheel turns on the program's 2 ms grid, but only where something is due. The pool and the watch follow those on sockets. A run writes its record and a summary.

--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -13,6 +13,8 @@
 constexpr int kExitUnusable = 2;
 
 void AddCheck(CLI::App& app, int& code);
+void AddCheckScenario(CLI::App& app, int& code);
+void AddRun(CLI::App& app, int& code);
 
 }  // namespace bitternmux::lab
 
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -12,6 +12,8 @@
   app.require_subcommand(1);
   int code = 0;
   AddCheck(app, code);
+  AddCheckScenario(app, code);
+  AddRun(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/lab/model/execute_node.cpp
+++ b/lab/model/execute_node.cpp
@@ -38,9 +38,9 @@
   probe_tokens_at_ = now_;
 }
 
-double ExecuteNode::Warmth() const {
+double ExecuteNode::Warmth(double now) const {
   if (started_ < 0) return 1;
-  const double age = now_ - started_;
+  const double age = now - started_;
   const double evenly = age / figures_.warm_within_ms;
   // By work: a process that is busy all the time from its start is warm after `warm_ms`.
   const double by_work = worked_ / (figures_.warm_ms * FullCapacity() * (1 + figures_.cold_from) / 2);
--- a/lab/model/execute_node.h
+++ b/lab/model/execute_node.h
@@ -139,7 +139,8 @@
   int held() const { return static_cast<int>(work_.size() + waiting_.size() + frozen_.size()); }
   int waiting() const { return static_cast<int>(waiting_.size()); }
   int open() const { return static_cast<int>(connections_.size()); }
-  double Warmth() const;    // share of its capacity that it has by now
+  // Share of its capacity that it has, warm work as of the last call and age as of `now`.
+  double Warmth(double now) const;
   double Capacity() const;  // in standard cores, all told
   bool crowded() const { return crowded_until_ < kNever; }
   bool draining() const { return draining_; }
@@ -163,6 +164,7 @@
     Report report;
   };
 
+  double Warmth() const { return Warmth(now_); }
   double FullCapacity() const { return figures_.cores * figures_.speed; }
   double Efficiency() const;
   double TaskRate() const;      // work done on each task in a millisecond
--- a/lab/model/network.cpp
+++ b/lab/model/network.cpp
@@ -63,6 +63,15 @@
 
 double Network::Local(std::uint64_t key) const { return Delay(figures_.network.client_ms, key); }
 
+double Network::CutUntil(double now, int sidecar, int machine) const {
+  double until = now;
+  for (const LinkTrouble& trouble : figures_.network.troubles) {
+    const bool on = until >= trouble.from_ms && until < trouble.until_ms;
+    if (on && trouble.fault == LinkFault::kCut && Hits(trouble, sidecar, machine)) until = trouble.until_ms;
+  }
+  return until;
+}
+
 double Network::DialUp(double now, int sidecar, int machine, std::uint64_t key) const {
   for (const LinkTrouble& trouble : figures_.network.troubles) {
     if (now < trouble.from_ms || now >= trouble.until_ms || !Hits(trouble, sidecar, machine)) continue;
--- a/lab/model/network.h
+++ b/lab/model/network.h
@@ -29,6 +29,8 @@
   // them.
   double Local(std::uint64_t key) const;
 
+  // Until when the way is cut, both ways; `now` if it is not.
+  double CutUntil(double now, int sidecar, int machine) const;
   // When a dial begun at `now` has its connection, the handshake's round trips included but not the node's
   // work for it; kNever if it never comes up.
   double DialUp(double now, int sidecar, int machine, std::uint64_t key) const;
