--- a/lab/scenario/reader.cpp
+++ b/lab/scenario/reader.cpp
@@ -53,6 +53,13 @@
   faults_->Add(at == nullptr ? table_ : at, Path(key), what);
 }
 
+bool Reader::InOneFile(std::string_view key, std::string_view other) const {
+  if (!Has(key) || !Has(other)) return false;
+  const auto& a = table_->get(key)->source().path;
+  const auto& b = table_->get(other)->source().path;
+  return a && b ? *a == *b : a == b;
+}
+
 bool Reader::Range(const toml::node& node, std::string_view key, Bounds bounds, bool whole, double& low,
                    double& high) {
   const auto number = [&](const toml::node& value, double& into) {
--- a/lab/scenario/reader.h
+++ b/lab/scenario/reader.h
@@ -38,6 +38,8 @@
   Reader(const toml::table* table, std::string path, const model::Seeds& seeds, Faults& faults);
 
   bool Has(std::string_view key) const { return table_ != nullptr && table_->contains(key); }
+  // Are both there, and from the same file?
+  bool InOneFile(std::string_view key, std::string_view other) const;
   // An exact number or a range [low, high] to draw from; `absent` if it is not there.
   double Number(std::string_view key, double absent, Bounds bounds);
   int Whole(std::string_view key, int absent, Bounds bounds);
