--- a/lab/rules/sidecars.cpp
+++ b/lab/rules/sidecars.cpp
@@ -129,8 +129,8 @@
   for (std::uint32_t i = 0; i < lives_.size(); ++i) JudgeGrowth(at_us, i);
 }
 
-bool Sidecars::CutOff(std::uint32_t sidecar, std::int64_t sent_us) const {
-  return lives_[sidecar].cut_us >= sent_us;
+bool Sidecars::CutOff(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const {
+  return lives_[sidecar].cut_us >= from_us && lives_[sidecar].cut_us <= to_us;
 }
 
 }  // namespace bitternmux::lab::rules
--- a/lab/rules/sidecars.h
+++ b/lab/rules/sidecars.h
@@ -32,10 +32,10 @@
   // How many lives there were: what was told in an earlier one is forgotten.
   std::uint32_t LifeOf(std::uint32_t sidecar) const { return lives_[sidecar].number; }
 
-  // Was a try that was sent at that time cut off by an outright kill? Such a try is its client's to send
+  // Was what it had to do between these times cut off by an outright kill? That is the clients' to send
   // again. A planned restart leaves a sidecar the time to answer all, and excuses nothing: a kill that came
   // the longest deadline (3 s at least) and 0.7 s after the SIGTERM, or later.
-  bool CutOff(std::uint32_t sidecar, std::int64_t sent_us) const;
+  bool CutOff(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const;
 
  private:
   struct Life {
--- a/lab/rules/tries.cpp
+++ b/lab/rules/tries.cpp
@@ -125,7 +125,10 @@
       JudgeHeldBack(at_us, attempt);
       break;
     case TryEnded::LOST:
-      JudgeLost(at_us, attempt, "no whole answer");
+      if (!sidecars_.CutOff(attempt.sidecar, attempt.sent_us,
+                            attempt.give_up_us + rules_.answer_slack_us())) {
+        JudgeLost(at_us, attempt, "no whole answer");
+      }
       break;
     case TryEnded::LEFT:
       if (at_us >= attempt.give_up_us) JudgeLost(at_us, attempt, "no answer within its time");
@@ -144,7 +147,6 @@
 }
 
 void Tries::JudgeLost(std::int64_t at_us, const Try& attempt, const std::string& why) const {
-  if (sidecars_.CutOff(attempt.sidecar, attempt.sent_us)) return;
   const Claim* last = attempt.claims.empty() ? nullptr : &attempt.claims.back();
   report_({Rule::kAnswerLost, at_us, attempt.id, last != nullptr ? machines_.IdOf(last->machine) : "",
            sidecars_.NameOf(attempt.sidecar) + ": " + why + " " + Seconds(at_us - attempt.sent_us) +
