Send an open-loop load and count time from when each request was due: bitternmux-lab load

Need: a load that waits for answers before it sends on hides the stalls that it is to find (coordinated omission).

--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -13,6 +13,7 @@
 constexpr int kExitUnusable = 2;
 
 void AddCheck(CLI::App& app, int& code);
+void AddLoad(CLI::App& app, int& code);
 
 }  // namespace bitternmux::lab
 
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -12,6 +12,7 @@
   app.require_subcommand(1);
   int code = 0;
   AddCheck(app, code);
+  AddLoad(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
