--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -15,6 +15,7 @@
 void AddCheck(CLI::App& app, int& code);
 void AddCheckScenario(CLI::App& app, int& code);
 void AddRun(CLI::App& app, int& code);
+void AddLoad(CLI::App& app, int& code);
 
 }  // namespace bitternmux::lab
 
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -14,6 +14,7 @@
   AddCheck(app, code);
   AddCheckScenario(app, code);
   AddRun(app, code);
+  AddLoad(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
