--- a/lab/model/execute_node.cpp
+++ b/lab/model/execute_node.cpp
@@ -40,12 +40,14 @@
 
 double ExecuteNode::Warmth(double now) const {
   if (started_ < 0) return 1;
-  const double age = now - started_;
-  const double evenly = age / figures_.warm_within_ms;
-  // By work: a process that is busy all the time from its start is warm after `warm_ms`.
-  const double by_work = worked_ / (figures_.warm_ms * FullCapacity() * (1 + figures_.cold_from) / 2);
-  const double own = figures_.warm_by == WarmBy::kTime ? age / figures_.warm_ms : by_work;
-  return std::min(1.0, figures_.cold_from + (1 - figures_.cold_from) * std::max(evenly, own));
+  const double cold = figures_.cold_from, age = now - started_;
+  const double evenly = cold + (1 - cold) * age / figures_.warm_within_ms;
+  // By work: such that a process that is busy all the time from its start rises evenly, and is warm after
+  // `warm_ms`.
+  const double by_work =
+      std::sqrt(cold * cold + 2 * (1 - cold) * worked_ / (figures_.warm_ms * FullCapacity()));
+  const double by_time = cold + (1 - cold) * age / figures_.warm_ms;
+  return std::min(1.0, std::max(evenly, figures_.warm_by == WarmBy::kTime ? by_time : by_work));
 }
 
 double ExecuteNode::Capacity() const { return FullCapacity() * Warmth() * Efficiency(); }
--- a/lab/scenario/sections.cpp
+++ b/lab/scenario/sections.cpp
@@ -115,7 +115,6 @@
   out.node = common;
   model::NodeFigures& node = out.node;
   out.name = kind.Text("name", "");
-  if (out.name.empty()) kind.Fault("name", "must be there");
   out.share = kind.Number("share", 1, {0, 1e6});
   out.speed_spread = kind.Number("speed_spread", 0, {0, 2});
   node.cores = kind.Whole("cores", 1, {1, 1024});
@@ -151,7 +150,10 @@
   figures.rules.weights_known = sizes_told;
   servers.Finish();
   std::vector<Kind> kinds;
-  for (Reader& table : whole.Tables("kind")) kinds.push_back(ReadKind(table, common, figures.rules));
+  for (Reader& table : whole.Tables("kind")) {
+    kinds.push_back(ReadKind(table, common, figures.rules));
+    if (kinds.back().name.empty()) table.Fault("name", "must be there");
+  }
   if (kinds.empty()) {
     Reader absent(nullptr, "kind", whole.seeds(), whole.faults());
     Kind kind = ReadKind(absent, common, figures.rules);
