--- a/lab/load/tally.cpp
+++ b/lab/load/tally.cpp
@@ -32,12 +32,6 @@
   max_ms_ = std::max(max_ms_, ms);
 }
 
-void Latencies::Add(const Latencies& others) {
-  bins_->counts += others.bins_->counts;
-  count_ += others.count_;
-  max_ms_ = std::max(max_ms_, others.max_ms_);
-}
-
 double Latencies::Percentile(double share) const {
   if (count_ == 0) return 0;
   const double rank = std::max(1.0, std::ceil(share * static_cast<double>(count_)));
--- a/lab/load/tally.h
+++ b/lab/load/tally.h
@@ -37,7 +37,6 @@
   Latencies& operator=(Latencies&&) noexcept;
 
   void Add(double ms);
-  void Add(const Latencies& others);
   std::uint64_t count() const { return count_; }
   double max_ms() const { return max_ms_; }
   // The time within which that share of them ended, from 0 to 1; the upper edge of its bin, and never above
--- a/lab/record/reader.h
+++ b/lab/record/reader.h
@@ -7,6 +7,8 @@
 #ifndef BITTERNMUX_LAB_RECORD_READER_H_
 #define BITTERNMUX_LAB_RECORD_READER_H_
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -85,6 +87,7 @@
   bool Have(std::size_t count);
   [[noreturn]] void Fail(const std::string& reason) const;
 
+  const google::protobuf::LogSilencer quiet_;  // what cannot be read is told by ReadError alone
   Source& source_;
   Digest digest_;
   EntryArena arena_;
--- a/lab/rules/checker.cpp
+++ b/lab/rules/checker.cpp
@@ -2,12 +2,44 @@
 
 #include <algorithm>
 #include <numeric>
+#include <string>
 #include <tuple>
 #include <utility>
 
 namespace bitternmux::lab::rules {
 namespace {
 
+// Guards the arithmetic: no run is longer, and no figure of a rule larger.
+constexpr std::int64_t kMostUs = 1'000'000'000'000'000;
+constexpr std::int64_t kMostFigureUs = 1'000'000'000'000;
+constexpr double kMostMultiple = 1e6;
+
+void CheckFigure(const char* name, std::int64_t us) {
+  if (us < 0 || us > kMostFigureUs) throw Untrusted(std::string("the header's ") + name + " is out of range");
+}
+
+const record::Header& Checked(const record::Header& header) {
+  const record::Rules& rules = header.rules();
+  CheckFigure("drain_grace_us", rules.drain_grace_us());
+  CheckFigure("answer_slack_us", rules.answer_slack_us());
+  CheckFigure("fall_us", rules.fall_us());
+  CheckFigure("warm_within_us", rules.warm_within_us());
+  CheckFigure("told_within_us", rules.told_within_us());
+  CheckFigure("order_slack_us", rules.order_slack_us());
+  CheckFigure("length_us", header.length_us());
+  for (const auto& klass : header.classes()) {
+    CheckFigure("deadline_us", klass.deadline_us());
+    if (!record::Class::Repeat_IsValid(klass.repeat())) throw Untrusted("a class of an unknown kind");
+  }
+  if (!(rules.fall_multiple() >= 0 && rules.fall_multiple() <= kMostMultiple)) {
+    throw Untrusted("the header's fall_multiple is out of range");
+  }
+  if (!(rules.cold_from() >= 0 && rules.cold_from() <= 1)) {
+    throw Untrusted("the header's cold_from is out of range");
+  }
+  return header;
+}
+
 std::uint64_t Sum(const std::array<std::uint64_t, kRules>& counts) {
   return std::accumulate(counts.begin(), counts.end(), std::uint64_t{0});
 }
@@ -19,12 +51,13 @@
         ++counts_[static_cast<std::size_t>(breach.rule)];
         if (breaches_.size() < kMostBreaches) breaches_.push_back(std::move(breach));
       }),
-      sidecars_(header, report_),
+      sidecars_(Checked(header), report_),
       machines_(header, sidecars_, report_),
       tries_(header, sidecars_, machines_, report_) {}
 
 void Checker::Take(const record::Entry& entry) {
   using record::Entry;
+  if (entry.at_us() < now_us_ || entry.at_us() > kMostUs) throw Untrusted("a time that cannot be");
   now_us_ = entry.at_us();
   tries_.Advance(now_us_);
   switch (entry.what_case()) {
@@ -100,23 +133,23 @@
   Verdict verdict;
   try {
     record::Reader reader(source);
-    Checker checker(reader.header());
     try {
+      Checker checker(reader.header());
       while (const record::Entry* entry = reader.Next()) {
         checker.Take(*entry);
         verdict.end_us = entry->at_us();
       }
       checker.Finish();
+      if (reader.trailer().void_()) {
+        verdict.unreadable = "the run is void: " + reader.trailer().reason();
+        return verdict;
+      }
+      verdict.entries = reader.trailer().entries();
+      verdict.breaches = checker.Breaches();
+      verdict.counts = checker.counts();
     } catch (const Untrusted& fault) {
       throw record::ReadError(reader.offset(), fault.what());
     }
-    if (reader.trailer().void_()) {
-      verdict.unreadable = "the run is void: " + reader.trailer().reason();
-      return verdict;
-    }
-    verdict.entries = reader.trailer().entries();
-    verdict.breaches = checker.Breaches();
-    verdict.counts = checker.counts();
   } catch (const record::ReadError& error) {
     verdict.unreadable = error.what();
   }
--- a/lab/rules/checker.h
+++ b/lab/rules/checker.h
@@ -27,6 +27,7 @@
   // So many breaches are kept; further ones are only counted.
   static constexpr std::size_t kMostBreaches = 10'000;
 
+  // Throws Untrusted for a header whose figures cannot be.
   explicit Checker(const record::Header& header);
   Checker(const Checker&) = delete;
   Checker& operator=(const Checker&) = delete;
--- a/lab/rules/machines.cpp
+++ b/lab/rules/machines.cpp
@@ -10,6 +10,7 @@
 
 using State = record::MachineChanged;
 
+constexpr double kMostCapacity = 1e6;  // guards the arithmetic
 constexpr std::size_t kMostNamed = 6;  // sidecars in one line
 
 std::uint64_t PairOf(std::uint32_t sidecar, std::uint32_t machine) {
@@ -51,8 +52,14 @@
     if (entry.state() != State::UP) {
       throw Untrusted("machine " + std::to_string(entry.machine()) + " is unknown, and was never up");
     }
+    if (!(entry.capacity() >= 0 && entry.capacity() <= kMostCapacity)) {
+      throw Untrusted("machine " + std::to_string(entry.machine()) + " has a capacity that cannot be");
+    }
     machine.id = entry.id();
-    machine.started_us = entry.started_us();
+    machine.started_us = std::max<std::int64_t>(0, entry.started_us());
+    if (machine.started_us > at_us) {
+      throw Untrusted("machine " + std::to_string(entry.machine()) + " is up before it started");
+    }
     machine.capacity = entry.capacity();
   } else if (machine.state == State::GONE || machine.state == State::FELL) {
     throw Untrusted("machine " + std::to_string(entry.machine()) + " changes after its end");
--- a/lab/rules/tries.cpp
+++ b/lab/rules/tries.cpp
@@ -13,6 +13,10 @@
 constexpr std::int64_t kLateParts = 2;
 constexpr std::int64_t kPromptParts = 10;
 
+// Guards the arithmetic.
+constexpr std::int64_t kMostFigureUs = 1'000'000'000'000;
+constexpr std::int64_t kMostWorkUs = 100'000'000'000;
+
 constexpr std::int64_t kMayYetRunUs = 60'000'000;
 constexpr std::int64_t kLeastHoldUs = 5'000'000;
 
@@ -62,7 +66,10 @@
   if (id == 0) throw Untrusted("a try without an id");
   if (entry.class_() >= classes_.size()) throw Untrusted("class " + Named(entry.class_()) + " is unknown");
   if (entry.give_up_us() <= at_us) throw Untrusted("try " + Named(id) + " has no time");
-  if (entry.work_us() < 0) throw Untrusted("try " + Named(id) + " asks for less than no work");
+  if (entry.give_up_us() - at_us > kMostFigureUs) throw Untrusted("try " + Named(id) + " waits for ever");
+  if (entry.work_us() < 0 || entry.work_us() > kMostWorkUs) {
+    throw Untrusted("try " + Named(id) + " asks for work that cannot be");
+  }
   if (tries_.count(id) > 0) throw Untrusted("try " + Named(id) + " was sent twice");
   const bool retry = first != id;
   if (retry && wishes_.count(first) == 0) throw Untrusted("try " + Named(first) + " is unknown");
--- a/tests/lab/rules/rules_test.cpp
+++ b/tests/lab/rules/rules_test.cpp
@@ -45,6 +45,13 @@
   CHECK(Broken(killed(0, 5000)) == kNone);
   CHECK(Broken(killed(1000, 5000)) == kNone);  // sooner than the longest deadline and 0.7 s
   CHECK(Broken(killed(1000, 5700)) == Rules{"answer-lost"});
+  // Told only when the next life has begun, and of a try whose time was over before the kill.
+  Story late;
+  late.At(10).Sent(1).At(900).Process(0, Sidecar::KILLED).Process(0, Sidecar::STARTED);
+  CHECK(Broken(late.At(1000).Ends(1, TryEnded::LOST)) == kNone);
+  Story over;
+  over.At(10).Sent(1).At(1061).Process(0, Sidecar::KILLED).Ends(1, TryEnded::LOST);
+  CHECK(Broken(over) == Rules{"answer-lost"});
   // Sent to the next life.
   Story again = killed(0, 5000);
   again.Process(0, Sidecar::STARTED).At(5001).Sent(2).Ends(2, TryEnded::LOST);
--- a/tests/lab/rules/trust_test.cpp
+++ b/tests/lab/rules/trust_test.cpp
@@ -143,6 +143,16 @@
   CHECK(Fault(Story().Process(0, Sidecar::STARTED)) == "n0 started while it runs");
   CHECK(Fault(Story().Process(0, Sidecar::KILLED).Process(0, Sidecar::HUP)) ==
         "n0: HUP while it does not run");
+  // Guards the arithmetic against figures that cannot be.
+  CHECK(Fault(tried().Sent(2, kSafe, 0, 1, 0, 1e12)) == "try 2 waits for ever");
+  CHECK(Fault(tried().Sent(2, kSafe, 0, 1e12)) == "try 2 asks for work that cannot be");
+  CHECK(Fault(Story().At(1e15).Process(0, Sidecar::HUP)) == "a time that cannot be");
+  Story early;
+  early.Machine(2, MachineChanged::UP, true).entries.back().mutable_machine_changed()->set_started_us(1);
+  CHECK(Fault(early) == "machine 2 is up before it started");
+  Story header;
+  header.header.mutable_rules()->set_fall_multiple(-1);
+  CHECK(Fault(header) == "the header's fall_multiple is out of range");
   Story trouble;
   trouble.Add().mutable_trouble()->set_name("slow");
   CHECK(Fault(trouble) == "trouble 'slow' ends and never began");
