--- a/lab/rules/tries.cpp
+++ b/lab/rules/tries.cpp
@@ -197,6 +197,7 @@
                                [](const Claim& claim) { return !claim.ended(); });
   if (out || attempt.untold || at_us - attempt.sent_us <= time / kLateParts) return;
   if (at_us - attempt.idle_us <= prompt) return;
+  if (at_us > attempt.give_up_us + rules_.answer_slack_us()) return;  // late, which is said already
   report_({Rule::kHeldBack, at_us, attempt.id,
            attempt.claims.empty() ? "" : machines_.IdOf(attempt.claims.back().machine),
            sidecars_.NameOf(attempt.sidecar) + " answered " + Seconds(at_us - attempt.sent_us) + " s of " +
--- a/tests/support/lab_story.h
+++ b/tests/support/lab_story.h
@@ -193,6 +193,19 @@
   std::uint32_t sidecar_of_ = 0;
 };
 
+// A record entry by entry, each with its length in front.
+inline std::vector<std::string> Split(const std::string& bytes) {
+  std::vector<std::string> out;
+  for (std::size_t at = 0; at < bytes.size(); at += out.back().size()) {
+    std::size_t size = 0, prefix = 0;
+    do {
+      size |= (static_cast<unsigned char>(bytes[at + prefix]) & 0x7fu) << (7 * prefix);
+    } while ((static_cast<unsigned char>(bytes[at + prefix++]) & 0x80) != 0);
+    out.push_back(bytes.substr(at, prefix + size));
+  }
+  return out;
+}
+
 inline rules::Verdict Judge(const std::string& bytes) {
   record::MemorySource source(bytes);
   return rules::Check(source);
