--- a/tests/lab/rules/trust_test.cpp
+++ b/tests/lab/rules/trust_test.cpp
@@ -1,4 +1,5 @@
 // What the checker does not take for a record, and that nothing can be taken out of one unnoticed.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 #include <set>
@@ -148,6 +149,23 @@
   CHECK(Fault(tried().Ends(1, TryEnded::REFUSED).At(20'000).Sent(2, kSafe, 1)) == "try 1 is unknown");
 }
 
+TEST_CASE("what is settled is forgotten, so that memory does not grow with the record") {
+  Story story;
+  for (std::uint64_t id = 1; id <= 3000; ++id) {
+    story.Wait(100).Sent(id, kNever).Claim(id, id, id % 2 == 0 ? ClaimEnded::SERVED : ClaimEnded::CANCELLED);
+    story.Ends(id, TryEnded::FAILED);
+  }
+  bitternmux::lab::rules::Checker checker(story.header);
+  std::size_t most = 0;
+  for (const Entry& entry : story.entries) {
+    checker.Take(entry);
+    most = std::max(most, checker.held());
+  }
+  // 5 a second for 10 s, and 5 a second that may yet run for a minute more.
+  CHECK(most > 400);
+  CHECK(most <= 402);
+}
+
 TEST_CASE("any entry that is taken out of a good record is missed") {
   std::set<int> kinds;
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
