--- a/tests/lab/apps/check_test.cpp
+++ b/tests/lab/apps/check_test.cpp
@@ -36,19 +36,16 @@
   Story good;
   good.At(10).Sent(1).Claim(1, 1, ClaimEnded::SERVED).Ends(1, TryEnded::SERVED, 1);
   Story bad = good;
-  bad.At(20)
-      .Sent(2)
-      .Claim(2, 2, ClaimEnded::ERROR)
-      .Ends(2, TryEnded::SERVED, 2)
-      .Sent(3)
-      .Ends(3, TryEnded::LOST);
+  bad.At(20).Sent(2).Claim(2, 2, ClaimEnded::ERROR).Ends(2, TryEnded::SERVED, 2);
+  bad.Sent(3).Ends(3, TryEnded::LOST).Process(0, bitternmux::lab::record::Sidecar::CRASHED);
   CHECK(Check("-", good.Bytes()) == std::pair(0, std::string()));
   CHECK(Check("-", bad.Bytes()) ==
         std::pair(
             1, std::string("answer-lost\t0.020000\t3\t-\tn0: no whole answer 0.000000 s after it was sent, "
                            "with 1.000000 s to wait; no claim was begun\n"
                            "answer-unmade\t0.020000\t2\ts-0\tn0 served it with claim 2 at s-0 (ERROR), "
-                           "which gave no answer\n")));
+                           "which gave no answer\n"
+                           "crash\t0.020000\t-\t-\tn0 was ended by signal 0\n")));
   CHECK(Check("-", "noise") == std::pair(2, std::string()));
   CHECK(Check("/no/such/record", "").first == 2);
   CHECK(Check("--nonsense -", good.Bytes()).first == 2);
@@ -60,6 +57,7 @@
   CHECK(json["counts"]["answer-lost"] == 1);
   CHECK(json["breaches"][1]["rule"] == "answer-unmade");
   CHECK(json["breaches"][1]["server"] == "s-0");
+  CHECK_FALSE(json["breaches"][2].contains("job"));
   CHECK(nlohmann::json::parse(Check("--json -", good.Bytes(-1, "late")).second)["unreadable"] ==
         "the run is void: late");
 }
--- a/tests/lab/rules/trust_test.cpp
+++ b/tests/lab/rules/trust_test.cpp
@@ -103,6 +103,7 @@
 
 TEST_CASE("entries that contradict each other, or name what is unknown, are not trusted") {
   const auto tried = [] { return Story().At(1).Sent(1); };
+  CHECK(Fault(tried().Sent(0)) == "a try without an id");
   CHECK(Fault(tried().Sent(1)) == "try 1 was sent twice");
   CHECK(Fault(tried().Sent(2, kSafe, 3)) == "try 3 is unknown");
   CHECK(Fault(tried().Sent(2, kNever, 1)) == "try 2 is of another class than its first");
@@ -112,6 +113,14 @@
   CHECK(Fault(tried().Ends(2, TryEnded::FAILED)) == "try 2 is unknown");
   CHECK(Fault(tried().Begun(1, 2)) == "try 2 is unknown");
   CHECK(Fault(tried().Begun(1, 1, 7)) == "machine 7 is unknown");
+  CHECK(Fault(tried().Begun(0, 1)) == "a claim without an id");
+  CHECK(Fault(tried().Sent(2, kSafe, 0, 1, 1).Begun(1, 1)) ==
+        "claim 1 is of a sidecar that its try was not sent to");
+  CHECK(Fault(tried().Begun(1, 1).Over(1, ClaimEnded::NEVER).Over(1, ClaimEnded::NEVER)) ==
+        "claim 1 ended twice");
+  CHECK(Fault(tried().Begun(1, 1).Over(1, ClaimEnded::NEVER).Whole(1)) == "claim 1 was whole after its end");
+  CHECK(Fault(tried().Begun(1, 1).Over(1, static_cast<ClaimEnded::How>(99))) ==
+        "a claim's end of an unknown kind");
   CHECK(Fault(tried().Begun(1, 1).Begun(1, 1)) == "claim 1 was begun twice");
   CHECK(Fault(tried().Whole(1)) == "claim 1 is unknown");
   CHECK(Fault(tried().Begun(1, 1).Whole(1).Whole(1)) == "claim 1 was whole twice");
@@ -128,6 +137,10 @@
   CHECK(Fault(Story().Machine(5, MachineChanged::DRAINING)) == "machine 5 is unknown, and was never up");
   CHECK(Fault(Story().Machine(0, MachineChanged::GONE).Machine(0, MachineChanged::UP)) ==
         "machine 0 changes after its end");
+  CHECK(Fault(Story().Machine(0, static_cast<MachineChanged::State>(9))) ==
+        "a machine's state of an unknown kind");
+  CHECK(Fault(Story().Process(0, static_cast<Sidecar::What>(99))) == "a sidecar's change of an unknown kind");
+  CHECK(Fault(Story().Process(0, Sidecar::KILLED).Sample(0, 1)) == "a sample of n0, which does not run");
   CHECK(Fault(Story().Connection(0, false)) == "machine 0: more connections close than opened");
   CHECK(Fault(Story().Process(0, Sidecar::STARTED)) == "n0 started while it runs");
   CHECK(Fault(Story().Process(0, Sidecar::KILLED).Process(0, Sidecar::HUP)) ==
@@ -139,9 +152,22 @@
   Story early;
   early.Machine(2, MachineChanged::UP, true).entries.back().mutable_machine_changed()->set_started_us(1);
   CHECK(Fault(early) == "machine 2 is up before it started");
+  Story big;
+  big.Machine(2, MachineChanged::UP).entries.back().mutable_machine_changed()->set_capacity(1e300);
+  CHECK(Fault(big) == "machine 2 has a capacity that cannot be");
+  Story warm;
+  warm.Add().mutable_warmed()->set_share(1.5);
+  CHECK(Fault(warm) == "a share of warmth that is none");
   Story header;
+  header.header.mutable_rules()->set_fall_us(-1);
+  CHECK(Fault(header) == "the header's fall_us is out of range");
+  header.header.mutable_rules()->set_cold_from(2);
+  header.header.mutable_rules()->set_fall_us(1);
+  CHECK(Fault(header) == "the header's cold_from is out of range");
   header.header.mutable_rules()->set_fall_multiple(-1);
   CHECK(Fault(header) == "the header's fall_multiple is out of range");
+  header.header.mutable_classes(0)->set_repeat(static_cast<bitternmux::lab::record::Class::Repeat>(9));
+  CHECK(Fault(header) == "a class of an unknown kind");
   Story trouble;
   trouble.Add().mutable_trouble()->set_name("slow");
   CHECK(Fault(trouble) == "trouble 'slow' ends and never began");
