--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -19,6 +19,7 @@
 // Outside parties.
 inline constexpr EventKind kAcceptFailed{"accept.failed", Severity::kWarning};
 inline constexpr EventKind kDiscoveryBroken{"discovery.broken", Severity::kWarning};
+inline constexpr EventKind kNodeConnections{"nodes.connections", Severity::kDebug};
 inline constexpr EventKind kPlacesShort{"submitters.short", Severity::kWarning};
 // The decision module's own lines.
 inline constexpr EventKind kModuleNote{"module.note", Severity::kInfo};
@@ -28,8 +29,8 @@
 
 inline constexpr const EventKind* kAll[] = {
     &kServing,        &kStopping,      &kStopped,      &kFailed,          &kConfigFaulty,
-    &kConfigReloaded, &kConfigRefused, &kAcceptFailed, &kDiscoveryBroken, &kPlacesShort,
-    &kModuleNote,     &kLogLimited,    &kLogDropped,
+    &kConfigReloaded, &kConfigRefused, &kAcceptFailed, &kDiscoveryBroken, &kNodeConnections,
+    &kPlacesShort,    &kModuleNote,    &kLogLimited,   &kLogDropped,
 };
 
 }  // namespace bitternmux::events
