Count an attempt that is long overdue as lost, not as load nor as time

An attempt out for six times what was expected counts no longer as load at its host. Its time-out is a failure of its host, weighed as others are, and no time.

--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -73,7 +73,7 @@
     Attempt& tried = live.attempts[attempt];
     tried.pending = false;
     tried.may_have_run = !ProvesNeverRan(outcome);
-    reports_.CountOwn(hosts_[tried.host], -1);
+    Return(tried);
     if (report != nullptr) reports_.Take(hosts_[tried.host], *report);
     // What is no number, no time at all, or longer than anyone waits must not enter an estimate.
     Judge(live, tried, outcome, std::min(std::max(kSoonest, took), ctx_.ClassOf(live.request).deadline_ms));
@@ -115,7 +115,12 @@
     const auto found = requests_.find(id);
     if (found == requests_.end() || found->second.begun) return;
     Live& live = found->second;
-    if (token % kTimerKinds == kEndTimer) {
+    if (token % kTimerKinds == kLateTimer) {
+      Attempt& last = live.attempts.back();
+      if (!last.pending || last.late || ctx_.now < last.late_at - kSettled) return;
+      last.late = true;
+      reports_.CountLate(hosts_[last.host], 1);
+    } else if (token % kTimerKinds == kEndTimer) {
       if (ctx_.now >= attempts_.LastCall(live) - kSettled) End(id, live);
     } else if (live.gathering && ctx_.now >= live.hold_until - kSettled) {
       live.sample.empty() ? Gather(id, live) : Decide(id, live);
@@ -123,7 +128,7 @@
   }
 
  private:
-  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kTimerKinds };
+  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kLateTimer, kTimerKinds };
   static std::uint64_t Token(RequestId id, TimerKind kind) { return id * kTimerKinds + kind; }
 
   void Advance(double now) { ctx_.now = std::max(ctx_.now, now); }  // a clock that goes back: ignored
@@ -142,7 +147,6 @@
     std::erase_if(legal, [&](int i) { return !attempts_.MaySend(live, i); });
     const Ranked kept = walk_.Choose(live, legal);
     if (kept.host == kNoHost) return LookAgain(id, live);
-    // Before it costs anyone work.
     if (kept.host == kAllFull || !admission_.InTime(live, kept)) return End(id, live);
     SendTo(id, live, kept);
   }
@@ -169,11 +173,19 @@
     health_.Sent(host, estimates_.Expected(live.request.klass, host, kept.figure, live.share));
     ++host.held;
     reports_.CountOwn(host, 1);
+    live.attempts.back().late_at = ctx_.now + kCutAfter * host.expected_ms;
+    sink_.SetTimer(live.attempts.back().late_at, Token(id, kLateTimer));
     live.barred.push_back(kept.host);
     live.looks = 0;
     sink_.Send(id, host.entry.host, attempts_.AttemptEnd(live, host.expected_ms));
   }
 
+  // It is out no more.
+  void Return(const Attempt& attempt) {
+    if (attempt.late) reports_.CountLate(hosts_[attempt.host], -1);
+    reports_.CountOwn(hosts_[attempt.host], -1);
+  }
+
   // What an outcome says of the host and of how long such requests take.
   void Judge(const Live& live, const Attempt& tried, Outcome outcome, double took) {
     Host& host = hosts_[tried.host];
@@ -188,9 +200,11 @@
         estimates_.LearnTypical(klass, took);
         return estimates_.LearnTime(klass, host, tried.figure, live.share, took);
       case Outcome::kTimeout:
-        // It would have taken longer still. Counted as it stands, the fit could never expect a time-out. Of a
-        // host that said nothing all the while, it tells nothing about the time that answers take.
-        if (host.waiting_since <= tried.sent_at) return health_.Weigh(host, true, true);
+        // It would have taken longer still. Counted as it stands, the fit could never expect a time-out. But
+        // of a host that said nothing all the while, and of an answer that was lost while others came, it
+        // tells nothing about the time that answers take.
+        if (host.waiting_since <= tried.sent_at || tried.late)
+          return health_.Weigh(host, true, host.waiting_since <= tried.sent_at);
         return estimates_.LearnTime(klass, host, tried.figure, live.share, kCutFactor * took);
       case Outcome::kError:
       case Outcome::kConnectFailed:
@@ -215,7 +229,7 @@
       Host& host = hosts_[attempt.host];
       if (attempt.pending && health_.Silent(host))
         health_.Weigh(host, true);  // or its silence would be forgotten with the request
-      if (attempt.pending) reports_.CountOwn(host, -1);
+      if (attempt.pending) Return(attempt);
       --host.held;
     }
     requests_.erase(id);
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -22,6 +22,7 @@
   double load_at = 0;
   double others = 0;        // what of it was not this instance's own
   int own = 0;              // own attempts out
+  int late = 0;             // of these, the ones that are late
   double own_mean = 0;      // fading mean of these
   double own_at = 0;        // when it was brought up to date
   double linked_until = 0;  // until when an idle connection to it stays open
@@ -37,6 +38,7 @@
   double slow_log = 0;  // log of how much slower than its kind it was last seen to be
   double slow_at = 0;
 
+  int Working() const { return own - late; }
   bool InUse() const { return entry.state != HostState::kGone || held != 0 || probe_out || !waiters.empty(); }
 };
 
@@ -46,6 +48,8 @@
   double figure = 0;  // the host's figure, this attempt included, when it was sent
   bool pending = true;
   bool may_have_run = true;
+  double late_at = 0;  // from then on its host is held to be done with it, though no answer came
+  bool late = false;
 };
 
 struct Live {
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -52,7 +52,7 @@
     const double load = std::min(told, kLoadMost * hosts_.Size(host));
     CountOwn(host, 0);
     // A report that came with an answer tells of some time before it, of which the mean is all that is known.
-    host.others = std::max(0.0, load - (Probing() ? host.own : host.own_mean));
+    host.others = std::max(0.0, load - (Probing() ? host.Working() : host.own_mean));
     host.load = load;
     host.load_at = ctx_.now;
     // Each report counts for the time since the one before it; half a request beside an equal share's worth
@@ -71,15 +71,22 @@
   // leave or a burst sets in it says next to nothing; what others send grows and shrinks as this instance's
   // own does.
   bool Full(const Host& host) const {
-    return host.own > 0 && host.own + 1 > kFullest * share_ * hosts_.Size(host) * hosts_.Warmth(host);
+    return host.Working() > 0 &&
+           host.Working() + 1 > kFullest * share_ * hosts_.Size(host) * hosts_.Warmth(host);
   }
 
   void CountOwn(Host& host, int more) {
     const double kept = std::exp((host.own_at - ctx_.now) / (kOwnMemory * estimates_.UsualAnswer()));
-    host.own_mean = host.own + (host.own_mean - host.own) * kept;
+    host.own_mean = host.Working() + (host.own_mean - host.Working()) * kept;
     host.own_at = ctx_.now;
     host.own += more;
   }
+  // An attempt that is out for several times as long as expected is no load any more: its answer was lost, or
+  // its host is silent, which is for Health. Else it would fill its host until its time is out.
+  void CountLate(Host& host, int more) {
+    CountOwn(host, 0);
+    host.late += more;
+  }
 
   void Served(Host& host) { host.linked_until = ctx_.now + ctx_.set.connection_idle_ms; }
 
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -55,7 +55,7 @@
       const double warmth = hosts_.Warmth(host);
       const double others = reports_.Reported(host, live) ? host.others : unreported * warmth - (1 - warmth);
       // This instance's own requests as they are now, and this request.
-      const double figure = (others + host.own + 1) / (hosts_.Size(host) * warmth);
+      const double figure = (others + host.Working() + 1) / (hosts_.Size(host) * warmth);
       const double key = estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
       ranking.push_back({key, ctx_.random.Unit(), i, figure});
     }
--- a/tests/cartspring/fleet.h
+++ b/tests/cartspring/fleet.h
@@ -106,6 +106,7 @@
 
   FleetPlan& plan() { return plan_; }
   Spoil spoil;                            // absent: all is served
+  std::function<bool()> loses;            // an answer: the work is done, and nothing is heard of it
   std::function<double(double)> report;   // what a report says instead of the truth
   std::function<double(double)> took_of;  // what an outcome says of its time
 
@@ -231,19 +232,24 @@
     const std::uint64_t call = host.queue.front(), turn = ++host.turn;
     At(now_ + calls_.at(call).work / host.speed * (host.tipped ? plan_.slower : 1),
        [this, number, call, turn] {
-         if (hosts_[static_cast<std::size_t>(number)].turn == turn)
-           End(call, spoil ? spoil(number) : Outcome::kServed);
+         if (hosts_[static_cast<std::size_t>(number)].turn != turn) return;
+         if (loses && loses()) return Leave(call);
+         End(call, spoil ? spoil(number) : Outcome::kServed);
        });
   }
 
   void Drop(std::uint64_t call) {
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) return;
-    const int number = found->second.host;
+    if (calls_.count(call) == 0) return;
+    Leave(call);
+    calls_.erase(call);
+  }
+
+  // It is at its host no more.
+  void Leave(std::uint64_t call) {
+    const int number = calls_.at(call).host;
     Host& host = hosts_[static_cast<std::size_t>(number)];
     const bool first = !host.queue.empty() && host.queue.front() == call;
     std::erase(host.queue, call);
-    calls_.erase(found);
     Watch(host);
     if (first) {
       ++host.turn;
--- a/tests/cartspring/recovery_test.cpp
+++ b/tests/cartspring/recovery_test.cpp
@@ -69,6 +69,17 @@
   EXPECT_EQ(fleet.tipped(), 0);
 }
 
+TEST(Recovery, AnswersLostInSilenceDoNotFillTheirHosts) {
+  Fleet fleet(Plan(0.55, 9), FleetSettings());
+  fleet.PassTo(fleet.now() + 3000);
+  int answers = 0;
+  fleet.loses = [&] { return ++answers % 4 == 0; };
+  fleet.PassTo(fleet.now() + 2000);
+  const Fleet::Counts counts = fleet.PassTo(fleet.now() + 8000);
+  EXPECT_GT(counts.failed, 500);  // they may have run
+  EXPECT_LT(counts.refused, 0.02 * counts.asked);
+}
+
 TEST(Recovery, NoBeliefHoldsItselfInPlace) {
   constexpr double kInf = std::numeric_limits<double>::infinity();
   constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
