--- a/tests/lab/rules/trust_test.cpp
+++ b/tests/lab/rules/trust_test.cpp
@@ -190,6 +190,9 @@
   // 5 a second for 10 s, and 5 a second that may yet run for a minute more.
   CHECK(most > 400);
   CHECK(most <= 402);
+  Entry empty = story.entries.back();
+  empty.clear_what();
+  CHECK_THROWS_WITH(checker.Take(empty), "an entry that has no place here");
 }
 
 TEST_CASE("any entry that is taken out of a good record is missed") {
