Order sidecars' turns of one moment by sidecar, so that turns left out change nothing

Eight scenarios were played with a turn at each 2 ms tick and with turns only where something is due. Before, two of the records differed in the order of entries of one microsecond: a wheel that was not turned takes its last turn for the present, and turns were ordered by when they were queued.

--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -16,6 +16,7 @@
 constexpr double kLastAnswersMs = 600;
 constexpr double kWarmedMs = 200;  // how often the record tells how warm a cold machine is
 constexpr double kSampleMs = 1000;
+constexpr std::uint64_t kTurns = std::uint64_t{1} << 63;
 constexpr int kConnectionShift = 40;  // a connection's number: its sidecar's and, below that, its own
 
 // The first microsecond at or after that time.
@@ -109,8 +110,10 @@
 }
 
 void Day::Queue(double at_ms, What what, int sidecar, std::uint64_t id, std::uint32_t payload) {
-  queue_.push_back(
-      {std::max(now_us_, ToUs(at_ms)), ++queued_, what, sidecar, Row(sidecar).life, id, payload});
+  // Turns come behind what else is due then, by sidecar: else it would show whether turns before were left
+  // out.
+  const std::uint64_t order = what == What::kWake ? kTurns + static_cast<std::uint64_t>(sidecar) : ++queued_;
+  queue_.push_back({std::max(now_us_, ToUs(at_ms)), order, what, sidecar, Row(sidecar).life, id, payload});
   std::push_heap(queue_.begin(), queue_.end(), std::greater<>());
 }
 
--- a/lab/virtual/sidecar.cpp
+++ b/lab/virtual/sidecar.cpp
@@ -48,19 +48,24 @@
   jobs_.Attach(pool_, [this] { watch_.Start(); });
 }
 
+// What is due already is due at the next tick. The wheel takes the last turn for the present, and turns that
+// were left out would let it come before what is due then, too.
 TimerWheel::Id SidecarProcess::AddTimer(double at_ms, std::function<void()> callback) {
+  at_ms = std::max(at_ms, NextTickMs());
   due_.push(at_ms);
   return wheel_.Add(at_ms, std::move(callback));
 }
 
+double SidecarProcess::NextTickMs() const {
+  return start_ms_ + (std::floor((outside_.NowMs() - start_ms_) / kTickMs) + 1) * kTickMs;
+}
+
 void SidecarProcess::Plan() {
-  const double now = outside_.NowMs();
   double next = facade_.NextTimerMs();
   if (!due_.empty()) next = std::min(next, due_.top());
   if (next == model::kNever) return;
-  const double ticks =
-      std::max(std::ceil((next - start_ms_) / kTickMs), std::floor((now - start_ms_) / kTickMs) + 1);
-  outside_.WakeAt(number_, start_ms_ + ticks * kTickMs);
+  const double tick = start_ms_ + std::ceil((next - start_ms_) / kTickMs) * kTickMs;
+  outside_.WakeAt(number_, std::max(tick, NextTickMs()));
 }
 
 void SidecarProcess::Turn() {
--- a/lab/virtual/sidecar.h
+++ b/lab/virtual/sidecar.h
@@ -52,6 +52,7 @@
 
  private:
   TimerWheel::Id AddTimer(double at_ms, std::function<void()> callback);
+  double NextTickMs() const;
   void Apply(const model::Listing& listing, bool remembered);
   // After each call: when is the next turn due?
   void Plan();
