--- a/lab/model/figures.h
+++ b/lab/model/figures.h
@@ -254,7 +254,7 @@
   int memory_mb = 128;          // of a sidecar
   int descriptors = 1024;
   double goal_whole = 0.3, goal_worst_window = 0.5, goal_worst_class = 0.2;
-  double probe_price = 0.0093, cross_zone_price = 0.03, handshake_price = 0.069;
+  double probe_price = 0.0093, cross_zone_price = 0.03, handshake_price = 0.069, connection_price = 0.069;
 };
 
 // ---- The day ----
--- a/lab/scenario/sections.cpp
+++ b/lab/scenario/sections.cpp
@@ -325,6 +325,7 @@
   out.probe_price = goal.Number("probe_price", out.probe_price, kShare);
   out.cross_zone_price = goal.Number("cross_zone_price", out.cross_zone_price, kShare);
   out.handshake_price = goal.Number("handshake_price", out.handshake_price, kShare);
+  out.connection_price = goal.Number("connection_price", out.connection_price, kShare);
   goal.Finish();
 }
 
--- a/lab/scenario/settings.cpp
+++ b/lab/scenario/settings.cpp
@@ -48,7 +48,8 @@
           {"prices",
            {{"probe", rules.probe_price},
             {"crossZone", rules.cross_zone_price},
-            {"handshake", rules.handshake_price}}}};
+            {"handshake", rules.handshake_price},
+            {"connection", rules.connection_price}}}};
 }
 
 }  // namespace bitternmux::lab::scenario
--- a/lab/virtual/pool.cpp
+++ b/lab/virtual/pool.cpp
@@ -9,8 +9,8 @@
 using cartspring::Outcome;
 using record::ClaimEnded;
 
-constexpr double kIdleShare = 0.5;        // as in the sidecar's pool
-constexpr double kProbePatienceMs = 500;  // likewise
+constexpr double kProbePatienceMs = 500;  // these two as in the sidecar's pool
+constexpr double kSweepMs = 20;
 
 // What the sidecar's parser makes of a spoilt answer: most cannot be read, and break the connection at once;
 // one that is too short is waited for.
@@ -62,46 +62,73 @@
       settings_(settings),
       most_connections_(most_connections),
       wheel_(wheel),
-      add_timer_(std::move(add_timer)) {}
+      add_timer_(std::move(add_timer)),
+      choice_(settings) {}
 
 void Pool::Start(const Claim& claim, const Job& job) {
-  Begin({claim, false, std::stoull(job.request_id), claim.until_ms, outside_.NowMs()});
+  Begin({claim, false, std::stoull(job.request_id), job.klass, job.work_hint_ms, claim.until_ms,
+         outside_.NowMs()});
 }
 
 void Pool::Probe(const std::string& node, const std::string& address) {
   const double now = outside_.NowMs();
-  Begin({{0, 0, node, address, now + kProbePatienceMs}, true, 0, now + kProbePatienceMs, now});
+  Exchange exchange;
+  exchange.claim = {0, 0, node, address, now + kProbePatienceMs};
+  exchange.probe = true;
+  exchange.until_ms = now + kProbePatienceMs;
+  exchange.asked_ms = now;
+  Begin(std::move(exchange));
 }
 
 void Pool::Begin(Exchange exchange) {
-  model::ConnectionId id = 0;
-  if (!TakeIdle(exchange, id)) {
-    if (exchange.claim.address.empty() || (connections_.size() >= most_connections_ && !MakeRoom())) {
-      unsent_.push_back(std::move(exchange));
-      return outside_.Defer(sidecar_);
+  const std::string &node = exchange.claim.node, &address = exchange.claim.address;
+  const int kind = machines_.KindOf(node);
+  while (const model::ConnectionId id =
+             choice_.Take(outside_.NowMs(), node, kind, exchange.klass, exchange.work_ms)) {
+    Connection& connection = connections_.at(id);
+    if (connection.address == address) {
+      Carry(id, connection, std::move(exchange));
+      return Write(id, connection);
     }
-    id = outside_.Dial(sidecar_, exchange.claim.address);
-    Connection& connection = connections_[id];
-    connection.node = exchange.claim.node;
-    connection.address = exchange.claim.address;
+    Close(id);
   }
+  if (address.empty() || (connections_.size() >= most_connections_ && !MakeRoom())) {
+    unsent_.push_back(std::move(exchange));
+    return outside_.Defer(sidecar_);
+  }
+  const model::ConnectionId id = Open(node, address);
   Carry(id, connections_.at(id), std::move(exchange));
 }
 
 void Pool::Carry(model::ConnectionId id, Connection& connection, Exchange exchange) {
   if (!exchange.probe) out_[exchange.claim.job] = {exchange.claim.number, id};
-  wheel_.Cancel(connection.idle_timer);
+  connection.busy = true;
   connection.exchange = std::move(exchange);
   connection.until_timer = add_timer_(connection.exchange.until_ms, [this, id] { OutOfTime(id); });
-  if (connection.stage != Stage::kDialing) return Write(id, connection);
+}
+
+model::ConnectionId Pool::Open(const std::string& node, const std::string& address) {
+  const model::ConnectionId id = outside_.Dial(sidecar_, address);
+  Connection& connection = connections_[id];
+  connection.node = node;
+  connection.address = address;
+  connection.dialed_ms = outside_.NowMs();
   if (settings_.dial_timeout_ms > 0) {
     connection.dial_timer =
-        add_timer_(outside_.NowMs() + settings_.dial_timeout_ms, [this, id] { DialFailed(id); });
+        add_timer_(connection.dialed_ms + settings_.dial_timeout_ms, [this, id] { DialFailed(id); });
   }
+  return id;
+}
+
+void Pool::DialAhead(const std::string& node, const std::string& address) {
+  if (machines_.IsLive(node) && connections_.size() < most_connections_) Open(node, address);
 }
 
 void Pool::Write(model::ConnectionId id, Connection& connection) {
   connection.stage = Stage::kWaiting;
+  connection.answered = false;
+  connection.begun_ms = outside_.NowMs();
+  choice_.Begun(id);
   const Exchange& exchange = connection.exchange;
   if (exchange.probe) return outside_.SendProbe(id);
   connection.claim =
@@ -111,13 +138,19 @@
 void Pool::Dialed(model::ConnectionId id) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
-  wheel_.Cancel(found->second.dial_timer);
-  Write(id, found->second);
+  Connection& connection = found->second;
+  wheel_.Cancel(connection.dial_timer);
+  const double now = outside_.NowMs();
+  choice_.Opened(now, id, connection.node, machines_.KindOf(connection.node), now - connection.dialed_ms);
+  if (connection.busy) return Write(id, connection);
+  machines_.IsLive(connection.node) ? Idles(id, connection) : Close(id);
 }
 
 void Pool::DialFailed(model::ConnectionId id) {
   const auto found = connections_.find(id);
   if (found == connections_.end() || found->second.stage != Stage::kDialing) return;
+  if (!found->second.busy) return Close(id);
+  Tell(id, found->second, false);
   ClaimEnd end;
   end.outcome = Outcome::kConnectFailed;
   End(found, std::move(end), false);
@@ -126,7 +159,8 @@
 // Before anything was written, it never ran; after that it may have.
 void Pool::OutOfTime(model::ConnectionId id) {
   const auto found = connections_.find(id);
-  if (found == connections_.end() || found->second.stage == Stage::kIdle) return;
+  if (found == connections_.end() || !found->second.busy) return;
+  Tell(id, found->second, false);
   ClaimEnd end;
   end.outcome = found->second.stage == Stage::kWaiting ? Outcome::kTimeout : Outcome::kNotSent;
   End(found, std::move(end), false);
@@ -136,23 +170,21 @@
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   Connection& connection = found->second;
-  ClaimEnd end;
   switch (action.what) {
     case model::NodeAction::What::kClose:
     case model::NodeAction::What::kReset:
-      if (connection.stage == Stage::kIdle) return Close(id, false);
-      if (connection.claim != 0) outside_.ClaimOver(connection.claim, ClaimEnded::RESET, action.worked_ms);
-      connection.claim = 0;
-      end.outcome = Outcome::kConnectionLost;
-      return End(found, std::move(end), false);
+      return Broke(found, action.worked_ms);
     case model::NodeAction::What::kAnswer:
     case model::NodeAction::What::kProbeAnswer:
       break;
     default:
       return;
   }
-  if (connection.stage != Stage::kWaiting || IsWaitedFor(action.spoil)) return;
+  if (connection.stage != Stage::kWaiting) return;
+  connection.answered = true;
+  if (IsWaitedFor(action.spoil)) return;
   if (connection.claim != 0) outside_.ClaimOver(connection.claim, HowOf(action.end), action.worked_ms);
+  ClaimEnd end;
   end.outcome = OutcomeOf(action.end);
   if (action.end == model::ClaimEnd::kServed) {
     end.body = std::to_string(connection.claim) + " " + std::to_string(connection.exchange.attempt);
@@ -162,38 +194,71 @@
     end.load = cartspring::LoadReport{static_cast<double>(action.report.inflight),
                                       static_cast<double>(action.report.queue)};
   }
+  if (end.outcome == Outcome::kConnectionLost) Tell(id, connection, true);
   const bool clean = action.spoil == model::Spoil::kNone || action.spoil == model::Spoil::kBadReport ||
                      action.spoil == model::Spoil::kInterim;
   End(found, std::move(end), clean && machines_.IsLive(connection.node));
 }
 
+void Pool::Broke(Handle handle, double worked_ms) {
+  const model::ConnectionId id = handle->first;
+  Connection& connection = handle->second;
+  if (!connection.busy) {
+    const std::string node = connection.node, address = connection.address;
+    const bool ahead = choice_.ClosedByNode(outside_.NowMs(), id);
+    Close(id);
+    if (ahead) DialAhead(node, address);
+    return;
+  }
+  if (connection.claim != 0) outside_.ClaimOver(connection.claim, ClaimEnded::RESET, worked_ms);
+  connection.claim = 0;
+  Tell(id, connection, true);
+  ClaimEnd end;
+  end.outcome = Outcome::kConnectionLost;
+  End(handle, std::move(end), false);
+}
+
+void Pool::Tell(model::ConnectionId id, const Connection& connection, bool broke) {
+  const double now = outside_.NowMs();
+  choice_.Ended(now, id, {connection.answered, broke, now - connection.begun_ms});
+}
+
 void Pool::End(Handle handle, ClaimEnd end, bool reusable) {
   const model::ConnectionId id = handle->first;
   Connection& connection = handle->second;
   wheel_.Cancel(connection.until_timer);
+  connection.busy = false;
   const Exchange exchange = std::move(connection.exchange);
   // The connection is back in the pool, or closed, before anyone hears of it and may want one.
   if (reusable) {
-    connection.stage = Stage::kIdle;
-    connection.idle_since = outside_.NowMs();
-    const double retire_ms = kIdleShare * settings_.connection_idle_ms;
-    if (retire_ms > 0) {
-      connection.idle_timer = add_timer_(connection.idle_since + retire_ms, [this, id] { Close(id, true); });
-    }
-    idle_[connection.node].push_back(id);
+    Tell(id, connection, false);
+    Idles(id, connection);
   } else {
-    Close(id, true);
+    Close(id);
   }
-  Tell(exchange, std::move(end));
+  Report(exchange, std::move(end));
+}
+
+void Pool::Idles(model::ConnectionId id, Connection& connection) {
+  connection.stage = Stage::kIdle;
+  choice_.Idles(outside_.NowMs(), id);
+  if (!std::exchange(sweeping_, true)) Sweep();
+}
+
+void Pool::Sweep() {
+  for (const model::ConnectionId id : choice_.Retire(outside_.NowMs())) Close(id);
+  sweeping_ = choice_.Oldest() != 0;
+  if (sweeping_) add_timer_(outside_.NowMs() + kSweepMs, [this] { Sweep(); });
 }
 
-void Pool::Tell(const Exchange& exchange, ClaimEnd end) {
+void Pool::Report(const Exchange& exchange, ClaimEnd end) {
   const double now = outside_.NowMs();
   if (exchange.probe) {
     const bool answered = end.outcome == Outcome::kServed;
     return jobs_.NodeProbed(now, exchange.claim.node, answered, now - exchange.asked_ms, end.load);
   }
-  out_.erase(exchange.claim.job);
+  const auto found = out_.find(exchange.claim.job);
+  if (found != out_.end() && found->second.first == exchange.claim.number) out_.erase(found);
   jobs_.ClaimEnded(now, exchange.claim, std::move(end));
 }
 
@@ -202,59 +267,29 @@
   if (found == out_.end() || found->second.first != number) return;
   const model::ConnectionId id = found->second.second;
   out_.erase(found);
-  Close(id, true);
+  Tell(id, connections_.at(id), false);
+  Close(id);
 }
 
-void Pool::Close(model::ConnectionId id, bool by_sidecar) {
+void Pool::Close(model::ConnectionId id) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   const Connection connection = std::move(found->second);
   connections_.erase(found);
-  for (const auto timer : {connection.until_timer, connection.dial_timer, connection.idle_timer}) {
-    wheel_.Cancel(timer);
-  }
+  for (const auto timer : {connection.until_timer, connection.dial_timer}) wheel_.Cancel(timer);
+  choice_.Closed(id);
   if (connection.claim != 0) outside_.ClaimOver(connection.claim, ClaimEnded::CANCELLED, 0);
-  if (by_sidecar) outside_.Close(id);
-  const auto idle = idle_.find(connection.node);
-  if (idle == idle_.end()) return;
-  std::erase(idle->second, id);
-  if (idle->second.empty()) idle_.erase(idle);
-}
-
-bool Pool::TakeIdle(const Exchange& exchange, model::ConnectionId& id) {
-  for (auto found = idle_.find(exchange.claim.node); found != idle_.end();
-       found = idle_.find(exchange.claim.node)) {
-    id = found->second.back();
-    if (connections_.at(id).address == exchange.claim.address) {
-      found->second.pop_back();
-      if (found->second.empty()) idle_.erase(found);
-      return true;
-    }
-    Close(id, true);
-  }
-  return false;
+  outside_.Close(id);
 }
 
 // Closes the connection that has idled longest.
 bool Pool::MakeRoom() {
-  model::ConnectionId idlest = 0;
-  double since = 0;
-  for (const auto& [node, idle] : idle_) {
-    const double front = connections_.at(idle.front()).idle_since;
-    if (idlest != 0 && front >= since) continue;
-    idlest = idle.front();
-    since = front;
-  }
-  if (idlest != 0) Close(idlest, true);
+  if (const model::ConnectionId oldest = choice_.Oldest()) Close(oldest);
   return connections_.size() < most_connections_;
 }
 
 void Pool::Prune() {
-  std::vector<model::ConnectionId> closing;
-  for (const auto& [node, idle] : idle_) {
-    if (!machines_.IsLive(node)) closing.insert(closing.end(), idle.begin(), idle.end());
-  }
-  for (const model::ConnectionId id : closing) Close(id, true);
+  for (const model::ConnectionId id : choice_.Serving(machines_.Live())) Close(id);
 }
 
 void Pool::Deferred() {
@@ -262,7 +297,7 @@
   for (const Exchange& exchange : unsent) {
     ClaimEnd end;
     end.outcome = Outcome::kNotSent;
-    Tell(exchange, std::move(end));
+    Report(exchange, std::move(end));
   }
 }
 
@@ -270,7 +305,7 @@
   std::vector<model::ConnectionId> all;
   for (const auto& [id, connection] : connections_) all.push_back(id);
   std::sort(all.begin(), all.end());
-  for (const model::ConnectionId id : all) Close(id, true);
+  for (const model::ConnectionId id : all) Close(id);
 }
 
 }  // namespace bitternmux::lab
--- a/lab/virtual/pool.h
+++ b/lab/virtual/pool.h
@@ -1,21 +1,20 @@
 // The connections of one sidecar to execute nodes, and the claims on them, in a virtual run. Does what the
-// sidecar's pool does on sockets: one exchange at a time on a connection, the one used last first, idle ones
-// retired after half the time that nodes keep them, claims that run out of time or are given up close theirs.
-// Inside the package only.
+// sidecar's pool does on sockets, by the same decider (limits/connections): one exchange at a time on a
+// connection, and claims that run out of time or are given up close theirs. Inside the package only.
 #ifndef BITTERNMUX_LAB_VIRTUAL_POOL_H_
 #define BITTERNMUX_LAB_VIRTUAL_POOL_H_
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <string>
 #include <unordered_map>
-#include <vector>
+#include <utility>
 
 #include "core/job_table.h"
 #include "core/machine_list.h"
 #include "core/timer_wheel.h"
 #include "lab/virtual/outside.h"
+#include "limits/connections.h"
 
 namespace bitternmux::lab {
 
@@ -39,7 +38,7 @@
   void Start(const Claim& claim, const Job& job) override;
   void GiveUp(JobId job, int number) override;
   void Probe(const std::string& node, const std::string& address) override;
-  // Closes what idles to nodes that the list no longer has in service.
+  // Forgets the nodes that the list no longer has in service, and closes what idles to them.
   void Prune();
 
   void Dialed(model::ConnectionId connection);
@@ -58,6 +57,8 @@
     Claim claim;  // of a job; for a probe only node and address
     bool probe = false;
     model::TryId attempt = 0;
+    int klass = limits::Connections::kRepeatable;
+    double work_ms = 0;
     double until_ms = 0;
     double asked_ms = 0;
   };
@@ -65,22 +66,29 @@
   struct Connection {
     std::string node, address;
     Stage stage = Stage::kDialing;
+    bool busy = false;  // it carries an exchange, or will once it is up
     Exchange exchange;
     model::ClaimId claim = 0;  // that is out on it; 0: none
-    double idle_since = 0;
-    TimerWheel::Id until_timer = 0, dial_timer = 0, idle_timer = 0;
+    double dialed_ms = 0, begun_ms = 0;
+    bool answered = false;  // something came back
+    TimerWheel::Id until_timer = 0, dial_timer = 0;
   };
   using Handle = std::unordered_map<model::ConnectionId, Connection>::iterator;
 
   void Begin(Exchange exchange);
   void Carry(model::ConnectionId id, Connection& connection, Exchange exchange);
+  model::ConnectionId Open(const std::string& node, const std::string& address);
+  void DialAhead(const std::string& node, const std::string& address);
   void Write(model::ConnectionId id, Connection& connection);
+  void Idles(model::ConnectionId id, Connection& connection);
+  void Sweep();
   void OutOfTime(model::ConnectionId id);
+  void Broke(Handle handle, double worked_ms);
+  void Tell(model::ConnectionId id, const Connection& connection, bool broke);
   // The exchange on it ends; the connection is kept where it may be used again.
   void End(Handle handle, ClaimEnd end, bool reusable);
-  void Tell(const Exchange& exchange, ClaimEnd end);
-  void Close(model::ConnectionId id, bool by_sidecar);
-  bool TakeIdle(const Exchange& exchange, model::ConnectionId& id);
+  void Report(const Exchange& exchange, ClaimEnd end);
+  void Close(model::ConnectionId id);
   bool MakeRoom();
 
   Outside& outside_;
@@ -91,10 +99,11 @@
   const std::size_t most_connections_;
   TimerWheel& wheel_;
   const AddTimer add_timer_;
-  std::unordered_map<model::ConnectionId, Connection> connections_;  // walked only to be sorted
-  std::map<std::string, std::vector<model::ConnectionId>> idle_;     // by node, the one used last at the back
+  limits::Connections choice_;
+  std::unordered_map<model::ConnectionId, Connection> connections_;     // walked only to be sorted
   std::unordered_map<JobId, std::pair<int, model::ConnectionId>> out_;  // the claim that is out for a job
   std::deque<Exchange> unsent_;
+  bool sweeping_ = false;
 };
 
 }  // namespace bitternmux::lab
