--- a/lab/model/figures.h
+++ b/lab/model/figures.h
@@ -257,6 +257,12 @@
   double probe_price = 0.0093, cross_zone_price = 0.03, handshake_price = 0.069;
 };
 
+// What the sidecars are told otherwise than the day would have it: a name in their settings, dotted, and the
+// JSON of its value.
+struct SettingFigure {
+  std::string name, json;
+};
+
 // ---- The day ----
 
 struct Figures {
@@ -274,6 +280,7 @@
   std::vector<TroubleFigures> troubles;
   std::vector<Step> steps;  // by time; those of one time in the order in which they are carried out
   RuleFigures rules;
+  std::vector<SettingFigure> settings;
 };
 
 }  // namespace bitternmux::lab::model
--- a/lab/scenario/reader.cpp
+++ b/lab/scenario/reader.cpp
@@ -15,6 +15,19 @@
 
 std::uint32_t LineOf(const toml::node* node) { return node == nullptr ? 1 : node->source().begin.line; }
 
+using Found = std::vector<std::pair<std::string, const toml::node*>>;
+
+void AddLeaves(const toml::table& table, const std::string& path, Found& leaves) {
+  for (const auto& [key, node] : table) {
+    const std::string name = path + std::string(key.str());
+    if (const toml::table* below = node.as_table()) {
+      AddLeaves(*below, name + ".", leaves);
+    } else {
+      leaves.emplace_back(name, &node);
+    }
+  }
+}
+
 }  // namespace
 
 void Faults::Add(const toml::node* at, const std::string& key, const std::string& what) {
@@ -53,13 +66,6 @@
   faults_->Add(at == nullptr ? table_ : at, Path(key), what);
 }
 
-bool Reader::InOneFile(std::string_view key, std::string_view other) const {
-  if (!Has(key) || !Has(other)) return false;
-  const auto& a = table_->get(key)->source().path;
-  const auto& b = table_->get(other)->source().path;
-  return a && b ? *a == *b : a == b;
-}
-
 bool Reader::Range(const toml::node& node, std::string_view key, Bounds bounds, bool whole, double& low,
                    double& high) {
   const auto number = [&](const toml::node& value, double& into) {
@@ -171,6 +177,18 @@
   return absent;
 }
 
+std::vector<std::pair<std::string, const toml::node*>> Reader::Leaves(std::string_view key) {
+  const toml::node* node = Take(key);
+  Found leaves;
+  if (node == nullptr) return leaves;
+  if (const toml::table* table = node->as_table()) {
+    AddLeaves(*table, "", leaves);
+  } else {
+    Fault(key, "must be a table");
+  }
+  return leaves;
+}
+
 Reader Reader::Table(std::string_view key) {
   const toml::node* node = Take(key);
   if (node != nullptr && !node->is_table()) Fault(key, "must be a table");
--- a/lab/scenario/reader.h
+++ b/lab/scenario/reader.h
@@ -1,5 +1,5 @@
 // Checked access to one table of a scenario: every key is asked for by name, type and bounds, and what is
-// left over is a fault. Inside the package only.
+// left over is a fault. For what is written like a scenario, such as an experiment, too.
 #ifndef BITTERNMUX_LAB_SCENARIO_READER_H_
 #define BITTERNMUX_LAB_SCENARIO_READER_H_
 
@@ -38,8 +38,6 @@
   Reader(const toml::table* table, std::string path, const model::Seeds& seeds, Faults& faults);
 
   bool Has(std::string_view key) const { return table_ != nullptr && table_->contains(key); }
-  // Are both there, and from the same file?
-  bool InOneFile(std::string_view key, std::string_view other) const;
   // An exact number or a range [low, high] to draw from; `absent` if it is not there.
   double Number(std::string_view key, double absent, Bounds bounds);
   int Whole(std::string_view key, int absent, Bounds bounds);
@@ -52,6 +50,8 @@
   // A list of whole numbers from 0 to below `count`, each once.
   std::vector<int> Numbers(std::string_view key, int count, std::string_view of_what);
   std::vector<std::string> Texts(std::string_view key, std::vector<std::string> absent);
+  // The values below the table `key`, whose names are free: dotted from that table on, in their order.
+  std::vector<std::pair<std::string, const toml::node*>> Leaves(std::string_view key);
   Reader Table(std::string_view key);
   // A list of tables; each is named in keys by its `name` if it has one, else by its place.
   std::vector<Reader> Tables(std::string_view key);
--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "lab/scenario/overrides.h"
 #include "lab/scenario/sections.h"
 
 namespace bitternmux::lab::scenario {
@@ -31,6 +32,21 @@
   }
 }
 
+std::string TextOf(const toml::table& table) {
+  std::ostringstream text;
+  text << table << "\n";
+  return text.str();
+}
+
+// Of two keys that say the same in other words, the one that is set anew goes before the one that was there.
+void GiveWay(toml::table& base, const toml::table& over) {
+  toml::table* from = base["clients"].as_table();
+  const toml::table* to = over["clients"].as_table();
+  if (from == nullptr || to == nullptr) return;
+  if (to->contains("load") && !to->contains("rate")) from->erase("rate");
+  if (to->contains("rate") && !to->contains("load")) from->erase("load");
+}
+
 // What `base` says and `own` does not, goes to `own`. Moved, since a copy would lose the line that it came
 // from.
 void TakeOver(toml::table& own, toml::table&& base) {
@@ -44,6 +60,41 @@
   }
 }
 
+// The entry of a list of tables that is called so, or stands at that place; null if there is none.
+toml::table* EntryOf(toml::array& list, std::string_view key) {
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    toml::table* entry = list.get(i)->as_table();
+    if (entry == nullptr) continue;
+    const auto name = (*entry)["name"].value<std::string>();
+    if (name.value_or(std::to_string(i)) == key) return entry;
+  }
+  return nullptr;
+}
+
+// What `set` says takes the place of what `base` says.
+void Override(toml::table& base, toml::table&& set, const std::string& path, Faults& faults) {
+  for (auto&& [key, node] : set) {
+    const std::string full = path + std::string(key.str());
+    toml::node* there = base.get(key);
+    toml::table* into = there == nullptr ? nullptr : there->as_table();
+    if (node.is_table() && into != nullptr) {
+      Override(*into, std::move(*node.as_table()), full + ".", faults);
+    } else if (node.is_table() && there != nullptr && there->is_array_of_tables()) {
+      for (auto&& [entry, value] : *node.as_table()) {
+        toml::table* found = EntryOf(*there->as_array(), entry.str());
+        const std::string whole = full + "." + std::string(entry.str());
+        if (found == nullptr || !value.is_table()) {
+          faults.Add(&value, whole, found == nullptr ? "there is no such entry" : "must be a table");
+        } else {
+          Override(*found, std::move(*value.as_table()), whole + ".", faults);
+        }
+      }
+    } else {
+      node.visit([&](auto& value) { base.insert_or_assign(key, std::move(value)); });
+    }
+  }
+}
+
 }  // namespace
 
 ScenarioError::ScenarioError(std::vector<std::string> faults)
@@ -54,7 +105,10 @@
   toml::table toml;
 };
 
-Scenario::Scenario(std::string text, const std::string& file) : text_(std::move(text)), file_(file) {
+Scenario::Scenario(std::string text, const std::string& file) : Scenario(std::move(text), file, nullptr) {}
+
+Scenario::Scenario(std::string text, const std::string& file, toml::table* set)
+    : text_(std::move(text)), file_(file) {
   toml::table whole = Parsed(text_, file);
   if (const toml::node* extends = whole.get("extends")) {
     const auto name = extends->value<std::string>();
@@ -68,10 +122,16 @@
                            ": extends: a file that others extend cannot extend one itself"});
     }
     whole.erase("extends");
+    GiveWay(base, whole);
     TakeOver(whole, std::move(base));
-    std::ostringstream merged;
-    merged << whole << "\n";
-    text_ = merged.str();
+    text_ = TextOf(whole);
+  }
+  if (set != nullptr && !set->empty()) {
+    Faults faults(file);
+    GiveWay(whole, *set);
+    Override(whole, std::move(*set), "", faults);
+    if (!faults.empty()) throw ScenarioError(faults.Lines());
+    text_ = TextOf(whole);
   }
   name_ = whole["name"].value_or(std::string());
   about_ = whole["about"].value_or(std::string());
@@ -82,6 +142,8 @@
 
 Scenario Scenario::Read(const std::string& file) { return Scenario(Contents(file), file); }
 
+Scenario ReadWith(const std::string& file, toml::table&& set) { return Scenario(Contents(file), file, &set); }
+
 model::Figures Scenario::Draw(std::optional<std::uint64_t> seed) const {
   model::Figures figures;
   figures.name = name_;
@@ -98,6 +160,7 @@
   };
   const Sure sure{lowest("servers", figures.machines.size()), lowest("sidecars", figures.sidecars.size())};
   ReadTroubles(reader, sure, figures);
+  ReadSettings(reader, figures);
   reader.Finish();
   if (!faults.empty()) throw ScenarioError(faults.Lines());
   return figures;
--- a/lab/scenario/scenario.h
+++ b/lab/scenario/scenario.h
@@ -19,6 +19,12 @@
 
 #include "lab/model/figures.h"
 
+namespace toml {
+inline namespace v3 {
+class table;
+}
+}  // namespace toml
+
 namespace bitternmux::lab::scenario {
 
 // What is wrong with a scenario: one line for each fault, of the form 'file:line: key: what is wrong'.
@@ -50,6 +56,9 @@
 
  private:
   struct Table;
+  friend Scenario ReadWith(const std::string& file, toml::table&& set);
+  // `set` may be null.
+  Scenario(std::string text, const std::string& file, toml::table* set);
 
   std::string text_, file_, name_, about_;
   std::shared_ptr<const Table> table_;
--- a/lab/scenario/sections.cpp
+++ b/lab/scenario/sections.cpp
@@ -249,8 +249,7 @@
 void ReadClients(Reader clients, Figures& figures) {
   model::ClientFigures& out = figures.clients;
   const bool by_load = clients.Has("load");
-  // A scenario that extends another may say the one where that says the other.
-  if (by_load && clients.InOneFile("load", "rate")) {
+  if (by_load && clients.Has("rate")) {
     clients.Fault("load", "stands beside rate: only one of them can be");
   }
   out.rate = clients.Number("rate", out.rate, {0, 1e7});
--- a/lab/scenario/sections.h
+++ b/lab/scenario/sections.h
@@ -23,6 +23,10 @@
 // further processes of machines.
 void ReadTroubles(Reader& whole, const Sure& sure, model::Figures& figures);
 
+// What the sidecars' settings say otherwise than the day would have them, by their own names. To be read
+// last.
+void ReadSettings(Reader& whole, model::Figures& figures);
+
 }  // namespace bitternmux::lab::scenario
 
 #endif  // BITTERNMUX_LAB_SCENARIO_SECTIONS_H_
--- a/lab/scenario/settings.cpp
+++ b/lab/scenario/settings.cpp
@@ -1,8 +1,34 @@
 #include "lab/scenario/settings.h"
 
+#include <algorithm>
+
+#include "lab/scenario/sections.h"
+
 namespace bitternmux::lab::scenario {
+namespace {
 
-nlohmann::json SettingsOf(const model::Figures& figures, int sidecar) {
+using nlohmann::json;
+
+json::json_pointer PointerTo(std::string name) {
+  std::replace(name.begin(), name.end(), '.', '/');
+  return json::json_pointer("/" + name);
+}
+
+// Null for what no setting can be.
+json JsonOf(const toml::node& node) {
+  if (node.is_boolean()) return node.value<bool>().value();
+  if (node.is_integer()) return node.value<std::int64_t>().value();
+  if (node.is_floating_point()) return node.value<double>().value();
+  if (node.is_string()) return node.value<std::string>().value();
+  json list = nullptr;
+  if (const toml::array* array = node.as_array()) {
+    list = json::array();
+    for (const toml::node& item : *array) list.push_back(JsonOf(item));
+  }
+  return list;
+}
+
+json FromDay(const model::Figures& figures, int sidecar) {
   const model::RuleFigures& rules = figures.rules;
   nlohmann::json services = nlohmann::json::array();
   for (const model::ClassFigures& klass : figures.classes) {
@@ -51,4 +77,33 @@
             {"handshake", rules.handshake_price}}}};
 }
 
+}  // namespace
+
+void ReadSettings(Reader& whole, model::Figures& figures) {
+  const auto leaves = whole.Leaves("settings");
+  if (leaves.empty()) return;
+  const json day = FromDay(figures, 0);
+  for (const auto& [name, node] : leaves) {
+    const std::string key = "settings." + name;
+    const json value = JsonOf(*node);
+    const auto pointer = PointerTo(name);
+    if (name.find_first_of("/~") != std::string::npos || !day.contains(pointer)) {
+      whole.faults().Add(node, key, "is not known");
+    } else if (const json& there = day.at(pointer);
+               !(there.is_number() && value.is_number()) && there.type() != value.type()) {
+      whole.faults().Add(node, key, "must be like " + there.dump());
+    } else {
+      figures.settings.push_back({name, value.dump()});
+    }
+  }
+}
+
+nlohmann::json SettingsOf(const model::Figures& figures, int sidecar) {
+  json settings = FromDay(figures, sidecar);
+  for (const model::SettingFigure& setting : figures.settings) {
+    settings[PointerTo(setting.name)] = json::parse(setting.json);
+  }
+  return settings;
+}
+
 }  // namespace bitternmux::lab::scenario
