--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -16,6 +16,7 @@
   AddRun(app, code);
   AddLoad(app, code);
   AddSweep(app, code);
+  AddReport(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/lab/apps/report.cpp
@@ -0,0 +1,43 @@
+// bitternmux-lab report DIR|RECORD: one page about a sweep or a run.
+#include "lab/report/report.h"
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "lab/apps/commands.h"
+
+namespace bitternmux::lab {
+namespace {
+
+struct Arguments {
+  std::string of, out;
+};
+
+int RunReport(const Arguments& arguments) {
+  const bool sweep = std::filesystem::is_directory(arguments.of);
+  if (sweep && !arguments.out.empty()) {
+    throw std::invalid_argument("--out: the report of a sweep goes into its own folder");
+  }
+  const std::string folder = arguments.out.empty() ? arguments.of + ".report" : arguments.out;
+  std::cout << (sweep ? report::ReportSweep(arguments.of) : report::ReportRecord(arguments.of, folder))
+            << "\n";
+  return 0;
+}
+
+}  // namespace
+
+void AddReport(CLI::App& app, int& code) {
+  auto arguments = std::make_shared<Arguments>();
+  auto* command = app.add_subcommand("report", "Writes one page of HTML about a sweep or a run");
+  command->add_option("OF", arguments->of, "The folder of a sweep, or the record of a run")->required();
+  command->add_option("--out", arguments->out,
+                      "The folder for the page of a record; RECORD.report if not given");
+  command->footer("Needs gnuplot. Exit code: 0 written, 2 it could not be.");
+  command->callback([arguments, &code] { code = RunReport(*arguments); });
+}
+
+}  // namespace bitternmux::lab
