Play loopback runs again when the lab that plays them has changed

A loopback result named the sidecar's program alone, so that a rebuilt lab, which plays the stand-ins and the clients, would have left old results standing. A result that is whole JSON and holds none is played again too.

--- a/lab/report/experiment.cpp
+++ b/lab/report/experiment.cpp
@@ -123,7 +123,9 @@
       } else if (!path.empty() && ::access(build.path.c_str(), X_OK) != 0) {
         table.Fault("path", "no program that can be run is at '" + build.path + "'");
       } else {
-        build.digest = DigestOf(ReadFile(path.empty() ? program_ : build.path));
+        // A loopback run is made by this program too, which plays all but the sidecars.
+        build.digest = DigestOf(ReadFile(path.empty() ? program_ : build.path) +
+                                (build.loopback ? ReadFile(program_) : std::string()));
       }
       out_.builds.push_back(build);
     }
--- a/lab/report/experiment.h
+++ b/lab/report/experiment.h
@@ -29,7 +29,7 @@
   std::string name;
   bool loopback = false;
   std::string path;    // bitternmux-lab for virtual runs, bitternmux for loopback; '': this program
-  std::string digest;  // of the file's bytes, by which a changed build is known
+  std::string digest;  // of the bytes of all programs in it, by which a changed build is known
 };
 
 struct Experiment {
--- a/lab/report/sweep.cpp
+++ b/lab/report/sweep.cpp
@@ -116,7 +116,10 @@
   bool IsThere(const Run& run) {
     if (!fs::exists(ResultFile(run))) return false;
     const auto stored = ordered_json::parse(ReadFile(ResultFile(run)), nullptr, /*allow_exceptions=*/false);
-    if (!stored.is_object() || stored.value("run", ordered_json()) != run.Identity()) return false;
+    if (!stored.is_object() || !stored.contains("result") ||
+        stored.value("run", ordered_json()) != run.Identity()) {
+      return false;
+    }
     // Nothing may be concluded from a run that is void: it is to be played until it is one.
     if (stored["result"].contains("void")) return false;
     ++state_.there;
