Let the lab's observers hear what only a run on sockets can tell

A run of built sidecars has exit codes, memory, lateness and reasons to be void, which the record can hold and the observers could not hear. The summary names the mode it was told. A loopback record says that entries 10 ms apart may stand in the wrong order, since two sockets that are ready together are read one after the other.

--- a/lab/virtual/observer.h
+++ b/lab/virtual/observer.h
@@ -7,6 +7,7 @@
 #define BITTERNMUX_LAB_VIRTUAL_OBSERVER_H_
 
 #include <cstdint>
+#include <string>
 
 #include "lab/model/clients.h"
 #include "lab/model/discovery.h"
@@ -38,6 +39,13 @@
   bool turned_away = false;
 };
 
+// What a sidecar's process holds, as the system has it.
+struct Measure {
+  std::int64_t memory_bytes = 0;
+  int descriptors = 0;
+  std::int64_t cpu_us = 0;  // since it started
+};
+
 class Observer {
  public:
   virtual ~Observer() = default;
@@ -58,6 +66,12 @@
   virtual void SidecarChanged(std::int64_t, int /*sidecar*/, record::Sidecar::What) {}
   virtual void Sampled(std::int64_t, int /*sidecar*/, std::size_t /*jobs held*/,
                        std::size_t /*connections*/) {}
+  // These four are of loopback runs. EXITED comes with the process's exit code, CRASHED with the signal.
+  virtual void SidecarEnded(std::int64_t, int /*sidecar*/, record::Sidecar::What, int /*code*/) {}
+  virtual void Measured(std::int64_t, int /*sidecar*/, const Measure&) {}
+  virtual void Late(std::int64_t, std::int64_t /*by_us*/) {}
+  // Nothing may be concluded from the run.
+  virtual void Void(std::int64_t, const std::string& /*reason*/) {}
   virtual void Trouble(std::int64_t, int /*trouble*/, bool /*begins*/) {}
   // Nothing follows.
   virtual void Over(std::int64_t) {}
--- a/lab/virtual/recorder.cpp
+++ b/lab/virtual/recorder.cpp
@@ -6,6 +6,9 @@
 namespace bitternmux::lab {
 namespace {
 
+// Two sockets that were ready together are read one after the other, in any order.
+constexpr std::int64_t kOrderSlackUs = 10'000;
+
 std::int64_t Us(double ms) { return std::llround(ms * 1000); }
 
 record::MachineChanged::State StateOf(model::Phase phase) {
@@ -68,7 +71,10 @@
     connections = std::max(connections, machine.node.connections);
   }
   out.set_connections_per_node(static_cast<std::uint32_t>(connections));
-  if (mode != "virtual") out.set_memory_bytes(std::int64_t{rules.memory_mb} << 20);
+  if (mode != "virtual") {
+    out.set_memory_bytes(std::int64_t{rules.memory_mb} << 20);
+    out.set_order_slack_us(kOrderSlackUs);
+  }
   return header;
 }
 
@@ -207,6 +213,31 @@
   });
 }
 
+void Recorder::SidecarEnded(std::int64_t at, int sidecar, record::Sidecar::What what, int code) {
+  writer_.Put(at, [&](record::Entry& entry) {
+    record::Sidecar& out = *entry.mutable_sidecar();
+    out.set_sidecar(static_cast<std::uint32_t>(sidecar));
+    out.set_what(what);
+    out.set_code(code);
+  });
+}
+
+void Recorder::Measured(std::int64_t at, int sidecar, const Measure& measure) {
+  writer_.Put(at, [&](record::Entry& entry) {
+    record::Sample& out = *entry.mutable_sample();
+    out.set_sidecar(static_cast<std::uint32_t>(sidecar));
+    out.set_memory_bytes(measure.memory_bytes);
+    out.set_descriptors(static_cast<std::uint32_t>(measure.descriptors));
+    out.set_cpu_us(measure.cpu_us);
+  });
+}
+
+void Recorder::Late(std::int64_t at, std::int64_t by_us) {
+  writer_.Put(at, [&](record::Entry& entry) { entry.mutable_late()->set_by_us(by_us); });
+}
+
+void Recorder::Void(std::int64_t, const std::string& reason) { writer_.Void(reason); }
+
 void Recorder::Trouble(std::int64_t at, int trouble, bool begins) {
   const model::TroubleFigures& figures = figures_.troubles[static_cast<std::size_t>(trouble)];
   writer_.Put(at, [&](record::Entry& entry) {
--- a/lab/virtual/recorder.h
+++ b/lab/virtual/recorder.h
@@ -1,4 +1,4 @@
-// Writes a virtual run's record.
+// Writes a run's record, of either mode.
 #ifndef BITTERNMUX_LAB_VIRTUAL_RECORDER_H_
 #define BITTERNMUX_LAB_VIRTUAL_RECORDER_H_
 
@@ -34,6 +34,10 @@
   void Asked(std::int64_t at, int sidecar, bool watch, bool failed) override;
   void SidecarChanged(std::int64_t at, int sidecar, record::Sidecar::What what) override;
   void Sampled(std::int64_t at, int sidecar, std::size_t held, std::size_t connections) override;
+  void SidecarEnded(std::int64_t at, int sidecar, record::Sidecar::What what, int code) override;
+  void Measured(std::int64_t at, int sidecar, const Measure& measure) override;
+  void Late(std::int64_t at, std::int64_t by_us) override;
+  void Void(std::int64_t at, const std::string& reason) override;
   void Trouble(std::int64_t at, int trouble, bool begins) override;
   void Over(std::int64_t at) override;
 
--- a/lab/virtual/summary.cpp
+++ b/lab/virtual/summary.cpp
@@ -30,8 +30,11 @@
 
 }  // namespace
 
-Summary::Summary(const model::Figures& figures)
-    : figures_(figures), claims_of_(figures.machines.size()), worked_ms_(figures.machines.size()) {}
+Summary::Summary(const model::Figures& figures, std::string mode)
+    : figures_(figures),
+      mode_(std::move(mode)),
+      claims_of_(figures.machines.size()),
+      worked_ms_(figures.machines.size()) {}
 
 std::size_t Summary::Seconds() const {
   return static_cast<std::size_t>(std::ceil(figures_.length_ms / 1000));
@@ -205,7 +208,7 @@
   ordered_json out;
   out["scenario"] = figures_.name;
   out["seed"] = figures_.seed;
-  out["mode"] = "virtual";
+  out["mode"] = mode_;
   out["length_s"] = figures_.length_ms / 1000;
   out["servers"] = std::count_if(figures_.machines.begin(), figures_.machines.end(),
                                  [](const model::MachineFigures& machine) { return machine.from_start; });
--- a/lab/virtual/summary.h
+++ b/lab/virtual/summary.h
@@ -18,7 +18,8 @@
 
 class Summary : public Observer {
  public:
-  explicit Summary(const model::Figures& figures);
+  // `mode` is told in the JSON. `figures` must outlive it.
+  explicit Summary(const model::Figures& figures, std::string mode = "virtual");
 
   void TrySent(std::int64_t at, const model::Try& attempt) override;
   void TryEnded(std::int64_t at, const model::Try& attempt, const TryOutcome& outcome) override;
@@ -79,6 +80,7 @@
   std::pair<std::size_t, double> WorstClass() const;
 
   const model::Figures& figures_;
+  const std::string mode_;
   std::vector<Wish> wishes_;
   std::vector<std::uint32_t> wish_of_;  // by try
   std::vector<Second> seconds_;
