--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -61,12 +61,10 @@
       clients_(figures, seeds_),
       fleet_(figures, seeds_, discovery_),
       sidecars_(figures.sidecars.size()) {
-  const model::Listing listing = discovery_.Whole();
   for (std::size_t i = 0; i < sidecars_.size(); ++i) {
     Sidecar& row = sidecars_[i];
     row.settings = cartspring::ReadSettings(JsonFields(scenario::SettingsOf(figures, static_cast<int>(i))));
-    row.revision = listing.revision;
-    for (const model::ListEntry& entry : listing.entries) Remember(row, entry);
+    row.told.emplace(discovery_);
   }
 }
 
@@ -522,32 +520,9 @@
   }
 }
 
-void Day::Remember(Sidecar& row, const model::ListEntry& entry) {
-  const auto at = static_cast<std::size_t>(discovery_.RowOf(entry.machine));
-  if (row.list.size() <= at) row.list.resize(at + 1);
-  row.list[at] = entry;
-}
-
 // Told is what is new to it: what it remembers was told before, or came with its configuration.
 void Day::HearList(int sidecar, const model::Listing& listing) {
-  Sidecar& row = Row(sidecar);
-  row.revision = listing.revision;
-  if (listing.complete) {
-    std::vector<bool> there(row.list.size());
-    for (const model::ListEntry& entry : listing.entries) {
-      const auto at = static_cast<std::size_t>(discovery_.RowOf(entry.machine));
-      if (at < there.size()) there[at] = true;
-    }
-    for (std::size_t at = 0; at < there.size(); ++at) {
-      if (there[at] || !row.list[at] || row.list[at]->phase == model::Phase::kGone) continue;
-      row.list[at]->phase = model::Phase::kGone;
-      Tell(&Observer::Told, sidecar, *row.list[at], listing.revision);
-    }
-  }
-  for (const model::ListEntry& entry : listing.entries) {
-    const auto at = static_cast<std::size_t>(discovery_.RowOf(entry.machine));
-    if (at < row.list.size() && row.list[at] == entry) continue;
-    Remember(row, entry);
+  for (const model::ListEntry& entry : Row(sidecar).told->Hear(listing)) {
     Tell(&Observer::Told, sidecar, entry, listing.revision);
   }
 }
@@ -572,11 +547,7 @@
       [this, sidecar](const model::Listing& listing) { HearList(sidecar, listing); });
   row.phase = Phase::kServing;
   Tell(&Observer::SidecarChanged, sidecar, record::Sidecar::READY);
-  model::Listing known{row.revision, true, {}};
-  for (const auto& entry : row.list) {
-    if (entry && entry->phase != model::Phase::kGone) known.entries.push_back(*entry);
-  }
-  row.process->Start(known);
+  row.process->Start(row.told->Known());
 }
 
 void Day::CarrySidecar(const model::Step& step) {
--- a/lab/virtual/day.h
+++ b/lab/virtual/day.h
@@ -21,6 +21,7 @@
 #include "lab/model/figures.h"
 #include "lab/model/fleet.h"
 #include "lab/model/network.h"
+#include "lab/model/told_list.h"
 #include "lab/virtual/observer.h"
 #include "lab/virtual/outside.h"
 #include "lab/virtual/sidecar.h"
@@ -103,11 +104,9 @@
     std::uint32_t life = 0;
     std::unique_ptr<SidecarProcess> process;
     cartspring::Settings settings;
-    std::int64_t wake_us = 0;  // 0: no turn is queued
-    double down_ms = 0;        // from its end to its next start
-    // The list as it last had it, by row; what outlives the process.
-    std::int64_t revision = 0;
-    std::vector<std::optional<model::ListEntry>> list;
+    std::int64_t wake_us = 0;             // 0: no turn is queued
+    double down_ms = 0;                   // from its end to its next start
+    std::optional<model::ToldList> told;  // always there; outlives the process
     std::uint64_t connections_made = 0;
     std::set<model::TryId> tries;  // taken and not answered
   };
@@ -175,7 +174,6 @@
   void EndCut(const model::LinkTrouble& trouble);
   void AskArrives(int sidecar, model::CallId id);
   void HearList(int sidecar, const model::Listing& listing);
-  void Remember(Sidecar& row, const model::ListEntry& entry);
   void StartProcess(int sidecar);
   void Ready(int sidecar);
   void EndProcess(int sidecar, record::Sidecar::What what);
