Play a scenario on sockets: built sidecars between stand-ins over the lab's model

What the lab judged so far was the program's core in simulated time; sockets, processes, signals and limits were out of its sight. lab/stands puts the same model behind HTTP on loopback: execute nodes at an address for each sidecar (by the address that is dialed a connection's sidecar is known), discovery with watches and moves, open-loop clients, and one built bitternmux for each sidecar with the platform's variables, configuration file, signals and descriptor limit. The run is recorded through the same observers, so that the checker and the summary are the same. The lab's own lateness makes a run void.

Weighed: one listener for each server on all addresses, with the dialed address read from the connection: it would listen beyond loopback.

--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -3,6 +3,8 @@
 #ifndef BITTERNMUX_LAB_APPS_COMMANDS_H_
 #define BITTERNMUX_LAB_APPS_COMMANDS_H_
 
+#include <string>
+
 namespace CLI {
 class App;
 }
@@ -16,6 +18,10 @@
 void AddCheckScenario(CLI::App& app, int& code);
 void AddRun(CLI::App& app, int& code);
 void AddLoad(CLI::App& app, int& code);
+void AddUp(CLI::App& app, int& code);
+
+// The built sidecar: the one beside this program, unless another is named.
+std::string BesideThis(const std::string& named);
 
 }  // namespace bitternmux::lab
 
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -15,6 +15,7 @@
   AddCheckScenario(app, code);
   AddRun(app, code);
   AddLoad(app, code);
+  AddUp(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/lab/apps/run.cpp
+++ b/lab/apps/run.cpp
@@ -9,6 +9,7 @@
 #include "lab/apps/commands.h"
 #include "lab/record/writer.h"
 #include "lab/scenario/scenario.h"
+#include "lab/stands/loopback.h"
 #include "lab/virtual/day.h"
 #include "lab/virtual/recorder.h"
 #include "lab/virtual/summary.h"
@@ -16,10 +17,14 @@
 namespace bitternmux::lab {
 namespace {
 
+constexpr int kExitVoid = 1;
+constexpr int kExitInterrupted = 130;  // as a shell has it
+
 struct Arguments {
   std::string scenario;
   std::string mode = "virtual";
   std::optional<std::uint64_t> seed;
+  std::string program;
   std::string record, json;
 };
 
@@ -41,7 +46,7 @@
     return kExitUnusable;
   }
   const model::Figures figures = scenario->Draw(arguments.seed);
-  Summary summary(figures);
+  Summary summary(figures, arguments.mode);
   std::vector<Observer*> observers = {&summary};
   std::unique_ptr<record::FileSink> sink;
   std::unique_ptr<record::Writer> writer;
@@ -49,15 +54,22 @@
   if (!arguments.record.empty()) {
     sink = std::make_unique<record::FileSink>(arguments.record);
     writer = std::make_unique<record::Writer>(
-        *sink, HeaderOf(figures, "virtual", BITTERNMUX_LAB_VERSION, scenario->text()));
+        *sink, HeaderOf(figures, arguments.mode, BITTERNMUX_LAB_VERSION, scenario->text()));
     recorder = std::make_unique<Recorder>(figures, *writer);
     observers.push_back(recorder.get());
   }
-  Day day(figures, observers);
-  day.Run();
+  Played played;
+  if (arguments.mode == "virtual") {
+    Day day(figures, observers);
+    day.Run();
+  } else {
+    played = PlayOnLoopback(figures, BesideThis(arguments.program), observers);
+  }
   if (arguments.json != "-" && arguments.record != "-") std::cout << summary.Text();
   if (!arguments.json.empty()) WriteJson(arguments.json, summary.ToJson().dump(1));
-  return 0;
+  if (played.void_reason.empty()) return 0;
+  std::cerr << "void: " << played.void_reason << "\n";
+  return played.interrupted ? kExitInterrupted : kExitVoid;
 }
 
 }  // namespace
@@ -66,13 +78,21 @@
   auto arguments = std::make_shared<Arguments>();
   auto* command = app.add_subcommand("run", "Plays a scenario and says what its clients got");
   command->add_option("SCENARIO", arguments->scenario, "The scenario, TOML")->required();
-  command->add_option("--mode", arguments->mode, "virtual: simulated time, all in this process")
-      ->check(CLI::IsMember({"virtual"}))
+  command
+      ->add_option("--mode", arguments->mode,
+                   "virtual: simulated time, all in this process; loopback: built sidecars between stand-ins "
+                   "on sockets, in real time")
+      ->check(CLI::IsMember({"virtual", "loopback"}))
       ->capture_default_str();
   command->add_option("--seed", arguments->seed, "Draws another day of it; else the scenario's own");
+  command->add_option("--program", arguments->program,
+                      "loopback: the built bitternmux; else the one beside this program");
   command->add_option("--record", arguments->record,
                       "Writes all that passed to this file; - is standard output");
   command->add_option("--json", arguments->json, "Writes the summary to this file; - is standard output");
+  command->footer(
+      "Exit code: 0 played, 1 void (the lab ran late, or a sidecar ended by itself), 2 it cannot be played, "
+      "130 interrupted.");
   command->callback([arguments, &code] { code = RunRun(*arguments); });
 }
 
