End the claim that a sidecar has given up by sending on the same connection

Seen while a fault was planted: a second request behind an answer that was not whole took the first claim's place, and the record was left with a claim without an end. It now ends as cancelled.

--- a/lab/stands/quote_servers.cpp
+++ b/lab/stands/quote_servers.cpp
@@ -181,6 +181,8 @@
   if (const auto wait = request.Find("req-deadline-ms")) {
     offered.wait_ms = static_cast<double>(http::WholeNumber(*wait).value_or(0));
   }
+  // Guards the record: one that sends on though an answer was not whole has given that one up.
+  EndClaim(row, ClaimEnded::CANCELLED, 0);
   row.claim = offered.claim;
   ++claims_out_;
   stage_.Tell(&Observer::ClaimSent,
