--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -17,6 +17,8 @@
   AddLoad(app, code);
   AddSweep(app, code);
   AddReport(app, code);
+  AddStand(app, code);
+  AddUp(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
