Tell a story of a request that has come on a session about to make room; drop what no test needs

The program halted by a signal lets the request and the new connection be there at once, so that the story has one order. Seen to fail where the unread request is not looked for.

--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -85,7 +85,6 @@
 
   void TurnAway(int status, const char* reason) {
     keep_alive_ = false;
-    if (!proven_) server_.limits_.Leaves(runtime_.now_ms(), id_);
     Write(WriteBadRequest({status, reason, {}}, false));
   }
 
@@ -170,7 +169,6 @@
     if (const auto* bad = std::get_if<BadRequest>(&asked)) {
       // One that never sent a good request would only send the same again.
       keep_alive_ = keep_alive_ && proven_;
-      if (!proven_) server_.limits_.Leaves(runtime_.now_ms(), id_);
       return Write(WriteBadRequest(*bad, keep_alive_));
     }
     proven_ = true;
@@ -269,8 +267,7 @@
 }
 
 void SubmitterServer::AcceptLater() {
-  accept_timer_ = runtime_.wheel.Add(runtime_.now_ms() + kAcceptPauseMs, [this] {
-    accept_timer_ = 0;
+  runtime_.wheel.Add(runtime_.now_ms() + kAcceptPauseMs, [this] {
     if (!closing_) Accept();
   });
 }
@@ -330,12 +327,8 @@
 void SubmitterServer::Ended(limits::Sessions::Id id) {
   limits_.Closed(runtime_.now_ms(), id);
   sessions_[id] = nullptr;
-  if (closing_ && limits_.open() == 0 && closed_) {
+  if (closing_ && limits_.open() == 0 && closed_)
     asio::post(runtime_.strand, std::exchange(closed_, nullptr));
-  } else if (!closing_ && accept_timer_ != 0) {
-    runtime_.wheel.Cancel(std::exchange(accept_timer_, 0));
-    Accept();
-  }
 }
 
 void SubmitterServer::Close(std::function<void()> done) {
--- a/src/net/submitter_server.h
+++ b/src/net/submitter_server.h
@@ -45,7 +45,6 @@
   std::size_t unread_ = 0;
   tcp::acceptor acceptor_;
   tcp::socket incoming_;
-  TimerWheel::Id accept_timer_ = 0;  // an accept waits for room
   limits::Sessions limits_;
   std::vector<std::shared_ptr<Session>> sessions_;  // by their ids; null where there is none
   double said_short_ms_ = 0;
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -346,6 +346,23 @@
   CHECK(submitters.back().Read().ends_with("ok"));
 }
 
+TEST_CASE("a request that has come on a connection that is to make room is served") {
+  Bed bed(1, /*sockets=*/64);
+  const std::string up = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+  std::vector<Peer> submitters;
+  for (int i = 0; i < 24; ++i) {
+    if (i == 23) bed.program.Halt();  // 24 is the limit: the one that comes now takes the last place
+    submitters.push_back(bed.Submitter());
+    submitters.back().Send(up);
+    if (i < 23) CHECK(Status(submitters.back().Read()) == 200);
+  }
+  submitters[0].Send(up);  // idles longest; asked after the new one came
+  bed.program.GoOn();
+  CHECK(Status(submitters[0].Read()) == 200);
+  CHECK(Status(submitters[23].Read()) == 200);
+  CHECK(submitters[1].Ends());
+}
+
 TEST_CASE("at the limit of descriptors those go first that never sent a good request") {
   Bed bed(1, /*sockets=*/64);
   Peer keeper = bed.Submitter(), waiting = bed.Submitter();
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -238,6 +238,12 @@
   }
   void Configure(const std::string& text) { std::ofstream(folder_ / "config.json") << text; }
   void Terminate() { ::kill(pid_, SIGTERM); }
+  // Between the two it stands still, and what comes meanwhile is there at once when it goes on.
+  void Halt() {
+    ::kill(pid_, SIGSTOP);
+    ::waitpid(pid_, nullptr, WUNTRACED);
+  }
+  void GoOn() { ::kill(pid_, SIGCONT); }
   void HangUp() { ::kill(pid_, SIGHUP); }
   // Its exit code, once its log has ended.
   int Exit() {
