--- a/src/limits/sessions.h
+++ b/src/limits/sessions.h
@@ -52,9 +52,8 @@
   void Began(double now_ms, Id id);  // bytes of a request are there; the first ones, or more of them
   void Taken(double now_ms, Id id, Ask asked);  // the request is whole and good
   void Rests(double now_ms, Id id);             // its answer is out, and it stays open
-  void Leaves(double now_ms,
-              Id id);  // all is written that tells it that it ends: turned away, or answered as the last
-  void Closed(double now_ms, Id id);  // it is gone, whoever ended it
+  void Leaves(double now_ms, Id id);            // told that it ends: turned away, or answered as the last
+  void Closed(double now_ms, Id id);            // it is gone, whoever ended it
 
   // ---- What to do ----
 
