--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -15,13 +15,14 @@
 
 }  // namespace
 
-void* operator new(std::size_t size) {
+// Not inlined: g++ 12 takes the pair for one that does not match where it sees through both.
+[[gnu::noinline]] void* operator new(std::size_t size) {
   ++allocations;
   if (void* memory = std::malloc(size)) return memory;
   throw std::bad_alloc();
 }
-void operator delete(void* memory) noexcept { std::free(memory); }
-void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
 
 namespace cartspring {
 namespace {
