Leave out hosts that cannot be reached, though they are most of the list

Gone hosts show no load, so they came first: three attempts failed at once, 2,107 a second where 300 requests came, and 51 to 69% were refused for 3 to 8 s.

Where most of the fleet looks ill, all hosts are used but those to which the last connection did not come up, for as long as they are set aside.

--- a/src/cartspring/beliefs.h
+++ b/src/cartspring/beliefs.h
@@ -184,11 +184,12 @@
   // `safe`: for a request that may run again.
   std::vector<int> Ready(const HostTable& hosts, bool safe) const {
     std::vector<int> ready, all;
-    std::size_t well = 0;
+    std::size_t well = 0, live = 0;
     for (int i = 0; i < hosts.size(); ++i) {
       const Host& host = hosts[i];
       if (host.entry.state != HostState::kLive) continue;
-      all.push_back(i);
+      ++live;
+      if (!host.unreached || ctx_.now >= host.out_until) all.push_back(i);
       if (ctx_.now < host.out_until || Silent(host)) continue;
       if (host.doubt <= 0) {
         ++well;
@@ -199,8 +200,9 @@
         ready.push_back(i);
       }
     }
-    // If most of the fleet looks ill, the fault is likelier in this instance's view: use them all.
-    return 2 * well < all.size() ? all : ready;
+    // If most of the fleet looks ill, the fault is likelier in this instance's view: use all that can be
+    // reached.
+    return 2 * well < live && !all.empty() ? all : ready;
   }
 
  private:
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -152,8 +152,7 @@
   }
 
   // No host to keep it: look again soon, then less and less often. But one that all hosts have passed over,
-  // or that nobody took in half its time, is given up: what cannot be done is told while the client can act
-  // on it.
+  // or that nobody took in half its time, is given up: that is told while the client can act on it.
   void LookAgain(RequestId id, Live& live) {
     ++live.looks;
     live.sample.clear();
@@ -193,6 +192,7 @@
     const bool heard = outcome == Outcome::kServed || outcome == Outcome::kError ||
                        outcome == Outcome::kRefusedByHost || outcome == Outcome::kConnectionLost;
     if (heard) health_.Heard(host);
+    if (heard || outcome == Outcome::kConnectFailed) host.unreached = !heard;
     switch (outcome) {
       case Outcome::kServed:
         reports_.Served(host);
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -34,6 +34,7 @@
   double doubt = 0;          // log odds that it is failing
   int set_asides = 0;        // since its last answer
   double out_until = 0;
+  bool unreached = false;  // the last thing known of it is that no connection came up
   // By Estimates.
   double slow_log = 0;  // log of how much slower than its kind it was last seen to be
   double slow_at = 0;
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -65,11 +65,9 @@
   }
 
   // Time alone would let a host be crowded where work is small beside the aims. Crowded for a second or two,
-  // a host turns slow, and stays so while it is kept busy: all of them so, and no load that they could bear
-  // before is borne again. What a host holds is told by the own requests there and this instance's share of
-  // what all hosts hold: a report is renewed now and then and comes late, and in a second in which hosts
-  // leave or a burst sets in it says next to nothing; what others send grows and shrinks as this instance's
-  // own does.
+  // a host turns slow, and stays so while it is kept busy. What it holds is told by the own requests there
+  // and this instance's share of what all hosts hold: reports come late, and when hosts leave or a burst sets
+  // in they say next to nothing; what others send grows and shrinks as this instance's own does.
   bool Full(const Host& host) const {
     return host.Working() > 0 &&
            host.Working() + 1 > kFullest * share_ * hosts_.Size(host) * hosts_.Warmth(host);
--- a/tests/cartspring/module_test.cpp
+++ b/tests/cartspring/module_test.cpp
@@ -58,6 +58,28 @@
   EXPECT_GE(used.size(), 2u);
 }
 
+TEST(Health, HostsThatCannotBeReachedAreLeftOutThoughTheyAreMostOfTheList) {
+  // A list that is seconds old names four that are gone beside three that serve.
+  Settings settings = TestSettings();
+  settings.max_attempts = 3;
+  Bed bed(settings);
+  bed.Hosts(TestHosts(7));
+  int served = 0;
+  for (int i = 0; i < 400; ++i) {
+    const RequestId id = bed.Request(kUnsafeClass);
+    for (int attempt = 0; bed.out.Answers(id) == 0; ++attempt) {
+      ASSERT_LT(attempt, 10);
+      const bool there = bed.out.sends.back().host >= "e";
+      bed.End(id, attempt, there ? Outcome::kServed : Outcome::kConnectFailed, there, there ? 20 : 0.2, 0);
+      if (!there) continue;
+      served += i >= 100;
+      break;
+    }
+    bed.PassTo(bed.now + 5);
+  }
+  EXPECT_GT(served, 290);
+}
+
 TEST(Health, ASlowHostIsRankedBehindOthersOfTheSameLoad) {
   Bed bed(TestSettings());
   bed.Hosts(TestHosts(4));
