--- a/src/log/line_writer.cpp
+++ b/src/log/line_writer.cpp
@@ -1,9 +1,7 @@
 #include "log/line_writer.h"
 
-#include <fcntl.h>
 #include <poll.h>
 #include <sys/uio.h>
-#include <unistd.h>
 
 #include <cerrno>
 #include <utility>
@@ -11,17 +9,7 @@
 namespace bitternmux::log {
 
 LineWriter::LineWriter(int fd, std::function<std::string(std::uint64_t)> dropped_line)
-    : fd_(fd), dropped_line_(std::move(dropped_line)) {
-  if (!isatty(fd)) return;
-  // A terminal that is stopped (Ctrl-S) takes no write, and has no write that does not wait.
-  own_fd_ =
-      open(("/proc/self/fd/" + std::to_string(fd)).c_str(), O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
-  if (own_fd_ >= 0) fd_ = own_fd_;
-}
-
-LineWriter::~LineWriter() {
-  if (own_fd_ >= 0) close(own_fd_);
-}
+    : fd_(fd), dropped_line_(std::move(dropped_line)) {}
 
 void LineWriter::Put(std::string line) {
   kept_bytes_ += line.size();
--- a/src/log/line_writer.h
+++ b/src/log/line_writer.h
@@ -2,9 +2,9 @@
 //
 // Standard error is shared: with the shell, with whatever else was started on the same terminal or pipe.
 // O_NONBLOCK belongs to the open file and not to the descriptor, so that to set it would change it for all of
-// them. Each write says instead that it must not wait: pwritev2 with RWF_NOWAIT (Linux; pipes, sockets), or,
-// on a terminal, an open file of our own. What knows neither, such as a file on a disk, is asked by poll
-// first.
+// them. Each write says instead that it must not wait: pwritev2 with RWF_NOWAIT (Linux; sockets, and
+// since 6.4 pipes). What does not know that, such as a terminal, a named pipe or a file, is asked by poll
+// first: a pipe or a pseudo-terminal that takes anything takes a whole line.
 //
 // What the reader does not take is kept, kMostKept bytes at the most, the oldest line dropped first; the
 // number of those that were dropped is written in their place once there is room again. SIGPIPE must be
@@ -31,7 +31,6 @@
 
   // `fd` stays the caller's. `dropped_line`: the line that tells of so many dropped ones.
   LineWriter(int fd, std::function<std::string(std::uint64_t)> dropped_line);
-  ~LineWriter();
   LineWriter(const LineWriter&) = delete;
   LineWriter& operator=(const LineWriter&) = delete;
 
@@ -48,8 +47,7 @@
   ssize_t WriteNow(std::string_view bytes);
   bool Writable(int patience_ms) const;
 
-  int fd_;
-  int own_fd_ = -1;     // the terminal, opened once more
+  const int fd_;
   bool nowait_ = true;  // a write can be told not to wait
   const std::function<std::string(std::uint64_t)> dropped_line_;
   std::deque<std::string> kept_;
--- a/tests/log/log_test.cpp
+++ b/tests/log/log_test.cpp
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <termios.h>
 #include <unistd.h>
 
@@ -10,6 +11,7 @@
 #include <cmath>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -18,20 +20,36 @@
 #include "events/catalogue.h"
 #include "log/flood_gate.h"
 #include "log/line_writer.h"
+#include "support/peers.h"
 
 namespace bitternmux::log {
 namespace {
 
 constexpr EventKind kEvent{"peer.odd", Severity::kWarning};
 
-enum class Kind { kPipe, kSocket, kTerminal };
+// A write to a named pipe cannot be told not to wait, as none to a pipe can on kernels before 6.4.
+enum class Kind { kPipe, kNamedPipe, kSocket, kTerminal };
 
 // Two ends of something a program may have as its standard error.
 struct Ends {
   explicit Ends(Kind kind) {
     int ends[2] = {-1, -1};
     if (kind == Kind::kPipe) REQUIRE(::pipe(ends) == 0);
-    if (kind == Kind::kSocket) REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+    if (kind == Kind::kNamedPipe) {
+      const std::string path =
+          (std::filesystem::temp_directory_path() / ("log-" + std::to_string(::getpid()))).string();
+      REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+      ends[0] = ::open(path.c_str(), O_RDONLY | O_NONBLOCK);
+      ends[1] = ::open(path.c_str(), O_WRONLY);
+      ::unlink(path.c_str());
+    }
+    if (kind == Kind::kSocket) {  // one that takes lines in parts
+      peers::Listener listener;
+      const sockaddr_in at = peers::Loopback(listener.port());
+      ends[1] = ::socket(AF_INET, SOCK_STREAM, 0);
+      REQUIRE(::connect(ends[1], reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+      ends[0] = listener.AcceptDescriptor();
+    }
     if (kind == Kind::kTerminal) {
       ends[0] = ::posix_openpt(O_RDWR | O_NOCTTY);
       REQUIRE((::grantpt(ends[0]) == 0 && ::unlockpt(ends[0]) == 0));
@@ -46,7 +64,7 @@
     ::fcntl(read, F_SETFL, ::fcntl(read, F_GETFL) | O_NONBLOCK);
   }
   ~Ends() {
-    ::close(read);
+    if (read >= 0) ::close(read);
     ::close(write);
   }
   std::string Take() const {
@@ -61,6 +79,11 @@
   int read = -1, write = -1;
 };
 
+// A line that shows where it begins and ends.
+std::string Whole(int number) {
+  return std::to_string(number) + std::string(3000, '.') + std::to_string(number);
+}
+
 std::vector<std::string> Lines(const std::string& text) {
   std::vector<std::string> out;
   std::istringstream in(text);
@@ -71,11 +94,10 @@
 }  // namespace
 
 TEST_CASE("a reader that stops is never waited for, and is told in its place what it missed") {
-  const Ends ends(GENERATE(Kind::kPipe, Kind::kSocket, Kind::kTerminal));
+  const Ends ends(GENERATE(Kind::kPipe, Kind::kNamedPipe, Kind::kSocket, Kind::kTerminal));
   LineWriter writer(ends.write, [](std::uint64_t count) { return "missed " + std::to_string(count) + "\n"; });
-  const std::string padding(200, '.');
   constexpr int kLines = 5000;  // more than what any of them holds; a write that waits would wait for ever
-  for (int i = 0; i < kLines; ++i) writer.Put(std::to_string(i) + padding + "\n");
+  for (int i = 0; i < kLines; ++i) writer.Put(Whole(i) + "\n");
   std::string text = ends.Take();
   for (int i = 0; !writer.idle(); ++i) {
     REQUIRE(i < 1000);
@@ -89,7 +111,7 @@
       missed += here;
       next += here;
     } else {
-      REQUIRE(line == std::to_string(next++) + padding);
+      REQUIRE(line == Whole(next++));
     }
   }
   CHECK(missed > 0);
@@ -97,8 +119,8 @@
 }
 
 TEST_CASE("a reader that is gone costs its lines and nothing else") {
-  const Ends ends(Kind::kSocket);
-  ::shutdown(ends.read, SHUT_RD);
+  Ends ends(Kind::kPipe);
+  ::close(std::exchange(ends.read, -1));
   const auto former = ::signal(SIGPIPE, SIG_IGN);
   LineWriter writer(ends.write, [](std::uint64_t) { return "\n"; });
   for (int i = 0; i < 100; ++i) writer.Put(std::string(LineWriter::kLongestLine, 'x'));
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -117,9 +117,10 @@
 
   int port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-  Peer Accept() {
+  Peer Accept() { return Peer(AcceptDescriptor()); }
+  int AcceptDescriptor() {
     AwaitReadable(fd_);
-    return Peer(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+    return ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
   }
   bool Waiting() const {
     pollfd wait{fd_, POLLIN, 0};
