--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -19,6 +19,7 @@
 constexpr double kOwnMemory = 4;      // usual times of an answer over which own attempts are averaged
 constexpr double kShareMemoryMs = 1000;  // over which this instance's share of what hosts hold is averaged
 constexpr double kLoadMost = 24;         // requests that a host of the mean size is believed to hold at most
+constexpr double kFullest = 6;           // requests that a host of the mean size holds at most
 constexpr double kShareLeast = 0.5;      // of an equal share among the instances
 
 class Reports {
@@ -51,7 +52,7 @@
     const double load = std::min(told, kLoadMost * hosts_.Size(host));
     CountOwn(host, 0);
     // A report that came with an answer tells of some time before it, of which the mean is all that is known.
-    host.others = std::max(0.0, load - (Probing() ? host.own : host.own_mean));
+    host.others = std::max(0.0, load - (Probing() ? host.Working() : host.own_mean));
     host.load = load;
     host.load_at = ctx_.now;
     // Each report counts for the time since the one before it; half a request beside an equal share's worth
@@ -63,20 +64,29 @@
     share_ = std::clamp((own_ + 0.5) / (all_ + 0.5 / equal), kShareLeast * equal, 1.0);
   }
 
-  // What the host holds with `more` own requests, for its size. Told by the own ones and this instance's
-  // share of what all hosts hold: a report is renewed now and then and comes late, and in a second in which
-  // hosts leave or a burst sets in it says next to nothing; what others send grows and shrinks as this
-  // instance's own does.
-  double Held(const Host& host, int more) const {
-    return (host.own + more) / (share_ * hosts_.Size(host) * hosts_.Warmth(host));
+  // Time alone would let a host be crowded where work is small beside the aims. Crowded for a second or two,
+  // a host turns slow, and stays so while it is kept busy: all of them so, and no load that they could bear
+  // before is borne again. What a host holds is told by the own requests there and this instance's share of
+  // what all hosts hold: a report is renewed now and then and comes late, and in a second in which hosts
+  // leave or a burst sets in it says next to nothing; what others send grows and shrinks as this instance's
+  // own does.
+  bool Full(const Host& host) const {
+    return host.Working() > 0 &&
+           host.Working() + 1 > kFullest * share_ * hosts_.Size(host) * hosts_.Warmth(host);
   }
 
   void CountOwn(Host& host, int more) {
     const double kept = std::exp((host.own_at - ctx_.now) / (kOwnMemory * estimates_.UsualAnswer()));
-    host.own_mean = host.own + (host.own_mean - host.own) * kept;
+    host.own_mean = host.Working() + (host.own_mean - host.Working()) * kept;
     host.own_at = ctx_.now;
     host.own += more;
   }
+  // An attempt that is out for several times as long as expected is no load any more: its answer was lost, or
+  // its host is silent, which is for Health. Else it would fill its host until its time is out.
+  void CountLate(Host& host, int more) {
+    CountOwn(host, 0);
+    host.late += more;
+  }
 
   void Served(Host& host) { host.linked_until = ctx_.now + ctx_.set.connection_idle_ms; }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -103,6 +103,7 @@
 
   void Start() {
     facade_.MachinesRemembered(NowMs(), machines_.Apply(known_, UnixAheadMs()));
+    pool_.Prune();
     jobs_.Tick(NowMs());
     server_.Listen(net::EndpointOf(config_.listen));
     Turn();
@@ -155,6 +156,7 @@
   void Stop() {
     if (std::exchange(stopping_, true)) return;
     log_.Write(events::kStopping, {{"held", jobs_.held()}});
+    log_.Write(events::kNodeConnections, {{"believed", pool_.Describe()}});
     wheel_.Add(NowMs() + kRestartWindowMs, [this] { server_.Close([this] { io_.stop(); }); });
     double longest = 0;
     for (const auto& klass : config_.settings.classes) longest = std::max(longest, klass.deadline_ms);
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -67,9 +67,19 @@
     char byte;
     return ::recv(fd_, &byte, 1, 0) <= 0;
   }
+  // Has anything come?
+  bool Waiting() const {
+    pollfd wait{fd_, POLLIN, 0};
+    return fd_ >= 0 && ::poll(&wait, 1, 0) == 1;
+  }
   void Close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
+  void Reset() {
+    const linger at_once{1, 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    Close();
+  }
 
  private:
   void More() {
@@ -252,6 +262,12 @@
   }
   void Configure(const std::string& text) { std::ofstream(folder_ / "config.json") << text; }
   void Terminate() { ::kill(pid_, SIGTERM); }
+  // Between the two it stands still, and what comes meanwhile is there at once when it goes on.
+  void Halt() {
+    ::kill(pid_, SIGSTOP);
+    ::waitpid(pid_, nullptr, WUNTRACED);
+  }
+  void GoOn() { ::kill(pid_, SIGCONT); }
   void HangUp() { ::kill(pid_, SIGHUP); }
   // Its exit code, once its log has ended.
   int Exit() {
