Send what is kept for a cold host there first, for first tries alone

Meanwhile the warm ones are crowded and half of what clients ask is refused as too late (rLate 2,000 to 2,700 a second at 1,000 sends). A cold host that reports one request ranks as six or more (walk.h, Walk::Choose, figure over warmth) and each slow answer of it makes it slower still (Slower), so that none is tried and none grows warm. Change: what the dice keep for a cold host goes there first. The budget of all together is the dice's, as before, but they now fall for first tries alone: clients' retries double the requests just when much is refused. Test: a cold host that looks slow gets its share, retries draw none; seen to fail without it.

--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -45,7 +45,7 @@
     live.request = request;
     if (!std::isfinite(request.work_hint_ms)) live.request.work_hint_ms = 0;
     attempts_.Earn();
-    live.aim_at = admission_.AimOf(live.request);
+    live.aim_at = admission_.AimOf(live);
     live.share = admission_.ShareOf(live.request);
     // Past its aim such a request is worth nothing: ending it then frees the host.
     live.end_at =
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -58,6 +58,7 @@
   double aim_at = 0;
   double end_at = 0;
   double half_at = 0;  // by then one that was not sent is given up
+  bool first = true;   // the client's first try, as far as can be told
   double share = 1;    // of its class's mean work, by the client's hint
   std::vector<Attempt> attempts;
   std::vector<int> sample;
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -50,13 +50,14 @@
         continue;
       }
       if (!KeptThoughCold(live, i)) continue;
-      // A cold host without a row ranks as if it had less than the mean to do: it is held back by being
-      // passed over, and must be tried to be known.
+      // A cold host without a row counts as having less than the mean to do: it must be tried to be known.
       const double warmth = hosts_.Warmth(host);
       const double others = reports_.Reported(host, live) ? host.others : unreported * warmth - (1 - warmth);
       // This instance's own requests as they are now, and this request.
       const double figure = (others + host.Working() + 1) / (hosts_.Size(host) * warmth);
-      const double key = estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
+      // What is kept for a cold host goes there first: it warms up by being used, and looks slow until then.
+      const double key =
+          warmth < 1 ? 0 : estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
       ranking.push_back({key, ctx_.random.Unit(), i, figure});
     }
     if (ranking.empty()) return {0, 0, full ? kAllFull : kNoHost, 0};
@@ -88,7 +89,8 @@
     if (warmth >= 1) return true;
     const double fair = hosts_.Size(hosts_[i]) / static_cast<double>(hosts_.live().size());
     const double keep = warmth * (ctx_.set.fall_multiple / 2) * fair / live.considered;
-    if (ctx_.random.Unit() < keep) return true;
+    // By first tries alone: what clients ask again while much is refused would multiply what all send it.
+    if (live.first && ctx_.random.Unit() < keep) return true;
     live.barred.push_back(i);
     return false;
   }
@@ -107,17 +109,16 @@
   // When the answer is wanted. A client's retry keeps the clock of its first try. First tries of a class all
   // come with the same time, and they are most of what comes; one that comes with more or less than that is a
   // retry, which began a deadline before its end.
-  double AimOf(const Request& request) {
-    const RequestClass& klass = ctx_.ClassOf(request);
-    Seen& seen = seen_[request.klass];
-    const double budget = request.give_up_ms - ctx_.now,
+  double AimOf(Live& live) {
+    const RequestClass& klass = ctx_.ClassOf(live.request);
+    Seen& seen = seen_[live.request.klass];
+    const double give_up = live.request.give_up_ms, budget = give_up - ctx_.now,
                  off = kTryOff * klass.deadline_ms + 2 * ctx_.set.tick_ms;
     if (seen.first_tries < kOtherTry) seen.first_try_ms = budget;
-    const bool first = std::abs(budget - seen.first_try_ms) <= off;
-    seen.first_tries = std::min(kFirstTriesMost, seen.first_tries + (first ? 1 : -kOtherTry));
-    const double began = first ? ctx_.now : request.give_up_ms - klass.deadline_ms;
-    const double aim = klass.aim_ms + klass.aim_stretch * request.work_hint_ms;
-    return std::min(std::min(began, ctx_.now) + aim, request.give_up_ms);
+    live.first = std::abs(budget - seen.first_try_ms) <= off;
+    seen.first_tries = std::min(kFirstTriesMost, seen.first_tries + (live.first ? 1 : -kOtherTry));
+    const double began = live.first ? ctx_.now : std::min(ctx_.now, give_up - klass.deadline_ms);
+    return std::min(began + klass.aim_ms + klass.aim_stretch * live.request.work_hint_ms, give_up);
   }
 
   // The request's own work against its class's mean, by the client's hint; 1 without one.
@@ -143,8 +144,7 @@
   bool InTime(const Live& live, const Ranked& kept) const {
     const Host& host = hosts_[kept.host];
     const int klass = live.request.klass, hastiest = estimates_.hastiest();
-    // A host seen idle is always worth a try: were it refused for what was learned, nothing could be learned
-    // again.
+    // A host seen idle is always worth a try: refused for what was learned, it could teach nothing again.
     if (kept.figure * hosts_.Size(host) * hosts_.Warmth(host) < 2) return true;
     const double time = estimates_.Expected(klass, host, kept.figure, live.share);
     double worth = WorthForWork(klass) / WorthForWork(hastiest);
--- a/tests/cartspring/rules_test.cpp
+++ b/tests/cartspring/rules_test.cpp
@@ -284,6 +284,29 @@
   EXPECT_GT(warm, 0.5);  // warm, and least loaded by far
 }
 
+TEST(ColdHostsNotPushedOver, AColdHostGetsItsShareThoughItLooksSlow) {
+  // Cold, it takes long and holds much for its size: ranked by that, it would idle till it is warm.
+  Settings settings = TestSettings();
+  settings.cold_from = 0.2;
+  Bed bed(settings);
+  bed.now = 100000;
+  auto list = TestHosts(10);
+  list[0].started_ms = bed.now;
+  bed.Hosts(list);
+  int cold = 0, again = 0;
+  for (int i = 0; i < 4000; ++i) {
+    // Every second one is a client's retry, which comes with less time and draws for no cold host.
+    const RequestId id = bed.Request(kSafeClass, i % 2 == 0 ? 800 : 500);
+    const bool on_cold = bed.out.sends.back().id == id && bed.out.sends.back().host == "a";
+    cold += on_cold && i % 2 == 0;
+    again += on_cold && i % 2 != 0;
+    bed.End(id, 0, Outcome::kServed, true, on_cold ? 200 : 20, on_cold ? 2 : 1);
+  }
+  EXPECT_GT(cold, 20);  // kept with 0.2 x 1.5 / 10, of 2000
+  EXPECT_LT(cold, 110);
+  EXPECT_EQ(again, 0);
+}
+
 TEST(ColdHostsNotPushedOver, NeitherRetriesNorLaterLooksDrawForItAgain) {
   // A cold host beside one that cannot be reached: each request may be kept by it once, with 0.2 x 1.5 / 2,
   // however often it looks for a host until its end.
