Let safe requests make the first contact with a host, not those that must not run twice

Change: a host without a connection is four times as dear for what must not run twice. Test: seen to fail with the multiple at 1.

--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -17,8 +17,9 @@
 constexpr double kRoomShare = 0.65;  // and share of the shortest aim that is left to those behind it
 constexpr double kComeBack = 0.5;  // usual times of an answer after which one that was refused may come back
 constexpr double kShareMost = 8;   // a hint is believed within this factor of its class's mean
-constexpr double kTryOff = 0.01;   // of a deadline, by which the time of first tries varies
-constexpr double kOtherTry = 0.3;  // weight of a try that comes with another time
+constexpr double kFirstContact = 4;  // price of a new connection for what must not run twice, as a multiple
+constexpr double kTryOff = 0.01;     // of a deadline, by which the time of first tries varies
+constexpr double kOtherTry = 0.3;    // weight of a try that comes with another time
 constexpr double kFirstTriesMost = 20;
 
 class Walk {
@@ -26,8 +27,7 @@
   Walk(Context& ctx, const HostTable& hosts, const Estimates& estimates, const Reports& reports)
       : ctx_(ctx), hosts_(hosts), estimates_(estimates), reports_(reports) {}
 
-  // Of the hosts that the request may be sent to. kNoHost if all were passed over for being cold, kAllFull if
-  // some of these were full.
+  // Of the hosts that may be sent to. kNoHost: all were passed over for being cold; kAllFull: some were full.
   Ranked Choose(Live& live, const std::vector<int>& legal) {
     std::vector<int> candidates = legal;
     if (reports_.Probing())
@@ -53,8 +53,7 @@
       // A cold host without a row counts as having less than the mean to do: it must be tried to be known.
       const double warmth = hosts_.Warmth(host);
       const double others = reports_.Reported(host, live) ? host.others : unreported * warmth - (1 - warmth);
-      // This instance's own requests as they are now, and this request.
-      const double figure = (others + host.Working() + 1) / (hosts_.Size(host) * warmth);
+      const double figure = (others + host.Working() + 1) / (hosts_.Size(host) * warmth);  // with this one
       // What is kept for a cold host goes there first: it warms up by being used, and looks slow until then.
       const double key =
           warmth < 1 ? 0 : estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
@@ -77,11 +76,12 @@
   // the aim, and all of it ranks beside the load's time.
   double Distance(const Host& host, const Live& live) const {
     const Settings& set = ctx_.set;
-    const double aim = ctx_.ClassOf(live.request).aim_ms;
-    const double link = reports_.Linked(host) ? 0 : set.handshake_price * aim;
+    const RequestClass& klass = ctx_.ClassOf(live.request);
+    const double contact = klass.effect == Effect::kSafe ? 1 : kFirstContact;
+    const double link = reports_.Linked(host) ? 0 : contact * set.handshake_price * klass.aim_ms;
     if (host.entry.zone == set.own_zone) return link;
     const double way = std::max(0.0, reports_.Rtt(host.entry.zone) - reports_.Rtt(set.own_zone));
-    return link + way + set.cross_zone_price * aim;
+    return link + way + set.cross_zone_price * klass.aim_ms;
   }
 
   bool KeptThoughCold(Live& live, int i) {
--- a/tests/cartspring/walk_test.cpp
+++ b/tests/cartspring/walk_test.cpp
@@ -197,4 +197,34 @@
 }
 
 }  // namespace
+
+TEST(FirstContact, IsMadeBySafeRequestsAndNotByThoseThatMustNotRunTwice) {
+  // "a" is connected and holds some, "b" was last seen idle, and its connection is closed since.
+  const auto contacts = [](int klass) {
+    Settings settings = TestSettings();
+    settings.handshake_price = 0.05;
+    settings.connection_idle_ms = 100;
+    int out = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      Bed bed(settings, seed);
+      bed.now = 1000;
+      auto hosts = TestHosts(2);
+      bed.Hosts(hosts);
+      for (const int only : {1, 0}) {
+        for (const int i : {0, 1}) hosts[i].state = i == only ? HostState::kLive : HostState::kDraining;
+        bed.balancer.OnHostChanges(bed.now, hosts);
+        bed.End(bed.Request(kSafeClass), 0, Outcome::kServed, true, 20, only == 0 ? 2 : 0);
+        if (only == 1) bed.now += 150;
+      }
+      hosts[1].state = HostState::kLive;
+      bed.balancer.OnHostChanges(bed.now, hosts);
+      bed.Request(klass);
+      out += bed.out.sends.back().host == "b";
+    }
+    return out;
+  };
+  EXPECT_GT(contacts(kSafeClass), 75);
+  EXPECT_LT(contacts(kUnsafeClass), 25);  // "a" is passed over with chance 0.1
+}
+
 }  // namespace cartspring
