Let members of a large tier take less on as soon as answers come late everywhere

The sidecars expect 50 ms while answers take 400, and refuse a quarter only after 0.8 s. The bound on what a host holds never binds: of six a host a sidecar's share is 0.06, and one with no request there may always send one (reports.h, Reports::Full: Working() > 0), which a hundred of them do. Change: src/pace, a decider of its own. An answer is late after 2.5 times the client's hint at its work; each late one takes a fifth off what is taken on, each good one adds a tenth, the cheapest class is shed first. Off in tiers of six or fewer, where the count binds. When to ask for the list moves out of the module into src/membership as it was. Tests: the module's fails with the pace off; a hundred members in step settle near what hosts can do.

--- a/src/cartspring/hosts.h
+++ b/src/cartspring/hosts.h
@@ -1,9 +1,7 @@
 // The host table: what the list says of each host, and the row in which the steps keep what they know of it.
-// And discovery, where it speaks only when asked.
 //
 // Invariants. A row in use is never given to another host, and none is added while one is free. A started
-// process begins with nothing held against it. Discovery is asked until it answers, every ask_within_ms / 2
-// at the latest; pauses after refusals are jittered, so that instances do not ask in step.
+// process begins with nothing held against it.
 #ifndef CARTSPRING_SRC_CARTSPRING_HOSTS_H_
 #define CARTSPRING_SRC_CARTSPRING_HOSTS_H_
 
@@ -94,53 +92,6 @@
   double mean_weight_ = 1;
 };
 
-class Discovery {
- public:
-  Discovery(Context& ctx, ActionSink& sink) : ctx_(ctx), sink_(sink) {}
-
-  // At the start, with nothing but what was remembered, and when kDiscoveryTimer rings.
-  void Started() {
-    if (ctx_.set.must_subscribe) Ask();
-  }
-  void Due() {
-    if (!subscribed_ && ctx_.now >= due_ - kSettled) Ask();
-  }
-
-  void Answered() {
-    if (!asked_) return;
-    asked_ = false;
-    subscribed_ = true;
-    refusals_ = 0;
-  }
-
-  void Refused() {
-    if (!ctx_.set.must_subscribe) return;
-    subscribed_ = false;
-    asked_ = false;
-    const double longest = ctx_.set.ask_within_ms / 2;
-    const double base = std::min(longest, ctx_.set.ask_within_ms / 8 * (1 << std::min(refusals_, 4)));
-    ++refusals_;
-    due_ = ctx_.now + base * (0.5 + 0.5 * ctx_.random.Unit());
-    sink_.SetTimer(due_, kDiscoveryTimer);
-  }
-
- private:
-  void Ask() {
-    asked_ = true;
-    sink_.Subscribe();
-    // An answer that never comes must not leave this instance deaf.
-    due_ = ctx_.now + ctx_.set.ask_within_ms / 2;
-    sink_.SetTimer(due_, kDiscoveryTimer);
-  }
-
-  Context& ctx_;
-  ActionSink& sink_;
-  bool asked_ = false;
-  bool subscribed_ = false;
-  int refusals_ = 0;
-  double due_ = 0;
-};
-
 }  // namespace cartspring
 
 #endif  // CARTSPRING_SRC_CARTSPRING_HOSTS_H_
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -12,6 +12,8 @@
 
 #include "cartspring/attempts.h"
 #include "cartspring/walk.h"
+#include "membership/list_calls.h"
+#include "pace/pace.h"
 
 namespace cartspring {
 
@@ -27,12 +29,14 @@
   void OnHosts(double now, const std::vector<HostEntry>& entries, bool whole, bool remembered) {
     Advance(now);
     hosts_.Take(entries, whole);
-    remembered ? discovery_.Started() : discovery_.Answered();
+    if (!remembered) return list_calls_.Answered();
+    if (ctx_.set.must_subscribe) AskForList();
   }
 
   void OnDiscoveryRefused(double now) {
     Advance(now);
-    discovery_.Refused();
+    if (!ctx_.set.must_subscribe) return;
+    sink_.SetTimer(list_calls_.Refused(ctx_.now, ctx_.random.Unit()), kDiscoveryTimer);
   }
 
   void OnRequest(double now, const Request& request) {
@@ -53,6 +57,7 @@
     live.half_at = (ctx_.now + request.give_up_ms) / 2 - ctx_.set.tick_ms;
     sink_.SetTimer(std::max(attempts_.LastCall(live), ctx_.now), Token(request.id, kEndTimer));
     if (attempts_.LastCall(live) <= ctx_.now) return;  // the timer answers it in the next batch
+    if (paced_ && !pace_.Admits(request.klass, ctx_.random.Unit())) return End(request.id, live);
     Gather(request.id, live);
   }
 
@@ -110,12 +115,19 @@
 
   void OnTimer(double now, std::uint64_t token) {
     Advance(now);
-    if (token == kDiscoveryTimer) return discovery_.Due();
+    if (token == kDiscoveryTimer) return list_calls_.Due(ctx_.now) ? AskForList() : void();
     const RequestId id = token / kTimerKinds;
     const auto found = requests_.find(id);
     if (found == requests_.end() || found->second.begun) return;
     Live& live = found->second;
-    if (token % kTimerKinds == kLateTimer) {
+    if (token % kTimerKinds == kSlowTimer) {
+      Attempt& last = live.attempts.back();
+      const Host& host = hosts_[last.host];
+      // Of a host that was not heard of lately it tells nothing: it may be gone.
+      last.slow = last.pending && ctx_.now >= last.sent_at + admission_.SlowAfter(live) - kSettled &&
+                  ctx_.now - host.load_at < ctx_.ClassOf(live.request).deadline_ms;
+      if (last.slow) pace_.Heard(/*late=*/true);
+    } else if (token % kTimerKinds == kLateTimer) {
       Attempt& last = live.attempts.back();
       if (!last.pending || last.late || ctx_.now < last.late_at - kSettled) return;
       last.late = true;
@@ -128,11 +140,16 @@
   }
 
  private:
-  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kLateTimer, kTimerKinds };
+  enum TimerKind : std::uint64_t { kEndTimer, kHoldTimer, kLateTimer, kSlowTimer, kTimerKinds };
   static std::uint64_t Token(RequestId id, TimerKind kind) { return id * kTimerKinds + kind; }
 
   void Advance(double now) { ctx_.now = std::max(ctx_.now, now); }  // a clock that goes back: ignored
 
+  void AskForList() {
+    sink_.Subscribe();
+    sink_.SetTimer(list_calls_.Asked(ctx_.now), kDiscoveryTimer);
+  }
+
   void Gather(RequestId id, Live& live) {
     const bool safe = ctx_.ClassOf(live.request).effect == Effect::kSafe;
     std::vector<int> pool = health_.Ready(hosts_, safe);
@@ -174,6 +191,7 @@
     reports_.CountOwn(host, 1);
     live.attempts.back().late_at = ctx_.now + kCutAfter * host.expected_ms;
     sink_.SetTimer(live.attempts.back().late_at, Token(id, kLateTimer));
+    if (paced_) sink_.SetTimer(ctx_.now + admission_.SlowAfter(live), Token(id, kSlowTimer));
     live.barred.push_back(kept.host);
     live.looks = 0;
     sink_.Send(id, host.entry.host, attempts_.AttemptEnd(live, host.expected_ms));
@@ -197,6 +215,7 @@
       case Outcome::kServed:
         reports_.Served(host);
         health_.Weigh(host, false);
+        if (!tried.slow) pace_.Heard(took > admission_.SlowAfter(live));
         estimates_.LearnTypical(klass, took);
         return estimates_.LearnTime(klass, host, tried.figure, live.share, took);
       case Outcome::kTimeout:
@@ -250,7 +269,10 @@
   Reports reports_{ctx_, hosts_, estimates_, sink_};
   Walk walk_{ctx_, hosts_, estimates_, reports_};
   Admission admission_{ctx_, hosts_, estimates_};
-  Discovery discovery_{ctx_, sink_};
+  ListCalls list_calls_{ctx_.set.ask_within_ms};
+  // Where a member's share of what one host may hold is less than a request, counts bound nothing.
+  const bool paced_ = ctx_.set.balancers > kFullest;
+  Pace pace_{admission_.Worths()};
   std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
 };
 
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -51,6 +51,7 @@
   bool may_have_run = true;
   double late_at = 0;  // from then on its host is held to be done with it, though no answer came
   bool late = false;
+  bool slow = false;  // it was told to be late before its end
 };
 
 struct Live {
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -18,6 +18,8 @@
 constexpr double kComeBack = 0.5;  // usual times of an answer after which one that was refused may come back
 constexpr double kShareMost = 8;   // a hint is believed within this factor of its class's mean
 constexpr double kFirstContact = 4;  // price of a new connection for what must not run twice, as a multiple
+constexpr double kSlowWork = 2.5;    // times its work after which an answer is late
+constexpr double kSlowAim = 0.2;     // share of the aim that stands for it where clients give no hint
 constexpr double kTryOff = 0.01;     // of a deadline, by which the time of first tries varies
 constexpr double kOtherTry = 0.3;    // weight of a try that comes with another time
 constexpr double kFirstTriesMost = 20;
@@ -130,6 +132,19 @@
     return std::clamp(hint / mean, 1 / kShareMost, kShareMost);
   }
 
+  // An answer that takes longer is late, whatever was learned: several times its work as the client hints at
+  // it, and more where that is little for its class; without hints a share of its aim.
+  double SlowAfter(const Live& live) const {
+    const double hint = live.request.work_hint_ms;
+    return hint > 0 ? kSlowWork * hint / std::min(1.0, live.share)
+                    : kSlowAim * ctx_.ClassOf(live.request).aim_ms;
+  }
+  std::vector<double> Worths() const {
+    std::vector<double> worths;
+    for (const RequestClass& klass : ctx_.set.classes) worths.push_back(klass.worth);
+    return worths;
+  }
+
   // When one that is refused should come back: once hosts have ended about half of what they hold, in time
   // for its aim, and not in step with others. 0: no advice.
   double ComeBack(int klass) {
--- /dev/null
+++ b/src/membership/list_calls.h
@@ -0,0 +1,52 @@
+// When to ask discovery for the list, where it speaks only when asked: at the start, and after a refusal with
+// a pause that grows and is jittered, so that members that were turned away together do not come back
+// together.
+//
+// Does no I/O, reads no clock and draws no chance. Times in ms, by the caller's clock.
+#ifndef BITTERNMUX_SRC_MEMBERSHIP_LIST_CALLS_H_
+#define BITTERNMUX_SRC_MEMBERSHIP_LIST_CALLS_H_
+
+#include <algorithm>
+
+namespace cartspring {
+
+class ListCalls {
+ public:
+  // `ask_within_ms`: a member must never go this long without asking.
+  explicit ListCalls(double ask_within_ms) : ask_within_ms_(ask_within_ms) {}
+
+  // A call goes out now. Until its answer comes, the next is due at the time returned: an answer that never
+  // comes must not leave this member deaf.
+  double Asked(double now) {
+    asked_ = true;
+    return due_ = now + ask_within_ms_ / 2;
+  }
+  // The list, or a change of it, has come.
+  void Answered() {
+    if (!asked_) return;
+    asked_ = false;
+    subscribed_ = true;
+    refusals_ = 0;
+  }
+  // The call failed, or the watch broke. When the next is due; `chance`: uniform, from 0 to below 1.
+  double Refused(double now, double chance) {
+    subscribed_ = asked_ = false;
+    const double base = std::min(ask_within_ms_ / 2, ask_within_ms_ / 8 * (1 << std::min(refusals_, 4)));
+    ++refusals_;
+    return due_ = now + base * (0.5 + 0.5 * chance);
+  }
+  bool Due(double now) const { return !subscribed_ && now >= due_ - kSettledMs; }
+
+ private:
+  static constexpr double kSettledMs = 1e-6;  // for comparing times
+
+  double ask_within_ms_;
+  bool asked_ = false;
+  bool subscribed_ = false;
+  int refusals_ = 0;
+  double due_ = 0;
+};
+
+}  // namespace cartspring
+
+#endif  // BITTERNMUX_SRC_MEMBERSHIP_LIST_CALLS_H_
--- a/tests/cartspring/module_test.cpp
+++ b/tests/cartspring/module_test.cpp
@@ -280,6 +280,28 @@
   return settings;
 }
 
+// Each member of a large tier has none or one request at a host, so that a bound on that count bounds
+// nothing.
+TEST(Pace, WhereAnswersComeLateAMemberOfALargeTierTakesLessOnAndASmallOneDoesAsEver) {
+  for (const int balancers : {4, 100}) {
+    Settings settings = TestSettings();
+    settings.balancers = balancers;
+    Bed bed(settings);
+    bed.Hosts(TestHosts(60));
+    int sent = 0;
+    for (int i = 0; i < 60; ++i) {
+      const std::size_t before = bed.out.sends.size();
+      const RequestId id = bed.Request(kSafeClass, 1000);
+      if (bed.out.sends.size() == before) continue;  // refused at once
+      ++sent;
+      bed.PassTo(bed.now + 120);  // a quarter of the aim
+      bed.End(id, 0, Outcome::kServed, true, 120, 1);
+    }
+    EXPECT_GE(sent, balancers == 4 ? 60 : 6) << balancers;  // something is measured at any time
+    EXPECT_LE(sent, balancers == 4 ? 60 : 30) << balancers;
+  }
+}
+
 TEST(Discovery, SubscribesAtOnceWhereItMustAndOnlyThere) {
   Bed pushed(TestSettings());
   pushed.balancer.OnHostList(pushed.now, TestHosts(2), true);
