Spare cold hosts the pace, earn looks at failing hosts, and keep odd times to their hosts

Lines at fault: the pace was asked in OnRequest; LearnTime (beliefs.h) counted an outcome at up to eight times its kind's level, or unbounded for the level of all, which an eighth of bad outcomes lifts without end; Health::Ready let each sidecar look at each failing host about once a second, whatever its own traffic. Change: requests kept for a cold host are not paced and its answers not counted; in large tiers two in a hundred requests may go on a look; an outcome counts as three times its level at most.

--- a/src/cartspring/beliefs.h
+++ b/src/cartspring/beliefs.h
@@ -16,6 +16,7 @@
 constexpr double kFirstGuess = 0.2;  // an unloaded host is taken to answer in this share of the aim
 constexpr double kGuessOff = 1.5;  // and the first outcome is believed within this factor of what was thought
 constexpr double kSlowWeight = 0.25;    // weight of a new outcome in what is thought of its host
+constexpr double kOddMost = 3;          // times its level that one outcome counts as at most
 constexpr double kSlowMost = 8;         // a host is held to be this many times slower than its kind at most
 constexpr double kTypicalWeight = 0.1;  // weight of a new sample in running means
 constexpr double kShapeFade = 0.98;     // what the time's shape keeps of its past at each new outcome
@@ -28,7 +29,9 @@
 constexpr double kSpoiltLeast = 0.003;
 constexpr double kDoubtMost = 4;
 constexpr double kPauseTypical = 4;  // first pause of a host set aside, in usual times of an answer
-constexpr double kSilentAfter = 3;   // expected times after which a host that says nothing is held silent
+constexpr double kLookShare = 0.02;  // of requests: attempts that see whether a failing host is well again
+constexpr double kLooksSaved = 2;
+constexpr double kSilentAfter = 3;  // expected times after which a host that says nothing is held silent
 
 // How the time of an attempt grows with its host's figure: in proportion to figure + offset, and 1 at the
 // mean of the figures seen. The offset is read from a fading straight-line fit over this instance's own
@@ -113,11 +116,13 @@
     const double usual = took / Slower(host);  // had the host been like its kind
     host.slow_log = SlowLog(host) * (1 - kSlowWeight) + std::log(slower) * kSlowWeight;
     host.slow_at = ctx_.now;
-    shape_.Add(figure, usual / on_kind - shape_.Offset() * (share - 1));
+    shape_.Add(figure, std::min(usual / on_kind, kOddMost * shape) - shape_.Offset() * (share - 1));
     // By the difference, not by the ratio: hints are rough, and small requests that took long would else
-    // count most.
-    on_kind += kTypicalWeight * (std::min(usual, kSlowMost * on_kind * shape) - on_kind * shape);
-    learned.per_figure += kTypicalWeight * (usual - learned.per_figure * shape);
+    // count most. What is far off is the host's, not the kind's: counted at c times the level, a share b of
+    // such outcomes lifts it without end once b * (c - 1) is 1 - b; a third of them for 3, an eighth for 8.
+    on_kind += kTypicalWeight * (std::min(usual, kOddMost * on_kind * shape) - on_kind * shape);
+    double& level_all = learned.per_figure;
+    level_all += kTypicalWeight * (std::min(usual, kOddMost * level_all * shape) - level_all * shape);
   }
 
  private:
@@ -147,8 +152,13 @@
     for (const RequestClass& c : ctx.set.classes) patience_ = std::max(patience_, c.deadline_ms);
   }
 
+  // Each instance of a large tier looks for itself whether a host is well again, and sees little traffic:
+  // such looks are earned by requests, or they would be a good part of all that is sent.
+  void Earn() { looks_ = std::min(kLooksSaved, looks_ + kLookShare); }
+
   // Before the attempt is counted as out, and when the host is heard of in any way.
   void Sent(Host& host, double expected_ms) {
+    if (host.doubt > 0 && ctx_.LargeTier()) looks_ = std::max(0.0, looks_ - 1);
     host.expected_ms = expected_ms;
     if (host.own == 0) Heard(host);
   }
@@ -194,7 +204,7 @@
       if (host.doubt <= 0) {
         ++well;
         ready.push_back(i);
-      } else if (host.own == 0 && (safe || ctx_.now > host.out_until + patience_)) {
+      } else if (looks_ >= 1 && host.own == 0 && (safe || ctx_.now > host.out_until + patience_)) {
         // Back from being set aside, a host gets one attempt at a time, of a request that may run again if
         // there are any, until its answers speak for it.
         ready.push_back(i);
@@ -209,6 +219,7 @@
   Context& ctx_;
   const Estimates& estimates_;
   double patience_ = 0;           // of the most patient class
+  double looks_ = kLooksSaved;    // attempts that may go to hosts that were set aside for failing
   double spoilt_ = kSpoiltLeast;  // share of attempts that fail on hosts that nothing is held against
 };
 
--- a/src/cartspring/context.h
+++ b/src/cartspring/context.h
@@ -13,6 +13,9 @@
 namespace cartspring {
 
 constexpr double kSettled = 1e-6;  // ms, for comparing times
+// From more instances than this on, an instance's share of the requests that a host may hold is less than
+// one: counts bound nothing, and it sees little of any host.
+constexpr int kSmallTier = 6;
 
 // Small, seeded and portable: splitmix64. Distributions of the standard library differ between runtimes.
 class Random {
@@ -44,6 +47,12 @@
   Random random;
   double now = 0;  // ms
 
+  std::vector<double> Worths() const {  // by class
+    std::vector<double> worths;
+    for (const RequestClass& klass : set.classes) worths.push_back(klass.worth);
+    return worths;
+  }
+  bool LargeTier() const { return set.balancers > kSmallTier; }
   const RequestClass& ClassOf(const Request& request) const { return set.classes[request.klass]; }
 };
 
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -49,6 +49,7 @@
     live.request = request;
     if (!std::isfinite(request.work_hint_ms)) live.request.work_hint_ms = 0;
     attempts_.Earn();
+    health_.Earn();
     live.aim_at = admission_.AimOf(live);
     live.share = admission_.ShareOf(live.request);
     // Past its aim such a request is worth nothing: ending it then frees the host.
@@ -57,7 +58,6 @@
     live.half_at = (ctx_.now + request.give_up_ms) / 2 - ctx_.set.tick_ms;
     sink_.SetTimer(std::max(attempts_.LastCall(live), ctx_.now), Token(request.id, kEndTimer));
     if (attempts_.LastCall(live) <= ctx_.now) return;  // the timer answers it in the next batch
-    if (paced_ && !pace_.Admits(request.klass, ctx_.random.Unit())) return End(request.id, live);
     Gather(request.id, live);
   }
 
@@ -122,10 +122,10 @@
     Live& live = found->second;
     if (token % kTimerKinds == kSlowTimer) {
       Attempt& last = live.attempts.back();
-      const Host& host = hosts_[last.host];
-      // Of a host that was not heard of lately it tells nothing: it may be gone.
+      // Of a host that was not heard of lately it tells nothing, it may be gone; a cold one is always late.
       last.slow = last.pending && ctx_.now >= last.sent_at + admission_.SlowAfter(live) - kSettled &&
-                  ctx_.now - host.load_at < ctx_.ClassOf(live.request).deadline_ms;
+                  ctx_.now - hosts_[last.host].load_at < ctx_.ClassOf(live.request).deadline_ms &&
+                  hosts_.Warmth(hosts_[last.host]) >= 1;
       if (last.slow) pace_.Heard(/*late=*/true);
     } else if (token % kTimerKinds == kLateTimer) {
       Attempt& last = live.attempts.back();
@@ -164,10 +164,16 @@
     std::erase_if(legal, [&](int i) { return !attempts_.MaySend(live, i); });
     const Ranked kept = walk_.Choose(live, legal);
     if (kept.host == kNoHost) return LookAgain(id, live);
-    if (kept.host == kAllFull || !admission_.InTime(live, kept)) return End(id, live);
+    if (kept.host == kAllFull || !Paced(live, kept) || !admission_.InTime(live, kept)) return End(id, live);
     SendTo(id, live, kept);
   }
 
+  // What is kept for a cold host goes there in any case: it is little, and warms it up.
+  bool Paced(const Live& live, const Ranked& kept) {
+    if (!ctx_.LargeTier() || live.Count() > 0 || hosts_.Warmth(hosts_[kept.host]) < 1) return true;
+    return pace_.Admits(live.request.klass, ctx_.random.Unit());
+  }
+
   // No host to keep it: look again soon, then less and less often. But one that all hosts have passed over,
   // or that nobody took in half its time, is given up: that is told while the client can act on it.
   void LookAgain(RequestId id, Live& live) {
@@ -191,7 +197,7 @@
     reports_.CountOwn(host, 1);
     live.attempts.back().late_at = ctx_.now + kCutAfter * host.expected_ms;
     sink_.SetTimer(live.attempts.back().late_at, Token(id, kLateTimer));
-    if (paced_) sink_.SetTimer(ctx_.now + admission_.SlowAfter(live), Token(id, kSlowTimer));
+    if (ctx_.LargeTier()) sink_.SetTimer(ctx_.now + admission_.SlowAfter(live), Token(id, kSlowTimer));
     live.barred.push_back(kept.host);
     live.looks = 0;
     sink_.Send(id, host.entry.host, attempts_.AttemptEnd(live, host.expected_ms));
@@ -215,7 +221,7 @@
       case Outcome::kServed:
         reports_.Served(host);
         health_.Weigh(host, false);
-        if (!tried.slow) pace_.Heard(took > admission_.SlowAfter(live));
+        if (!tried.slow && hosts_.Warmth(host) >= 1) pace_.Heard(took > admission_.SlowAfter(live));
         estimates_.LearnTypical(klass, took);
         return estimates_.LearnTime(klass, host, tried.figure, live.share, took);
       case Outcome::kTimeout:
@@ -270,9 +276,7 @@
   Walk walk_{ctx_, hosts_, estimates_, reports_};
   Admission admission_{ctx_, hosts_, estimates_};
   ListCalls list_calls_{ctx_.set.ask_within_ms};
-  // Where a member's share of what one host may hold is less than a request, counts bound nothing.
-  const bool paced_ = ctx_.set.balancers > kFullest;
-  Pace pace_{admission_.Worths()};
+  Pace pace_{ctx_.Worths()};
   std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
 };
 
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -139,11 +139,6 @@
     return hint > 0 ? kSlowWork * hint / std::min(1.0, live.share)
                     : kSlowAim * ctx_.ClassOf(live.request).aim_ms;
   }
-  std::vector<double> Worths() const {
-    std::vector<double> worths;
-    for (const RequestClass& klass : ctx_.set.classes) worths.push_back(klass.worth);
-    return worths;
-  }
 
   // When one that is refused should come back: once hosts have ended about half of what they hold, in time
   // for its aim, and not in step with others. 0: no advice.
--- a/tests/cartspring/module_test.cpp
+++ b/tests/cartspring/module_test.cpp
@@ -302,6 +302,32 @@
   }
 }
 
+// They are always late, since they are cold.
+TEST(Pace, ColdHostsAreUsedWhereWarmOnesAnswerLateAndTheirOwnLateAnswersCloseNothing) {
+  Settings settings = TestSettings();
+  settings.balancers = 100;
+  const auto play = [&](int cold_hosts, double cold_took, double warm_took) {
+    Bed bed(settings);
+    auto hosts = TestHosts(20);
+    for (int i = 0; i < cold_hosts; ++i) hosts[static_cast<std::size_t>(i)].started_ms = 990;
+    bed.Hosts(hosts);
+    std::pair<int, int> sent;  // to cold ones, to all
+    for (int i = 0; i < 300; ++i) {
+      const std::size_t before = bed.out.sends.size();
+      const RequestId id = bed.Request(kSafeClass, 1000);
+      if (bed.out.sends.size() == before) continue;
+      const bool cold = bed.out.sends.back().host[0] < 'a' + cold_hosts;
+      sent.first += cold;
+      ++sent.second;
+      bed.End(id, 0, Outcome::kServed, true, cold ? cold_took : warm_took, 1);
+    }
+    return sent;
+  };
+  // Each is kept 0.3 * 3 / 2 of a fair share.
+  EXPECT_GT(play(10, 50, 110).first, 300 * 0.45 * 0.5 * 0.6);
+  EXPECT_GT(play(19, 110, 30).second, 270);
+}
+
 TEST(Discovery, SubscribesAtOnceWhereItMustAndOnlyThere) {
   Bed pushed(TestSettings());
   pushed.balancer.OnHostList(pushed.now, TestHosts(2), true);
--- a/tests/cartspring/steps_test.cpp
+++ b/tests/cartspring/steps_test.cpp
@@ -48,5 +48,41 @@
   EXPECT_NEAR(ratio(), 1, 1e-6);
 }
 
+// Some hosts of a kind are forty times slower than the others: that is theirs, and not the kind's.
+TEST(Steps, AFifthOfTheOutcomesFarOffDoesNotCarryTheLevelOfTheirKindAway) {
+  Context ctx{TestSettings(), Random(1)};
+  Estimates estimates(ctx);
+  std::vector<Host> hosts(300);  // of each the instance sees little
+  for (std::size_t i = 0; i < 600; ++i)
+    estimates.LearnTime(kSafeClass, hosts[i % hosts.size()], 1, 1, i % 5 == 0 ? 2000 : 50);
+  EXPECT_LT(estimates.Expected(kSafeClass, Host(), 1, 1), 150);
+}
+
+TEST(Steps, InALargeTierLooksAtFailingHostsAreEarnedByRequests) {
+  for (const int balancers : {2, 100}) {
+    Settings settings = TestSettings();
+    settings.balancers = balancers;
+    Context ctx{settings, Random(1)};
+    const Estimates estimates(ctx);
+    Health health(ctx, estimates);
+    HostTable hosts(ctx);
+    hosts.Take(TestHosts(20), true);
+    for (int i = 0; i < 8; ++i) hosts[i].doubt = 1;
+    int looks = 0;
+    for (int request = 0; request < 500; ++request) {
+      health.Earn();
+      ctx.now += 60;
+      for (const int row : health.Ready(hosts, /*safe=*/true)) {
+        if (hosts[row].doubt <= 0) continue;
+        ++looks;
+        health.Sent(hosts[row], 20);
+        break;
+      }
+    }
+    EXPECT_LE(looks, balancers == 2 ? 500 : 13);
+    EXPECT_GE(looks, balancers == 2 ? 500 : 8);
+  }
+}
+
 }  // namespace
 }  // namespace cartspring
