Take new settings at SIGHUP while requests under way keep their class

Cause: SIGHUP took over nothing but discovery's address, so that requests of a new file's classes got 404; and it read files without the check that the start makes, so that a deadline of -5 or no attempts at all was taken.

Ruled out: signals that come late (files were read within 10 ms of them); figures that lie (what was untrue followed from the files).

Change: core/retune lays a file's classes over the rows in use; Balancer::Retune and what has rows by class follow; one settings value is held by Sidecar. A file may lack no key that the one in use has, and is checked as at a start.

--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -31,6 +31,9 @@
   RepeatGroup group = RepeatGroup::kAll;
   double repeat_window_ms = 0;  // for keyed classes, from the earliest attempt that may have run
   bool streaming = false;
+  bool retired = false;  // no request comes any more; there may be some under way
+
+  bool operator==(const RequestClass&) const = default;
 };
 
 struct Tenant {
@@ -144,6 +147,11 @@
   void OnClientGone(double now_ms, RequestId id);
   void OnTimer(double now_ms, std::uint64_t token);
 
+  // New settings, for what comes from now on. A class's index stays its own as long as a request of it is
+  // under way. `like`: for each class the index whose learning it goes on from, or -1; what is known of hosts
+  // stays. Throws std::invalid_argument, with nothing changed, if they make no sense.
+  void Retune(const Settings& settings, const std::vector<int>& like);
+
   // How many live hosts a request that may run again would be kept from now, for what is held against them.
   int Avoided(double now_ms);
 
--- a/src/cartspring/balancer.cpp
+++ b/src/cartspring/balancer.cpp
@@ -29,6 +29,9 @@
 }
 void Balancer::OnClientGone(double now_ms, RequestId id) { impl_->OnClientGone(now_ms, id); }
 void Balancer::OnTimer(double now_ms, std::uint64_t token) { impl_->OnTimer(now_ms, token); }
+void Balancer::Retune(const Settings& settings, const std::vector<int>& like) {
+  impl_->Retune(settings, like);
+}
 int Balancer::Avoided(double now_ms) { return impl_->Avoided(now_ms); }
 
 }  // namespace cartspring
--- a/src/cartspring/beliefs.h
+++ b/src/cartspring/beliefs.h
@@ -9,6 +9,7 @@
 
 #include <cmath>
 
+#include "cartspring/carry_over.h"
 #include "cartspring/fading_line.h"
 #include "cartspring/hosts.h"
 
@@ -62,11 +63,13 @@
 
 class Estimates {
  public:
-  explicit Estimates(const Context& ctx) : ctx_(ctx) {
-    for (const RequestClass& c : ctx.set.classes) {
-      if (c.aim_ms < ctx.set.classes[hastiest_].aim_ms) hastiest_ = static_cast<int>(learned_.size());
-      learned_.push_back({c.aim_ms * kFirstGuess, c.aim_ms * kFirstGuess / shape_.At(1, 1)});
-    }
+  explicit Estimates(const Context& ctx) : ctx_(ctx) { Retune(std::vector<int>(ctx.set.classes.size(), -1)); }
+  void Retune(const std::vector<int>& like) {
+    CarryOver(learned_, like, [&](std::size_t i) {
+      const double guess = ctx_.set.classes[i].aim_ms * kFirstGuess;
+      return Learned{guess, guess / shape_.At(1, 1)};
+    });
+    hastiest_ = ctx_.Hastiest();
   }
 
   int hastiest() const { return hastiest_; }  // the class with the shortest aim
@@ -78,8 +81,7 @@
   // where the list tells no sizes this is all that is known of them.
   double PerFigure(int klass, const Host& host) const {
     const Learned& learned = learned_[klass];
-    const std::size_t kind = static_cast<std::size_t>(host.entry.kind);
-    const double known = kind < learned.on_kind.size() ? learned.on_kind[kind] : 0;
+    const double known = FigureAt(learned.on_kind, host.entry.kind);
     return (known > 0 ? known : learned.per_figure) * Slower(host);
   }
   // Of the whole attempt, and the part of it that is due to the figure.
@@ -98,9 +100,7 @@
   void LearnTime(int klass, Host& host, double figure, double share, double took) {
     Learned& learned = learned_[klass];
     const double shape = shape_.At(figure, share), level = took / shape;
-    const std::size_t kind = static_cast<std::size_t>(host.entry.kind);
-    if (kind >= learned.on_kind.size()) learned.on_kind.resize(kind + 1, 0);
-    double& on_kind = learned.on_kind[kind];
+    double& on_kind = PlaceAt(learned.on_kind, host.entry.kind);
     // The first outcome stands for its kind, within reason: held against a guess, the hosts tried first would
     // all look unusually fast or slow beside those not tried yet.
     if (on_kind <= 0)
@@ -141,9 +141,7 @@
 
 class Health {
  public:
-  Health(Context& ctx, const Estimates& estimates) : ctx_(ctx), estimates_(estimates) {
-    for (const RequestClass& c : ctx.set.classes) patience_ = std::max(patience_, c.deadline_ms);
-  }
+  Health(Context& ctx, const Estimates& estimates) : ctx_(ctx), estimates_(estimates) {}
 
   // Each instance of a large tier looks for itself whether a host is well again, and sees little traffic:
   // such looks are earned by requests, or they would be a good part of all that is sent.
@@ -172,8 +170,8 @@
   // The pauses grow and are jittered, so that instances do not come back in step.
   void SetAside(Host& host) {
     if (ctx_.now < host.out_until) return;
-    const double pause =
-        std::min(patience_, kPauseTypical * estimates_.UsualAnswer() * (1 << std::min(host.set_asides, 8)));
+    const double pause = std::min(
+        ctx_.Patience(), kPauseTypical * estimates_.UsualAnswer() * (1 << std::min(host.set_asides, 8)));
     host.out_until = ctx_.now + pause * (0.5 + ctx_.random.Unit());
     ++host.set_asides;
   }
@@ -197,7 +195,7 @@
       if (host.doubt <= 0) {
         ++well;
         ready.push_back(i);
-      } else if (looks_ >= 1 && host.own == 0 && (safe || ctx_.now > host.out_until + patience_)) {
+      } else if (looks_ >= 1 && host.own == 0 && (safe || ctx_.now > host.out_until + ctx_.Patience())) {
         // Back from being set aside, a host gets one attempt at a time, of a request that may run again if
         // there are any, until its answers speak for it.
         ready.push_back(i);
@@ -211,7 +209,6 @@
  private:
   Context& ctx_;
   const Estimates& estimates_;
-  double patience_ = 0;           // of the most patient class
   double looks_ = kLooksSaved;    // attempts that may go to hosts that were set aside for failing
   double spoilt_ = kSpoiltLeast;  // share of attempts that fail on hosts that nothing is held against
 };
--- /dev/null
+++ b/src/cartspring/carry_over.h
@@ -0,0 +1,34 @@
+// Rows by index that come as they are needed, and go on from others when their order changes. It decides
+// nothing.
+#ifndef CARTSPRING_SRC_CARTSPRING_CARRY_OVER_H_
+#define CARTSPRING_SRC_CARTSPRING_CARRY_OVER_H_
+
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace cartspring {
+
+// Makes row i what row `like[i]` was, or `fresh(i)` where that is none.
+template <class Row, class Fresh>
+void CarryOver(std::vector<Row>& rows, const std::vector<int>& like, Fresh fresh) {
+  std::vector<Row> out;
+  for (std::size_t i = 0; i < like.size(); ++i) {
+    const bool known = like[i] >= 0 && static_cast<std::size_t>(like[i]) < rows.size();
+    out.push_back(known ? rows[static_cast<std::size_t>(like[i])] : fresh(i));
+  }
+  rows = std::move(out);
+}
+
+// The row's figure, 0 where it never had one; and a place for it.
+inline double FigureAt(const std::vector<double>& rows, int row) {
+  return static_cast<std::size_t>(row) < rows.size() ? rows[static_cast<std::size_t>(row)] : 0;
+}
+inline double& PlaceAt(std::vector<double>& rows, int row) {
+  if (static_cast<std::size_t>(row) >= rows.size()) rows.resize(static_cast<std::size_t>(row) + 1, 0);
+  return rows[static_cast<std::size_t>(row)];
+}
+
+}  // namespace cartspring
+
+#endif  // CARTSPRING_SRC_CARTSPRING_CARRY_OVER_H_
--- a/src/cartspring/context.h
+++ b/src/cartspring/context.h
@@ -3,6 +3,7 @@
 #ifndef CARTSPRING_SRC_CARTSPRING_CONTEXT_H_
 #define CARTSPRING_SRC_CARTSPRING_CONTEXT_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
@@ -43,10 +44,27 @@
 };
 
 struct Context {
-  const Settings set;
+  Settings set;
   Random random;
   double now = 0;  // ms
 
+  // Of the classes that requests come of.
+  int Hastiest() const {  // the one with the shortest aim, the first of those
+    int best = -1;
+    for (std::size_t i = 0; i < set.classes.size(); ++i) {
+      if (set.classes[i].retired) continue;
+      if (best < 0 || set.classes[i].aim_ms < set.classes[static_cast<std::size_t>(best)].aim_ms)
+        best = static_cast<int>(i);
+    }
+    return std::max(0, best);
+  }
+  double Patience() const {  // of the most patient one
+    double longest = 0;
+    for (const RequestClass& klass : set.classes) {
+      if (!klass.retired) longest = std::max(longest, klass.deadline_ms);
+    }
+    return longest;
+  }
   std::vector<double> Worths() const {  // by class
     std::vector<double> worths;
     for (const RequestClass& klass : set.classes) worths.push_back(klass.worth);
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -26,6 +26,14 @@
   Impl(const Settings& settings, std::uint64_t seed, ActionSink& sink)
       : ctx_{(CheckSettings(settings), settings), Random(seed)}, sink_(sink) {}
 
+  void Retune(const Settings& settings, const std::vector<int>& like) {
+    CheckSettings(settings);
+    ctx_.set = settings;
+    estimates_.Retune(like);
+    admission_.Retune(like);
+    pace_.Retune(ctx_.Worths(), like);
+  }
+
   void OnHosts(double now, const std::vector<HostEntry>& entries, bool whole, bool remembered) {
     Advance(now);
     hosts_.Take(entries, whole);
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -33,9 +33,7 @@
   bool Probing() const { return ctx_.set.reporting == Reporting::kProbe && ctx_.set.may_probe; }
   // Has this instance a connection to the host that nothing uses?
   bool Linked(const Host& host) const { return host.own == 0 && ctx_.now < host.linked_until; }
-  double Rtt(int zone) const {  // 0: not known
-    return static_cast<std::size_t>(zone) < rtt_.size() ? rtt_[static_cast<std::size_t>(zone)] : 0;
-  }
+  double Rtt(int zone) const { return FigureAt(rtt_, zone); }  // 0: not known
 
   // Is the host's row recent enough to rank by? A probe is sent anew after a fraction of a request's time;
   // rows that only answers bring are kept longer, but not for good: a host last seen busy would never be
@@ -133,9 +131,8 @@
     host.probe_out = false;
     if (answered && report != nullptr) Take(host, *report);
     if (answered) {
-      const std::size_t zone = static_cast<std::size_t>(host.entry.zone);
-      if (zone >= rtt_.size()) rtt_.resize(zone + 1);
-      rtt_[zone] = rtt_[zone] == 0 ? took : rtt_[zone] + kTypicalWeight * (took - rtt_[zone]);
+      double& rtt = PlaceAt(rtt_, host.entry.zone);
+      rtt = rtt == 0 ? took : rtt + kTypicalWeight * (took - rtt);
     }
     return std::exchange(host.waiters, {});
   }
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -107,6 +107,9 @@
  public:
   Admission(Context& ctx, const HostTable& hosts, const Estimates& estimates)
       : ctx_(ctx), hosts_(hosts), estimates_(estimates), seen_(ctx.set.classes.size()) {}
+  void Retune(const std::vector<int>& like) {
+    CarryOver(seen_, like, [](std::size_t) { return Seen{}; });
+  }
 
   // When the answer is wanted. A client's retry keeps the clock of its first try. First tries of a class all
   // come with the same time, and they are most of what comes; one that comes with more or less than that is a
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <cmath>
 #include <random>
 #include <set>
 
@@ -80,6 +81,8 @@
     Try([&] { config.memory_mb = LimitOf("memory_mb", kLeastMemoryMb, config.memory_mb); });
     Try([&] { config.settings = SettingsOf(); });
     config.known = json_.value("known", nlohmann::json());
+    config.shape = json_;
+    if (config.shape.contains("known")) config.shape["known"] = nullptr;
     if (!faults_.empty()) throw ConfigError(faults_);
     NoteUnread(json_, "", {"name", "listen", "discovery", "operator", "seed", "limits", "settings", "known"});
     NoteUnread(json_.value("limits", nlohmann::json::object()), "limits.", {"sockets", "memory_mb"});
@@ -176,10 +179,31 @@
     return *found;
   }
 
+  // The flat fields take a text for a number, and the module would be told of an infinite one. What bounds
+  // each request has to be a number as it stands.
+  static void CheckNumbers(const nlohmann::json& settings) {
+    std::vector<std::string> faults;
+    const auto above_0 = [&](const nlohmann::json& object, const char* key, const std::string& at) {
+      const auto found = object.is_object() ? object.find(key) : object.end();
+      if (!object.is_object() || found == object.end()) return;  // told of where the fields are read
+      if (!found->is_number() || !std::isfinite(found->get<double>()) || found->get<double>() <= 0)
+        faults.push_back(at + key + ": must be a number above 0");
+    };
+    const auto services = settings.find("services");
+    for (std::size_t i = 0; services != settings.end() && services->is_array() && i < services->size(); ++i) {
+      for (const char* key : {"deadlineMs", "promiseMs"})
+        above_0((*services)[i], key, "settings.services." + std::to_string(i) + ".");
+    }
+    const auto bounds = settings.find("bounds");
+    if (bounds != settings.end()) above_0(*bounds, "sendCap", "settings.bounds.");
+    if (!faults.empty()) throw ConfigError(faults);
+  }
+
   cartspring::Settings SettingsOf() {
     const auto found = json_.find("settings");
     if (found == json_.end()) throw ConfigError("settings: missing");
     if (!found->is_object()) throw ConfigError("settings: must be an object");
+    CheckNumbers(*found);
     const JsonFields fields(*found);
     const NotedFields noted(fields, report_);
     cartspring::Settings settings;
@@ -189,8 +213,11 @@
       throw ConfigError(std::string("settings: ") + error.what());
     }
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
-      if (settings.classes[i].name.empty()) {
-        throw ConfigError("settings.services." + std::to_string(i) + ".name: missing");
+      const std::string& name = settings.classes[i].name;
+      const std::string at = "settings.services." + std::to_string(i) + ".name: ";
+      if (name.empty()) throw ConfigError(at + "missing");
+      for (std::size_t j = 0; j < i; ++j) {
+        if (settings.classes[j].name == name) throw ConfigError(at + "'" + name + "' is there twice");
       }
     }
     std::vector<std::string> leaves;
@@ -224,6 +251,34 @@
     const auto end = text->begin() + static_cast<std::ptrdiff_t>(std::min(error.byte, text->size()));
     throw ConfigError("RELAY_CONFIG: no JSON in '" + path + "', line " +
                       std::to_string(1 + std::count(text->begin(), end, '\n')));
+  } catch (const nlohmann::json::exception& error) {  // a number that no double holds
+    throw ConfigError("RELAY_CONFIG: '" + path + "': " + error.what());
+  }
+}
+
+// The keys that all objects of a list have, with the first one's values.
+nlohmann::json Common(const nlohmann::json& list) {
+  nlohmann::json out = list.empty() ? nlohmann::json() : list.front();
+  if (!out.is_object()) return nlohmann::json();
+  for (const auto& object : list) {
+    for (auto at = out.begin(); at != out.end();)
+      at = object.is_object() && object.contains(at.key()) ? std::next(at) : out.erase(at);
+  }
+  return out;
+}
+
+void Lacking(const nlohmann::json& in_use, const nlohmann::json& next, const std::string& at,
+             std::vector<std::string>& faults) {
+  if (in_use.is_object() && next.is_object()) {
+    for (const auto& [key, value] : in_use.items()) {
+      const std::string path = at.empty() ? key : at + "." + key;
+      next.contains(key) ? Lacking(value, next[key], path, faults)
+                         : faults.push_back(path + ": missing, and the file in use has it");
+    }
+  } else if (in_use.is_array() && next.is_array()) {
+    const nlohmann::json common = Common(in_use);
+    for (std::size_t i = 0; i < next.size(); ++i)
+      Lacking(common, next[i], at + "." + std::to_string(i), faults);
   }
 }
 
@@ -270,8 +325,11 @@
   return ReadConfig(FileOf(path), environment, report);
 }
 
-Config RereadConfig(const Environment& environment) {
+Config RereadConfig(const Environment& environment, const Config& in_use) {
   const nlohmann::json json = FileOf(PathOf(environment));
+  std::vector<std::string> faults;
+  Lacking(in_use.shape, json, "", faults);
+  if (!faults.empty()) throw ConfigError(faults);
   const bool named = json.is_object() && json.contains("discovery");
   return ReadConfig(json, [&](const char* name) {
     return named && std::string_view(name) == "RELAY_DISCOVERY" ? nullptr : environment(name);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -47,6 +47,7 @@
   std::uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 128;
+  nlohmann::json shape;  // the file less `known`: which keys it had
   nlohmann::json known;  // the remembered list in discovery's form; null if there is none
   cartspring::Settings settings;
 };
@@ -67,8 +68,9 @@
 // From the variables and the file that they name; throws ConfigError with every fault.
 Config ReadConfig(const Environment& environment, ConfigReport* report = nullptr);
 // The same while the program runs: the file may have been replaced since the variables were set, so that its
-// `discovery` goes before theirs.
-Config RereadConfig(const Environment& environment);
+// `discovery` goes before theirs. Of a file that was cut short some keys may be left: it may lack none of
+// those that the file `in_use` has.
+Config RereadConfig(const Environment& environment, const Config& in_use);
 Config ReadConfig(const nlohmann::json& json, const Environment& environment, ConfigReport* report = nullptr);
 
 }  // namespace bitternmux
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -69,6 +69,10 @@
   void MachinesChanged(double now_ms, const std::vector<cartspring::HostEntry>& changed) {
     balancer_.OnHostChanges(now_ms, changed);
   }
+  // As Balancer::Retune.
+  void Retune(const cartspring::Settings& settings, const std::vector<int>& like) {
+    balancer_.Retune(settings, like);
+  }
   // How many of the nodes in service the module leaves out now for what it holds against them.
   int Avoided(double now_ms) { return balancer_.Avoided(now_ms); }
   void WatchBroken(double now_ms) { balancer_.OnDiscoveryRefused(now_ms); }
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -107,6 +107,11 @@
   held.answerer(std::move(answer));
 }
 
+bool JobTable::Holds(int klass) const {
+  return std::any_of(held_.begin(), held_.end(),
+                     [klass](const auto& held) { return held.second.job.klass == klass; });
+}
+
 void JobTable::ListClasses() {
   for (const cartspring::RequestClass& klass : settings_.classes) stats_.classes[klass.name];
 }
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -84,6 +84,10 @@
   // Carries out what the module wants done by now. Due at each turn of the wheel and after every facade call.
   void Tick(double now_ms);
 
+  // The settings that it goes by have changed.
+  void Retuned() { ListClasses(); }
+  // Is a job of the class with that index held?
+  bool Holds(int klass) const;
   std::size_t held() const { return held_.size(); }
   const Stats& stats() const { return stats_; }
 
--- a/src/core/machine_list.cpp
+++ b/src/core/machine_list.cpp
@@ -37,9 +37,9 @@
     known.up_since_ms = machine.up_since_ms;
     known.live = machine.state == cartspring::HostState::kLive;
     if (!machine.address.empty()) known.address = machine.address;
-    known.kind = IndexOf(kinds_, machine.kind);
-    entries.push_back({machine.id, IndexOf(zones_, machine.zone), known.kind, machine.cell, machine.state,
-                       machine.size, known.started_ms});
+    known.kind = IndexOf(settings_.kinds, machine.kind);
+    entries.push_back({machine.id, IndexOf(settings_.zones, machine.zone), known.kind, machine.cell,
+                       machine.state, machine.size, known.started_ms});
     if (machine.state == cartspring::HostState::kGone) known_.erase(machine.id);
   }
   return entries;
@@ -58,7 +58,7 @@
 
 int MachineList::KindOf(const std::string& id) const {
   const auto found = known_.find(id);
-  return found == known_.end() ? static_cast<int>(kinds_.size()) : found->second.kind;
+  return found == known_.end() ? static_cast<int>(settings_.kinds.size()) : found->second.kind;
 }
 
 std::vector<std::string> MachineList::Live() const {
--- a/src/core/machine_list.h
+++ b/src/core/machine_list.h
@@ -30,8 +30,8 @@
 
 class MachineList {
  public:
-  explicit MachineList(const cartspring::Settings& settings)
-      : zones_(settings.zones), kinds_(settings.kinds) {}
+  // The settings must outlive it. Names that they gain count from the next update on.
+  explicit MachineList(const cartspring::Settings& settings) : settings_(settings) {}
 
   // Takes in an update and gives the module's view of its entries. `unix_ahead_ms`: Unix time less our clock.
   std::vector<cartspring::HostEntry> Apply(const MachineUpdate& update, double unix_ahead_ms);
@@ -53,7 +53,7 @@
     bool live = false;
   };
 
-  const std::vector<std::string> zones_, kinds_;
+  const cartspring::Settings& settings_;
   std::int64_t revision_ = 0;
   std::unordered_map<std::string, Known> known_;
 };
--- a/src/limits/connections.cpp
+++ b/src/limits/connections.cpp
@@ -49,8 +49,14 @@
   promised_.fresh = kPromised;
   promised_.silences.fill(kPromised);
   for (std::size_t i = 0; i < kAgeBins; ++i) promised_.breaks[i] = AgeBinEnd(i) <= idle_ms ? kPromised : 1;
-  const double classes = static_cast<double>(settings.classes.size());
-  for (const auto& klass : settings.classes) mean_worth_ += klass.worth / classes;
+  Retuned();
+}
+
+void Connections::Retuned() {
+  while (kinds_.size() < settings_.kinds.size() + 1) kinds_.emplace_back(kKindMemory);
+  const double classes = static_cast<double>(settings_.classes.size());
+  mean_worth_ = haste_ = 0;
+  for (const auto& klass : settings_.classes) mean_worth_ += klass.worth / classes;
   for (int i = 0; i < static_cast<int>(classes); ++i) haste_ += StakeOf(i).per_ms / classes;
 }
 
--- a/src/limits/connections.h
+++ b/src/limits/connections.h
@@ -41,6 +41,8 @@
 
   // The settings must outlive it, and have a class.
   explicit Connections(const cartspring::Settings& settings);
+  // The settings have changed: what claims are worth is reckoned anew, what was learned stays.
+  void Retuned();
 
   // ---- What happens. A connection that was never opened, or is closed, is passed over. ----
 
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -27,6 +27,8 @@
   void Probe(const std::string& node, const std::string& address) override;
   // Forgets the nodes that the list no longer has in service, and closes what idles to them.
   void Prune();
+  // The settings that it goes by have changed.
+  void Retuned() { choice_.Retuned(); }
   // For people, as limits::Connections says it.
   std::string Describe() const { return choice_.Describe(); }
 
--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -31,7 +31,7 @@
 
 int ClassNamed(const cartspring::Settings& settings, std::string_view name) {
   for (std::size_t i = 0; i < settings.classes.size(); ++i) {
-    if (settings.classes[i].name == name) return static_cast<int>(i);
+    if (!settings.classes[i].retired && settings.classes[i].name == name) return static_cast<int>(i);
   }
   return -1;
 }
--- a/src/pace/pace.h
+++ b/src/pace/pace.h
@@ -22,6 +22,14 @@
   // `worths`: of each class, for a unit of work. What is dearer is shed last.
   explicit Pace(std::vector<double> worths) : worths_(std::move(worths)), asked_(worths_.size(), 1) {}
 
+  // Other classes. `like`: for each the one whose share it goes on from, or -1.
+  void Retune(std::vector<double> worths, const std::vector<int>& like) {
+    std::vector<double> asked;
+    for (const int from : like) asked.push_back(from >= 0 ? asked_[static_cast<std::size_t>(from)] : 1);
+    worths_ = std::move(worths);
+    asked_ = std::move(asked);
+  }
+
   // A request of `klass`, one of the classes, has come: is it taken on? `chance`: uniform, from 0 to below 1.
   // The classes are shed one after the other, the cheapest first, by their shares of what came lately.
   bool Admits(int klass, double chance) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,6 +13,7 @@
 #include "admin/figures.h"
 #include "core/facade.h"
 #include "core/job_table.h"
+#include "core/retune.h"
 #include "core/timer_wheel.h"
 #include "events/catalogue.h"
 #include "handover/place.h"
@@ -95,10 +96,11 @@
         io_(io),
         wheel_(NowMs(), kTickMs),
         runtime_{asio::make_strand(io), NowMs, wheel_, log},
-        facade_(config_.settings, config_.seed),
-        machines_(config_.settings),
-        jobs_(config_.settings, facade_, machines_, log),
-        pool_(runtime_, jobs_, machines_, config_.settings,
+        settings_(config_.settings),
+        facade_(settings_, config_.seed),
+        machines_(settings_),
+        jobs_(settings_, facade_, machines_, log),
+        pool_(runtime_, jobs_, machines_, settings_,
               static_cast<std::size_t>((1 - kSubmitterShare) * Connections(config_))),
         watch_(
             runtime_, config_.discovery, machines_, [this](const MachineUpdate& update) { Updated(update); },
@@ -106,8 +108,7 @@
               facade_.WatchBroken(NowMs());
               jobs_.Tick(NowMs());
             }),
-        server_(runtime_, jobs_, config_.settings,
-                static_cast<std::size_t>(kSubmitterShare * Connections(config_)),
+        server_(runtime_, jobs_, settings_, static_cast<std::size_t>(kSubmitterShare * Connections(config_)),
                 static_cast<std::size_t>(kRequestShare * Descriptors(config_.sockets)),
                 static_cast<std::size_t>(kUnreadShare * config_.memory_mb * 1024 * 1024)),
         door_(runtime_, {[this] { return listening_; }, [this] { return Figures(); }}),
@@ -188,13 +189,21 @@
     });
   }
 
-  // The file was replaced. A file that cannot be taken changes nothing; of one that can, discovery's address
-  // is taken over.
+  // The file was replaced. One that cannot be taken whole changes nothing; of one that can, discovery's
+  // address and the settings are in use from the next event on.
   void Reload() {
     try {
-      const std::string discovery = RereadConfig(std::getenv).discovery;
-      log_.Write(events::kConfigReloaded, {{"discovery", discovery}});
-      watch_.MoveTo(discovery);
+      Config next = RereadConfig(std::getenv, config_);
+      Verify(next);
+      Retuned retuned = Retune(settings_, next.settings, [this](int row) { return jobs_.Holds(row); });
+      facade_.Retune(retuned.settings, retuned.like);
+      settings_ = std::move(retuned.settings);
+      jobs_.Retuned();
+      pool_.Retuned();
+      log_.Write(events::kConfigReloaded, {{"discovery", next.discovery}, {"classes", ClassNames()}});
+      watch_.MoveTo(next.discovery);
+      next.known = nullptr;
+      config_ = std::move(next);
       ++sighup_applied_;
     } catch (const std::exception& error) {
       log_.Write(events::kConfigRefused, {{"fault", error.what()}});
@@ -202,6 +211,14 @@
     }
   }
 
+  std::string ClassNames() const {
+    std::string out;
+    for (const auto& klass : settings_.classes) {
+      if (!klass.retired) out.append(out.empty() ? "" : ",").append(klass.name);
+    }
+    return out;
+  }
+
   // A planned restart: clients go on for a while with the connections they have and new ones, and all that is
   // held gets its answer. Where a successor listens already, new connections are its own.
   void Stop() {
@@ -210,19 +227,20 @@
     log_.Write(events::kStopping, {{"held", jobs_.held()}, {"followed", followed}});
     log_.Write(events::kNodeConnections, {{"believed", pool_.Describe()}});
     double longest = 0;
-    for (const auto& klass : config_.settings.classes) longest = std::max(longest, klass.deadline_ms);
+    for (const auto& klass : settings_.classes) longest = std::max(longest, klass.deadline_ms);
     if (followed) server_.Leave([this] { io_.stop(); });
     wheel_.Add(NowMs() + (followed ? longest + kIdleEndMs : kRestartWindowMs),
                [this] { server_.Close([this] { io_.stop(); }); });
     wheel_.Add(NowMs() + longest + kLastAnswersMs, [this] { io_.stop(); });
   }
 
-  const Config config_;
+  Config config_;  // as read last
   MachineUpdate known_;
   log::Log& log_;
   asio::io_context& io_;
   TimerWheel wheel_;
   net::Runtime runtime_;
+  cartspring::Settings settings_;  // in use; every part sees it as it is now
   Facade facade_;
   MachineList machines_;
   JobTable jobs_;
--- a/tests/admin/door_stories.cpp
+++ b/tests/admin/door_stories.cpp
@@ -95,4 +95,66 @@
   CHECK(figures["sighup_rejected"] == 1);
 }
 
+TEST_CASE("a file at SIGHUP is taken whole or not at all") {
+  Listener discovery, node;
+  const auto config = WithDoor(discovery, node);
+  Program program(config);
+  Peer submitter = Dial(program.port());
+  const auto ask = [&](const std::string& method, const std::string& klass) {
+    submitter.Send(method + " /" + klass + " HTTP/1.1\r\nHost: a\r\nReq-Id: i\r\nReq-Kind: " + klass +
+                   "\r\nReq-Deadline-Ms: 1\r\nContent-Length: 0\r\n\r\n");
+    return std::stoi(submitter.Read().substr(9, 3));
+  };
+  int applied = 0, rejected = 0;
+  const auto hang_up = [&](const std::string& text, bool good) {
+    INFO(text.substr(0, 100));
+    program.Configure(text);
+    (good ? applied : rejected)++;
+    program.HangUp();
+    for (int i = 0; i < kLimitMs; ++i) {
+      const auto figures = Figures(program.door());
+      if (figures["sighup_applied"] == applied && figures["sighup_rejected"] == rejected) return;
+      ::usleep(1000);
+    }
+    FAIL("not told");
+  };
+  const auto with = [&](const std::string& pointer, const nlohmann::json& value) {
+    auto next = config;
+    next[nlohmann::json::json_pointer(pointer)] = value;
+    return next.dump();
+  };
+  std::vector<std::string> faulty = {"", config.dump().substr(0, 900), "[]", "null"};
+  for (const char* pointer : {"/settings/services/1/deadlineMs", "/settings/bounds/sendCap"}) {
+    for (const auto& value : nlohmann::json::parse(R"(["9", null, -5, 0, true, [], {}])"))
+      faulty.push_back(with(pointer, value));
+  }
+  std::string infinite = config.dump();
+  faulty.push_back(infinite.replace(infinite.find("9000.0"), 6, "9e999"));
+  faulty.push_back(with("/settings/services/1/name", "rate-check"));
+  faulty.push_back(with("/settings/services/0/effect", "some"));
+  for (const char* key : {"name", "listen", "discovery", "operator", "limits", "settings", "known"}) {
+    auto next = config;
+    next.erase(key);
+    faulty.push_back(next.dump());
+  }
+  auto next = config;
+  next["settings"]["services"][1].erase("deadlineMs");
+  faulty.push_back(next.dump());
+  for (std::string& text : faulty) {
+    hang_up(text, false);
+    CHECK(ask("POST", "space-hold") == 503);  // known as before; there is no time for it
+  }
+  // One class stricter, one gone, one new.
+  next = config;
+  next["settings"]["services"][0]["effect"] = "single_shot";
+  next["settings"]["services"][1]["name"] = "quote-issue";
+  hang_up(next.dump(), true);
+  CHECK(ask("POST", "quote-issue") == 503);
+  CHECK(ask("POST", "rate-check") == 503);
+  const auto figures = Figures(program.door());
+  CHECK(figures["declined"]["space-hold"] == faulty.size());
+  CHECK(figures["declined"]["quote-issue"] == 1);
+  CHECK(ask("POST", "space-hold") == 404);
+}
+
 }  // namespace bitternmux::peers
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -294,7 +294,7 @@
   bed.program.AwaitLog("config.refused fault=\"RELAY_CONFIG: no JSON");
   Listener between, other;
   for (const Listener* next : {&between, &other}) {
-    bed.program.Configure(ConfigOf(next->address(), 1024, nlohmann::json::array()).dump());
+    bed.program.Configure(ConfigOf(next->address(), 1024, List(1, true, nlohmann::json::array())).dump());
     bed.program.HangUp();
     bed.program.AwaitLog("config.reloaded discovery=" + next->address());
   }
@@ -557,7 +557,7 @@
       {"known.members.0.phase: unknown: 'ASLEEP'", "/known",
        List(1, true, nlohmann::json::array({Machine("s", "1.2.3.4:5", "ASLEEP")}))},
       {"settings: unknown services.1.effect 'odd'", "/settings/services/1/effect", "odd"},
-      {"settings: no bounds.sendCap", "/settings/bounds/sendCap", nullptr},
+      {"settings.bounds.sendCap: must be a number above 0", "/settings/bounds/sendCap", nullptr},
       {"settings: contract.coldFrom is no number: 'cold'", "/settings/contract/coldFrom", "cold"},
       {"settings.services.0.name: missing", "/settings/services/0/name", ""},
   };
