Pass large answers on as they come, hold large bodies, and give time by progress

Cause, counted by a probe line: of 3,200 answers 552 ended at their head or a chunk's size (over 64 KiB, or whole by the end of their connection), 244 of 1,700 bodies were turned away with 413, 258 slow requests were cut after 2 s.

Ruled out: the parser in pieces, the processor's time.

Change: core/flow.h, a bounded queue between two connections; JobTable::ClaimBegan; the pool begins a flow above 64 KiB and stops reading while it is full; the submitter's session frames what comes. Bodies are held within a quarter of the memory. Heads and bodies have their time by progress. Expect, absolute targets, HTTP/1.0 and answers that end with their connection are understood.

--- a/src/admin/door.cpp
+++ b/src/admin/door.cpp
@@ -10,6 +10,7 @@
 using net::tcp;
 
 constexpr std::size_t kReadSize = 4096;
+constexpr std::size_t kMostBody = 4096;
 constexpr double kCallMs = 2000;    // for a call to be whole
 constexpr double kLingerMs = 1000;  // for a caller to read its answer
 constexpr double kPauseMs = 20;     // when a connection could not be accepted
@@ -97,7 +98,7 @@
   tcp::socket socket_;
   std::list<std::shared_ptr<Caller>>::iterator place_;
   http::Buffer buffer_;
-  http::Parser parser_{http::Role::kRequest};
+  http::Parser parser_{http::Role::kRequest, kMostBody};
   std::string out_;
   TimerWheel::Id limit_ = 0;
   bool answered_ = false;
--- a/src/apps/bitternmux.cpp
+++ b/src/apps/bitternmux.cpp
@@ -1,5 +1,6 @@
 // The service's program: its arguments, and the wiring of what they ask for.
 #include <fcntl.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -100,6 +101,10 @@
 }  // namespace bitternmux
 
 int main(int count, char** words) {
+  // Guards the memory: by default the size from which a block goes back to the system at once grows with the
+  // blocks that are freed, and after some large bodies what is free would stay with the process.
+  mallopt(M_MMAP_THRESHOLD, 128 * 1024);
+  mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
   // Guards against the end of whoever reads the log: a line nobody takes must not end the program.
   std::signal(SIGPIPE, SIG_IGN);
   bitternmux::HoldStandardStreams();
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -29,22 +29,47 @@
 void JobTable::SubmitterLeft(double now_ms, JobId id) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
-  facade_.SubmitterLeft(now_ms, id);
-  Tick(now_ms);  // gives up the claim, where the settings allow it
+  if (found->second.begun) {
+    runner_->GiveUp(id, found->second.claims - 1);
+  } else {
+    facade_.SubmitterLeft(now_ms, id);
+    Tick(now_ms);  // gives up the claim, where the settings allow it
+  }
   Release(id);
   ++stats_.left;
 }
 
+bool JobTable::ClaimBegan(double now_ms, const Claim& claim, ClaimEnd begun) {
+  const auto found = held_.find(claim.job);
+  if (found == held_.end()) return false;
+  Held& held = found->second;
+  held.begun = true;
+  facade_.Report(
+      now_ms, claim.job,
+      {claim.number, Outcome::kServed, now_ms - held.claim_sent_ms, begun.load ? &*begun.load : nullptr});
+  // The only answer: what is left to tell is whether its body came whole.
+  const Answerer answerer = std::exchange(held.answerer, nullptr);
+  answerer(
+      {Answer::Kind::kServed, {}, std::move(begun.content_type), std::move(begun.flow), begun.length, 0});
+  Tick(now_ms);
+  return true;
+}
+
 void JobTable::ClaimEnded(double now_ms, const Claim& claim, ClaimEnd end) {
   const auto found = held_.find(claim.job);
   if (found == held_.end()) return;  // its submitter left
   Held& held = found->second;
+  if (held.begun) {
+    Count(held.job, end.outcome == Outcome::kServed ? Answer::Kind::kServed : Answer::Kind::kFailed);
+    Release(claim.job);
+    return;
+  }
   held.last_timed_out = end.outcome == Outcome::kTimeout;
   const ClaimReport report{claim.number, end.outcome, now_ms - held.claim_sent_ms,
                            end.load ? &*end.load : nullptr};
   const Verdict verdict = facade_.Report(now_ms, claim.job, report);
   if (end.outcome == Outcome::kServed) {
-    Finish(claim.job, {Answer::Kind::kServed, std::move(end.body), std::move(end.content_type), 0});
+    Finish(claim.job, {Answer::Kind::kServed, std::move(end.body), std::move(end.content_type), {}, 0, 0});
   } else {
     Apply(now_ms, claim.job, verdict);
   }
@@ -80,10 +105,11 @@
     case Verdict::Kind::kSend:
       return Send(now_ms, id, found->second, verdict);
     case Verdict::Kind::kRefuse:
-      return Finish(id, {Answer::Kind::kRefused, {}, {}, verdict.retry_after_ms});
+      return Finish(id, {Answer::Kind::kRefused, {}, {}, {}, 0, verdict.retry_after_ms});
     case Verdict::Kind::kFail:
       return Finish(
-          id, {found->second.last_timed_out ? Answer::Kind::kTimedOut : Answer::Kind::kFailed, {}, {}, 0});
+          id,
+          {found->second.last_timed_out ? Answer::Kind::kTimedOut : Answer::Kind::kFailed, {}, {}, {}, 0, 0});
   }
 }
 
@@ -96,15 +122,19 @@
 // The only way to answer: the job leaves the table with its answerer, so there is no second answer to give.
 void JobTable::Finish(JobId id, Answer answer) {
   Held held = Release(id);
-  Stats::Ends& ends = stats_.classes[settings_.classes[static_cast<std::size_t>(held.job.klass)].name];
-  if (answer.kind == Answer::Kind::kServed) {
+  Count(held.job, answer.kind);
+  held.answerer(std::move(answer));
+}
+
+void JobTable::Count(const Job& job, Answer::Kind kind) {
+  Stats::Ends& ends = stats_.classes[settings_.classes[static_cast<std::size_t>(job.klass)].name];
+  if (kind == Answer::Kind::kServed) {
     ++ends.succeeded;
-  } else if (answer.kind == Answer::Kind::kRefused) {
+  } else if (kind == Answer::Kind::kRefused) {
     ++ends.declined;
   } else {
     ++ends.aborted;
   }
-  held.answerer(std::move(answer));
 }
 
 bool JobTable::Holds(int klass) const {
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -4,12 +4,14 @@
 #define BITTERNMUX_SRC_CORE_JOB_TABLE_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 
 #include "core/facade.h"
+#include "core/flow.h"
 #include "core/machine_list.h"
 #include "core/stats.h"
 #include "events/event.h"
@@ -18,7 +20,8 @@
 
 // A job as its submitter gave it. What goes on to the execute node is carried, not read.
 struct Job {
-  std::string request_id, method, target, content_type, body;
+  std::string request_id, method, target, content_type;
+  std::shared_ptr<const std::string> body;  // null: none; a claim that is written holds it too
   int klass = 0;
   double patience_ms = 0;  // how long the submitter waits, from the job's last byte
   double work_hint_ms = 0;
@@ -29,7 +32,10 @@
   enum class Kind { kServed, kRefused, kFailed, kTimedOut };
   Kind kind = Kind::kFailed;
   std::string body, content_type;  // kServed
-  double retry_after_ms = 0;       // kRefused: 0 for no advice
+  // kServed, with the body still on its way: `body` is empty, and all of it comes through here.
+  std::shared_ptr<Flow> flow;
+  std::size_t length = 0;     // of that body; 0: not known
+  double retry_after_ms = 0;  // kRefused: 0 for no advice
 };
 using Answerer = std::function<void(Answer)>;
 
@@ -46,6 +52,8 @@
   cartspring::Outcome outcome = cartspring::Outcome::kTimeout;
   std::string body, content_type;
   std::optional<cartspring::LoadReport> load;
+  std::shared_ptr<Flow> flow;  // the answer has begun: as Answer's
+  std::size_t length = 0;
 };
 
 // Who carries claims to the execute nodes. The end of a claim is told to the job table later, never from
@@ -78,6 +86,10 @@
   bool IsOpen(const std::string& request_id) const { return open_.count(request_id) > 0; }
   // The claim's last byte is out.
   void ClaimWritten() { ++stats_.forwards; }
+  // A served answer has begun, and its body comes through the flow. The submitter has it, so that the claim's
+  // time no longer ends it and nothing is sent again; the module hears of it as served now. ClaimEnded tells
+  // whether it came whole. False: its submitter left, and nobody takes it.
+  bool ClaimBegan(double now_ms, const Claim& claim, ClaimEnd begun);
   void ClaimEnded(double now_ms, const Claim& claim, ClaimEnd end);
   void NodeProbed(double now_ms, const std::string& node, bool answered, double took_ms,
                   const std::optional<cartspring::LoadReport>& load);
@@ -99,11 +111,13 @@
     int claims = 0;               // sent so far
     double claim_sent_ms = 0;     // when the last of them was
     bool last_timed_out = false;  // it ran out of time
+    bool begun = false;           // its answer is on its way, by the claim sent last
   };
 
   void Apply(double now_ms, JobId id, const Verdict& verdict);
   void Send(double now_ms, JobId id, Held& held, const Verdict& verdict);
   void Finish(JobId id, Answer answer);
+  void Count(const Job& job, Answer::Kind kind);
   Held Release(JobId id);
   void ListClasses();
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -46,8 +46,19 @@
   return false;
 }
 
+// An absolute target names its host too, which the message does in any case.
+void ToPath(std::string& target) {
+  constexpr std::string_view kScheme = "http://";
+  if (Lower(target.substr(0, kScheme.size())) != kScheme) return;
+  const auto path = target.find_first_of("/?", kScheme.size());
+  if (path == kScheme.size()) return;  // no host: left as it is, which is no path
+  target = path == target.npos ? "/" : (target[path] == '?' ? "/" : "") + target.substr(path);
+}
+
 }  // namespace
 
+bool SameWord(std::string_view one, std::string_view other) { return Lower(one) == Lower(other); }
+
 std::optional<std::uint64_t> WholeNumber(std::string_view text) {
   std::uint64_t value = 0;
   if (text.empty() || text[0] < '0' || text[0] > '9') return std::nullopt;
@@ -71,14 +82,19 @@
 void Parser::Reset() {
   state_ = State::kFirstLine;
   body_ = Body::kNone;
-  http_1_0_ = false;
-  head_bytes_ = scanned_ = left_ = 0;
+  head_bytes_ = scanned_ = left_ = length_ = body_bytes_ = 0;
   error_ = 0;
   message_ = {};
 }
 
 Progress Parser::Parse(Buffer& in) {
   while (state_ != State::kDone) {
+    if (state_ == State::kToEnd) {
+      left_ = max_body_ - body_bytes_;
+      if (in.size() > left_) return Bad(413);
+      TakeBytes(in);
+      return Progress::kMore;
+    }
     if (state_ == State::kBody || state_ == State::kChunk) {
       TakeBytes(in);
       if (left_ > 0) return Progress::kMore;
@@ -150,6 +166,7 @@
     message_.target = line.substr(first + 1, last - first - 1);
     version = line.substr(last + 1);
     if (!IsToken(message_.method) || message_.target.empty()) return false;
+    ToPath(message_.target);
     if (message_.target[0] != '/' || message_.target.find(' ') != std::string::npos) return false;
   } else {
     version = line.substr(0, first);
@@ -159,7 +176,7 @@
     message_.status = static_cast<int>(*status);
   }
   if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
-  http_1_0_ = version == "HTTP/1.0";
+  message_.http_1_0 = version == "HTTP/1.0";
   state_ = State::kHeaders;
   return true;
 }
@@ -178,14 +195,15 @@
 // Guards against smuggling: two lengths, both forms of length or a coding that is not known leave open where
 // the message ends, so it is not taken at all.
 bool Parser::HeadEnds() {
-  message_.keep_alive = !http_1_0_;
+  message_.keep_alive = !message_.http_1_0;
   for (const auto& [name, value] : message_.headers) {
     if (name != "connection") continue;
     if (Lists(value, "close")) message_.keep_alive = false;
-    if (http_1_0_ && Lists(value, "keep-alive")) message_.keep_alive = true;
+    if (message_.http_1_0 && Lists(value, "keep-alive")) message_.keep_alive = true;
   }
   const std::size_t lengths = message_.Count("content-length"), codings = message_.Count("transfer-encoding");
-  if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) || (codings > 0 && http_1_0_)) return false;
+  if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) || (codings > 0 && message_.http_1_0))
+    return false;
   if (role_ == Role::kResponse) {
     if (message_.status == 101) return false;  // no other protocol was asked for
     if (message_.status < 200) {               // an interim answer: the one that counts is still to come
@@ -209,11 +227,15 @@
       error_ = 413;
       return false;
     }
-    left_ = *length;
+    left_ = length_ = *length;
     body_ = Body::kLength;
     state_ = left_ > 0 ? State::kBody : State::kDone;
   } else if (role_ == Role::kResponse) {
-    return false;  // whole by the end of its connection: it cannot be told from one that was cut short
+    // Whole by the end of its connection. One that does not say that its connection ends cannot be told from
+    // one that lost its length.
+    if (message_.keep_alive) return false;
+    body_ = Body::kToEnd;
+    state_ = State::kToEnd;
   } else {
     state_ = State::kDone;
   }
@@ -225,7 +247,7 @@
   std::uint64_t size = 0;
   const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
   if (digits.empty() || error != std::errc() || end != digits.data() + digits.size()) return false;
-  if (size > max_body_ || message_.body.size() + size > max_body_) {
+  if (size > max_body_ || body_bytes_ + size > max_body_) {
     error_ = 413;
     return false;
   }
@@ -239,6 +261,13 @@
   message_.body.append(in.Data().substr(0, count));
   in.Consume(count);
   left_ -= count;
+  body_bytes_ += count;
+}
+
+bool Parser::EndsWhole() {
+  if (state_ != State::kToEnd) return false;
+  state_ = State::kDone;
+  return true;
 }
 
 }  // namespace bitternmux::http
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -14,13 +14,14 @@
 
 namespace bitternmux::http {
 
-constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxBody = 32 * 1024 * 1024;
 constexpr std::size_t kMaxHead = 16 * 1024;
 
 struct Message {
   std::string method, target;  // of a request
   int status = 0;              // of a response
   bool keep_alive = true;
+  bool http_1_0 = false;
   std::vector<std::pair<std::string, std::string>> headers;  // names in lower case
   std::string body;
 
@@ -38,19 +39,26 @@
 
   // Takes what it can from the buffer. After kDone the rest of the buffer belongs to the next message.
   Progress Parse(Buffer& in);
+  // The other side has sent its last byte. True: that makes the message whole, since it goes on to the end of
+  // its connection and says so.
+  bool EndsWhole();
   void Reset();
 
   const Message& message() const { return message_; }
   Message Take() { return std::move(message_); }
   bool started() const { return state_ != State::kFirstLine || head_bytes_ > 0; }
   bool head_read() const { return state_ >= State::kBody; }
+  // Of a body whose length its head tells; 0 for others.
+  std::size_t length() const { return length_; }
+  bool chunked() const { return body_ == Body::kChunked; }
+  std::size_t body_bytes() const { return body_bytes_; }  // that have come
   int error() const { return error_; }  // after kBad on a request: the status to answer with
-  // Of a response that goes on and on: the body's bytes so far, which are then forgotten.
+  // Of a body that is passed on as it comes: the bytes so far, which are then forgotten.
   std::string TakeBody() { return std::exchange(message_.body, {}); }
 
  private:
-  enum class State { kFirstLine, kHeaders, kBody, kChunkSize, kChunk, kChunkEnd, kTrailer, kDone };
-  enum class Body { kNone, kLength, kChunked };
+  enum class State { kFirstLine, kHeaders, kBody, kToEnd, kChunkSize, kChunk, kChunkEnd, kTrailer, kDone };
+  enum class Body { kNone, kLength, kChunked, kToEnd };
 
   Progress Bad(int status) {
     error_ = status;
@@ -67,14 +75,17 @@
   const std::size_t max_body_;
   State state_ = State::kFirstLine;
   Body body_ = Body::kNone;
-  bool http_1_0_ = false;
   std::size_t head_bytes_ = 0;
   std::size_t scanned_ = 0;  // of the line that is not whole yet
   std::size_t left_ = 0;     // of the body or chunk
+  std::size_t length_ = 0, body_bytes_ = 0;
   int error_ = 0;
   Message message_;
 };
 
+// The same but for the case of letters.
+bool SameWord(std::string_view one, std::string_view other);
+
 // A whole number of nothing but digits; none for anything else, or above what fits.
 std::optional<std::uint64_t> WholeNumber(std::string_view text);
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kReadSize = 16 * 1024;
 constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
+constexpr std::size_t kNoBound = std::size_t{1} << 62;  // a watch goes on; each line of it is bounded
 // A line comes every 2 s at the least. Guards against a connection that stays open and silent, as it does
 // when the network is cut: without this the list would age unnoticed.
 constexpr double kSilenceMs = 4500;
@@ -84,6 +85,7 @@
     if (!parser_.head_read()) return;
     if (parser_.message().status != 200) return Break("status " + std::to_string(parser_.message().status));
     if (whole_) {
+      if (parser_.message().body.size() > kLongestLine) return Break("the list is too long");
       if (progress == http::Progress::kDone) WholeList(parser_.Take().body);
       return;
     }
@@ -134,7 +136,7 @@
   tcp::socket socket_;
   std::string out_;
   http::Buffer buffer_;
-  http::Parser parser_{http::Role::kResponse, kLongestLine};
+  http::Parser parser_{http::Role::kResponse, kNoBound};
   std::string text_;  // the line that is not whole yet
   bool answered_ = false;
   bool closed_ = false;
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -1,5 +1,7 @@
 #include "net/node_pool.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/coroutine.hpp>
 
 #include "http/parser.h"
@@ -11,8 +13,14 @@
 namespace {
 
 constexpr std::size_t kReadSize = 16 * 1024;
-constexpr double kProbePatienceMs = 500;  // for the answer to a probe
-constexpr double kSweepMs = 20;           // between looks for connections that have idled for too long
+constexpr std::size_t kHeldBody = 64 * 1024;  // an answer is held whole up to that, and passed on above
+constexpr std::size_t kFlowMost = 64 * 1024;  // on their way to the submitter, of one answer
+constexpr std::size_t kFlowLeast = 4 * 1024;
+constexpr std::size_t kFlowHeld = 4;  // times that may be held: while queued, framed and written, and grown
+constexpr int kReceiveBuffer = 64 * 1024;  // in the kernel, of an answer that is passed on
+constexpr double kStallMs = 10'000;        // without a byte of an answer that has begun
+constexpr double kProbePatienceMs = 500;   // for the answer to a probe
+constexpr double kSweepMs = 20;            // between looks for connections that have idled for too long
 
 }  // namespace
 
@@ -68,6 +76,7 @@
   void Close() {
     if (closed_) return;
     closed_ = true;
+    if (flow_) EndFlow(/*whole=*/false);
     for (const auto timer : {until_timer_, dial_timer_}) runtime_.wheel.Cancel(timer);
     error_code ignored;
     socket_.close(ignored);
@@ -90,6 +99,11 @@
       while (!closed_) {
         yield socket_.async_wait(tcp::socket::wait_read, Resume());
         Readable(error);
+        if (!closed_ && flow_ && flow_->Full()) {
+          runtime_.wheel.Cancel(until_timer_);  // it is the submitter that is waited for
+          yield paused_ = true;
+          if (busy_) Due(kStallMs);
+        }
       }
     }
   }
@@ -118,13 +132,18 @@
     Write();
   }
 
+  std::size_t Size() const { return exchange_.head.size() + (exchange_.body ? exchange_.body->size() : 0); }
+
   // Written here and not by async_write, so that it is known at any time whether the last byte is out: what
   // was written in part never ran, and the rest may have.
   void Write() {
     error_code error;
-    while (written_ < exchange_.bytes.size() && !error) {
-      written_ += socket_.write_some(
-          asio::buffer(exchange_.bytes.data() + written_, exchange_.bytes.size() - written_), error);
+    while (written_ < Size() && !error) {
+      const std::string& head = exchange_.head;
+      const std::size_t of_body = written_ - std::min(written_, head.size());
+      std::array<asio::const_buffer, 2> rest = {asio::buffer(head) + std::min(written_, head.size())};
+      if (exchange_.body) rest[1] = asio::buffer(*exchange_.body) + of_body;
+      written_ += socket_.write_some(rest, error);
     }
     if (error == asio::error::would_block) {
       socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& e) {
@@ -150,14 +169,68 @@
       if (!failure) buffer_.Commit(count);
       answered_ = answered_ || !failure;
     }
+    if (failure == asio::error::eof && stage_ == Stage::kWaiting && parser_.EndsWhole()) return Whole();
     // Guards against what was left behind on the connection: what comes before a request is written whole is
     // no answer to it.
     if (failure || stage_ != Stage::kWaiting) return Broke(Break::kConnection);
     const http::Progress progress = parser_.Parse(buffer_);
-    if (progress == http::Progress::kMore) return;
     if (progress == http::Progress::kBad) return Broke(Break::kConnection);
+    progress == http::Progress::kDone ? Whole() : Passes();
+  }
+
+  // The answer, or more of it, is there and not whole.
+  void Passes() {
+    const http::Message& message = parser_.message();
+    if (!parser_.head_read()) return;
+    if (!flow_) {
+      if (std::max(parser_.length(), message.body.size()) <= kHeldBody) return;
+      // What is no claim's, or no answer that would be served, is bounded as ever.
+      if (!exchange_.began || message.status != 200) return Broke(Break::kConnection);
+      flow_ = std::make_shared<Flow>(pool_.FlowBytes());
+      ++pool_.flows_;
+      error_code ignored;
+      socket_.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer), ignored);
+      flow_->on_room = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->RoomAgain();
+      };
+      std::string body = parser_.TakeBody();
+      ClaimEnd begun = ClassifyAnswer(message);
+      begun.flow = flow_;
+      begun.length = parser_.length();
+      if (!exchange_.began(std::move(begun))) flow_->Abandon();
+      if (closed_) return;
+      flow_->Put(std::move(body));
+    } else {
+      flow_->Put(parser_.TakeBody());
+    }
+    Due(kStallMs);
+  }
+
+  // Guards against a node that stops in the middle: its connection would stay for good.
+  void Due(double ms) {
+    runtime_.wheel.Cancel(until_timer_);
+    until_timer_ = runtime_.wheel.Add(runtime_.now_ms() + ms,
+                                      [self = shared_from_this()] { self->Broke(Break::kConnection); });
+  }
+
+  void EndFlow(bool whole) {
+    --pool_.flows_;
+    std::exchange(flow_, nullptr)->End(whole);
+  }
+
+  void RoomAgain() {
+    asio::post(runtime_.strand, [self = shared_from_this()] {
+      if (!self->closed_ && std::exchange(self->paused_, false)) self->Run();
+    });
+  }
+
+  void Whole() {
     const bool reusable =
         parser_.message().keep_alive && buffer_.size() == 0 && pool_.machines_.IsLive(node_);
+    if (flow_) {
+      flow_->Put(parser_.TakeBody());
+      EndFlow(/*whole=*/true);
+    }
     End(ClassifyAnswer(parser_.Take()), reusable);
   }
 
@@ -208,7 +281,9 @@
   Exchange exchange_;
   std::size_t written_ = 0;
   double dialed_ms_ = 0, begun_ms_ = 0;
-  bool answered_ = false;  // at least one byte came back
+  std::shared_ptr<Flow> flow_;  // of an answer that is passed on as it comes
+  bool paused_ = false;         // nothing is read until the flow has room
+  bool answered_ = false;       // at least one byte came back
   bool busy_ = false;
   bool closed_ = false;
   http::Buffer buffer_;
@@ -217,12 +292,14 @@
 };
 
 NodePool::NodePool(Runtime& runtime, JobTable& jobs, const MachineList& machines,
-                   const cartspring::Settings& settings, std::size_t most_connections)
+                   const cartspring::Settings& settings, std::size_t most_connections,
+                   std::size_t most_passing)
     : runtime_(runtime),
       jobs_(jobs),
       machines_(machines),
       settings_(settings),
       most_connections_(most_connections),
+      most_passing_(most_passing),
       choice_(settings) {}
 
 NodePool::~NodePool() = default;
@@ -235,8 +312,10 @@
   };
   const double wait_ms = claim.until_ms - runtime_.now_ms();
   Begin(claim.node, claim.address,
-        {WriteClaim(job, claim.address, wait_ms), claim.until_ms, job.klass, job.work_hint_ms, claim.job,
-         claim.number, ended});
+        {WriteClaim(job, claim.address, wait_ms), job.body, claim.until_ms, job.klass, job.work_hint_ms,
+         claim.job, claim.number, ended, [this, claim](ClaimEnd begun) {
+           return jobs_.ClaimBegan(runtime_.now_ms(), claim, std::move(begun));
+         }});
 }
 
 void NodePool::GiveUp(JobId job, int number) {
@@ -250,7 +329,7 @@
 void NodePool::Probe(const std::string& node, const std::string& address) {
   const double asked_ms = runtime_.now_ms();
   Exchange exchange;
-  exchange.bytes = WriteProbe(address);
+  exchange.head = WriteProbe(address);
   exchange.until_ms = asked_ms + kProbePatienceMs;
   exchange.ended = [this, node, asked_ms](ClaimEnd end) {
     const double now_ms = runtime_.now_ms();
@@ -308,6 +387,11 @@
   return connections_.size() < most_connections_;
 }
 
+// The share of one more answer. Many have little each: then it is not the sidecar that they wait for.
+std::size_t NodePool::FlowBytes() const {
+  return std::clamp(most_passing_ / (kFlowHeld * (flows_ + 1)), kFlowLeast, kFlowMost);
+}
+
 void NodePool::Idles(ConnectionId id) {
   choice_.Idles(runtime_.now_ms(), id);
   if (!std::exchange(sweeping_, true)) Sweep();
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -18,8 +18,9 @@
 
 class NodePool : public ClaimRunner {
  public:
+  // Of `most_connections` at a time, with `most_passing` bytes on their way to submitters in all.
   NodePool(Runtime& runtime, JobTable& jobs, const MachineList& machines,
-           const cartspring::Settings& settings, std::size_t most_connections);
+           const cartspring::Settings& settings, std::size_t most_connections, std::size_t most_passing);
   ~NodePool() override;
 
   void Start(const Claim& claim, const Job& job) override;
@@ -39,13 +40,15 @@
   using Ended = std::function<void(ClaimEnd)>;
   // One request to a node and what comes back.
   struct Exchange {
-    std::string bytes;
+    std::string head;
+    std::shared_ptr<const std::string> body;  // null: none
     double until_ms = 0;
     int klass = limits::Connections::kRepeatable;
     double work_ms = 0;
     JobId job = 0;  // whose claim it is; 0: none's
     int number = 0;
     Ended ended;
+    std::function<bool(ClaimEnd)> began;  // as JobTable::ClaimBegan; null: the answer is held whole
   };
 
   void Begin(const std::string& node, const std::string& address, Exchange exchange);
@@ -55,6 +58,7 @@
   void DialAhead(const std::string& node, const std::string& address);
   Handle Open(const std::string& node, const std::string& address);
   bool MakeRoom();
+  std::size_t FlowBytes() const;
   void Idles(ConnectionId id);
   void Sweep();
 
@@ -62,7 +66,8 @@
   JobTable& jobs_;
   const MachineList& machines_;
   const cartspring::Settings& settings_;
-  const std::size_t most_connections_;
+  const std::size_t most_connections_, most_passing_;
+  std::size_t flows_ = 0;  // answers that are passed on now
   limits::Connections choice_;
   ConnectionId last_id_ = 0;
   std::unordered_map<ConnectionId, Handle> connections_;
--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -82,7 +82,7 @@
   job.content_type = message.Find("content-type").value_or("");
   job.method = std::move(message.method);
   job.target = std::move(message.target);
-  job.body = std::move(message.body);
+  if (!message.body.empty()) job.body = std::make_shared<const std::string>(std::move(message.body));
   return job;
 }
 
@@ -121,7 +121,7 @@
       {"Req-Id", job.request_id},
       {"Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait_ms))))}};
   if (!job.content_type.empty()) headers.emplace_back("Content-Type", job.content_type);
-  return http::WriteRequest(job.method, job.target, headers, job.body);
+  return http::WriteRequestHead(job.method, job.target, headers, job.body ? job.body->size() : 0);
 }
 
 std::string WriteProbe(const std::string& host) {
@@ -137,6 +137,12 @@
   return stage == Stage::kWaiting ? Outcome::kConnectionLost : Outcome::kConnectFailed;
 }
 
+std::string WriteAnswerHead(const Answer& answer, http::Framing framing, bool keep_alive) {
+  http::Headers headers;
+  if (!answer.content_type.empty()) headers.emplace_back("Content-Type", answer.content_type);
+  return http::WriteResponseHead(200, headers, framing, answer.length, keep_alive);
+}
+
 ClaimEnd ClassifyAnswer(http::Message message) {
   ClaimEnd end;
   if (const auto load = message.Find("srv-load")) end.load = ReadLoad(*load);
--- a/src/net/protocol.h
+++ b/src/net/protocol.h
@@ -12,6 +12,7 @@
 #include "core/job_table.h"
 #include "core/machine_list.h"
 #include "http/parser.h"
+#include "http/writer.h"
 
 namespace bitternmux::net {
 
@@ -27,11 +28,14 @@
 
 Asked ReadRequest(http::Message message, const cartspring::Settings& settings);
 std::string WriteAnswer(const Answer& answer, bool keep_alive);
+// Of a served answer whose body comes through its flow.
+std::string WriteAnswerHead(const Answer& answer, http::Framing framing, bool keep_alive);
 std::string WriteReady(bool keep_alive);
 std::string WriteBadRequest(const BadRequest& bad, bool keep_alive);
 
 // ---- The execute node's side ----
 
+// The claim's head: the job's body follows as it is.
 std::string WriteClaim(const Job& job, const std::string& host, double wait_ms);
 std::string WriteProbe(const std::string& host);
 
--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -17,16 +17,22 @@
 namespace bitternmux::net {
 namespace {
 
-constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kReadSize = 16 * 1024;  // of a body
+constexpr std::size_t kHeadReadSize = 4 * 1024;
 constexpr std::size_t kMostReadAhead = http::kMaxHead;  // of the requests behind the one that is served
 constexpr std::size_t kDiscardSize = 1024 * 1024;
-constexpr double kWholeMs = 2000;      // for a connection's first request, or one that has begun, to be whole
-constexpr double kWriteMs = 5000;      // for a submitter to take its answer
-constexpr double kLingerMs = 1000;     // for a submitter to read why it was turned away while it still sends
-constexpr double kAcceptPauseMs = 20;  // when there are no descriptors left
-constexpr double kTrimMs = 100;        // between two looks at what is to go for the time alone
-constexpr double kQueueMs = 50;        // for connections that come to a queue that others are led away from
-constexpr double kSayMs = 10'000;      // between two lines on places that run short
+constexpr double kHeadMs = 2600;        // for a connection's first head, or one that has begun, to be whole
+constexpr double kBodyStallMs = 2200;   // between two bytes of a body
+constexpr double kBodyGraceMs = 2000;   // after its head, before a body is held to a rate
+constexpr double kBodyRate = 16;        // bytes a millisecond, over the whole body
+constexpr double kStallMs = 10'000;     // for a submitter to take the next piece of a large answer
+constexpr int kSendBuffer = 64 * 1024;  // in the kernel, of a large answer
+constexpr double kWriteMs = 5000;       // for a submitter to take its answer
+constexpr double kLingerMs = 1000;      // for a submitter to read why it was turned away while it still sends
+constexpr double kAcceptPauseMs = 20;   // when there are no descriptors left
+constexpr double kTrimMs = 100;         // between two looks at what is to go for the time alone
+constexpr double kQueueMs = 50;         // for connections that come to a queue that others are led away from
+constexpr double kSayMs = 10'000;       // between two lines on places that run short
 
 // Of the listeners that share an address, the second one gets what comes from now on: a process that holds
 // its place is the first of them, since those before it are gone, and its successor is the next.
@@ -49,7 +55,7 @@
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    LimitTo(kWholeMs);
+    LimitTo(kHeadMs);
     Read();
   }
 
@@ -70,16 +76,18 @@
 
   void Close() {
     if (state_ == State::kClosed) return;
-    state_ = State::kClosed;
+    const bool passing = std::exchange(state_, State::kClosed) == State::kPassing;
     error_code ignored;
     socket_.close(ignored);
     runtime_.wheel.Cancel(limit_);
     CountUnread(0);
+    if (flow_) std::exchange(flow_, nullptr)->Abandon();
+    if (passing) server_.jobs_.SubmitterLeft(runtime_.now_ms(), job_);
     server_.Ended(id_);
   }
 
  private:
-  enum class State { kReading, kServing, kWriting, kLingering, kClosed };
+  enum class State { kReading, kServing, kPassing, kWriting, kLingering, kClosed };
 
   bool Begun() const { return parser_.started() || buffer_.size() > 0; }
 
@@ -126,7 +134,9 @@
   bool TakeBytes() {
     if (state_ == State::kLingering) return Discard();
     error_code error;
-    const std::size_t count = socket_.read_some(asio::buffer(buffer_.Prepare(kReadSize), kReadSize), error);
+    // Most connections idle most of the time: what they keep for the next head is small.
+    const std::size_t size = parser_.head_read() ? kReadSize : kHeadReadSize;
+    const std::size_t count = socket_.read_some(asio::buffer(buffer_.Prepare(size), size), error);
     if (error == asio::error::would_block) return true;
     if (error) return false;
     buffer_.Commit(count);
@@ -154,8 +164,9 @@
     while (state_ == State::kReading && buffer_.size() > 0) {
       switch (parser_.Parse(buffer_)) {
         case http::Progress::kMore:
-          if (limit_ == 0) LimitTo(kWholeMs);  // the first one's time runs from the connection's start
-          CountUnread(buffer_.size() + parser_.message().body.size());
+          MindTime();
+          InviteBody();
+          CountUnread(buffer_.size() + parser_.message().body.capacity());
           if (unread_ > http::kMaxHead && server_.unread_ > server_.most_unread_) {
             TurnAway(413, "too much is being sent at once");
           }
@@ -163,8 +174,12 @@
         case http::Progress::kBad:
           return TurnAway(parser_.error(), "the request cannot be read");
         case http::Progress::kDone:
-          CountUnread(0);
-          keep_alive_ = parser_.message().keep_alive && !server_.closing_;
+          // Held for as long as the claims of it may be written.
+          CountUnread(parser_.message().body.size());
+          head_read_ms_ = 0;
+          invited_ = false;
+          old_form_ = parser_.message().http_1_0;
+          keep_alive_ = parser_.message().keep_alive && !old_form_ && !server_.closing_;
           Serve(ReadRequest(parser_.Take(), server_.settings_));
           parser_.Reset();
       }
@@ -192,17 +207,101 @@
                               [self = shared_from_this()](const Answer& answer) { self->Answered(answer); });
   }
 
+  // Time goes by progress: a head within its own, a body without long pauses and not too slowly over all. The
+  // first head's time runs from the connection's start, a later one's from its first byte.
+  void MindTime() {
+    if (!parser_.head_read()) {
+      if (limit_ == 0) LimitTo(kHeadMs);
+      return;
+    }
+    const double now_ms = runtime_.now_ms();
+    if (head_read_ms_ == 0) head_read_ms_ = now_ms;
+    const double slowest_ms =
+        head_read_ms_ + kBodyGraceMs + static_cast<double>(parser_.body_bytes()) / kBodyRate;
+    LimitTo(std::max(1.0, std::min(kBodyStallMs, slowest_ms - now_ms)));
+  }
+
+  // A submitter that waits to be told sends its body only then.
+  void InviteBody() {
+    if (invited_ || !parser_.head_read() || parser_.body_bytes() > 0 || parser_.message().http_1_0) return;
+    invited_ = true;
+    const auto expect = parser_.message().Find("expect");
+    if (!expect || !http::SameWord(*expect, "100-continue")) return;
+    error_code ignored;  // one that cannot be told sends it in any case, after a wait of its own
+    socket_.write_some(asio::buffer(http::kContinue), ignored);
+  }
+
+  // The answer's body comes from its node piece by piece, and goes on as the submitter takes it.
+  void Pass(const Answer& answer) {
+    flow_ = answer.flow;
+    framing_ = answer.length > 0 ? http::Framing::kLength
+               : old_form_       ? http::Framing::kToEnd
+                                 : http::Framing::kChunks;
+    state_ = State::kPassing;
+    error_code ignored;
+    // What the kernel holds is out of reach; a slow reader would else keep megabytes there.
+    socket_.set_option(asio::socket_base::send_buffer_size(kSendBuffer), ignored);
+    flow_->on_bytes = [weak = weak_from_this(), strand = runtime_.strand] {
+      asio::post(strand, [weak] {
+        if (const auto self = weak.lock()) self->PassOn();
+      });
+    };
+    out_ = WriteAnswerHead(answer, framing_, keep_alive_);
+    WritePiece();
+  }
+
+  void PassOn() {
+    if (state_ != State::kPassing || !out_.empty()) return;
+    std::string bytes = flow_->Take();
+    if (!bytes.empty()) {
+      if (framing_ == http::Framing::kChunks) {
+        out_ = http::ChunkHead(bytes.size()).append(bytes).append(http::kChunkEnd);
+      } else {
+        out_ = std::move(bytes);
+      }
+      return WritePiece();
+    }
+    if (!flow_->Ended()) return LimitTo(0);  // the node is waited for, which is minded there
+    if (!flow_->Whole()) return BreakOff();
+    flow_ = nullptr;
+    state_ = State::kWriting;
+    if (framing_ == http::Framing::kChunks) return Write(std::string(http::kLastChunk));
+    Written({});
+  }
+
+  void WritePiece() {
+    LimitTo(kStallMs);
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this()](const error_code& error, std::size_t) {
+                        if (self->state_ != State::kPassing) return;
+                        if (error) return self->Close();
+                        self->out_.clear();
+                        self->PassOn();
+                      });
+  }
+
+  // The submitter has to see that it is not whole. Short of its length or without the last chunk it does;
+  // else only by a reset.
+  void BreakOff() {
+    error_code ignored;
+    if (framing_ == http::Framing::kToEnd) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   void Answered(const Answer& answer) {
     if (state_ != State::kServing) return;
+    CountUnread(0);
     // With the next request read already, there is no telling the submitter in time.
     if (server_.closing_ || (buffer_.size() == 0 && !server_.limits_.MayStay(runtime_.now_ms(), id_))) {
       keep_alive_ = false;
     }
+    if (answer.flow) return Pass(answer);
     Write(WriteAnswer(answer, keep_alive_));
   }
 
   void Write(std::string bytes) {
     state_ = State::kWriting;
+    CountUnread(0);
     LimitTo(kWriteMs);
     out_ = std::move(bytes);
     asio::async_write(socket_, asio::buffer(out_),
@@ -243,6 +342,11 @@
   bool proven_ = false;  // a good request has come
   bool paused_ = false;
   bool left_ = false;
+  bool invited_ = false;     // to send its body
+  bool old_form_ = false;    // asked in HTTP/1.0
+  double head_read_ms_ = 0;  // when the head of the request on its way was; 0: not yet
+  std::shared_ptr<Flow> flow_;
+  http::Framing framing_ = http::Framing::kLength;
   TimerWheel::Id limit_ = 0;
   std::size_t unread_ = 0;
   std::string out_;
@@ -256,7 +360,7 @@
       most_unread_(most_unread),
       acceptor_(runtime.strand),
       incoming_(runtime.strand),
-      limits_({most_sessions, clients_hold, kWholeMs}) {}
+      limits_({most_sessions, clients_hold, kHeadMs}) {}
 
 SubmitterServer::~SubmitterServer() = default;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -34,7 +34,8 @@
 // one connection to a node.
 constexpr double kRequestShare = 1.0 / 3;
 constexpr double kSubmitterShare = 0.6;
-constexpr double kUnreadShare = 0.125;    // of the memory, for requests that are not whole
+constexpr double kUnreadShare = 0.25;     // of the memory, for bodies of requests, whole or not
+constexpr double kPassingShare = 0.125;   // of the memory, for large answers on their way
 constexpr double kRestartWindowMs = 500;  // new connections may come for so long after SIGTERM
 constexpr double kLastAnswersMs = 600;    // beyond the longest deadline; after that nobody waits any more
 constexpr double kIdleEndMs = 300;        // likewise; what idles beside a successor is closed
@@ -101,7 +102,8 @@
         machines_(settings_),
         jobs_(settings_, facade_, machines_, log),
         pool_(runtime_, jobs_, machines_, settings_,
-              static_cast<std::size_t>((1 - kSubmitterShare) * Connections(config_))),
+              static_cast<std::size_t>((1 - kSubmitterShare) * Connections(config_)),
+              static_cast<std::size_t>(kPassingShare * config_.memory_mb * 1024 * 1024)),
         watch_(
             runtime_, config_.discovery, machines_, [this](const MachineUpdate& update) { Updated(update); },
             [this] {
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -61,6 +61,22 @@
     text_.erase(0, size);
     return out;
   }
+  // So many bytes, as they come.
+  std::string Take(std::size_t count) {
+    while (text_.size() < count) More();
+    std::string out = text_.substr(0, count);
+    text_.erase(0, count);
+    return out;
+  }
+  // All that comes until the other side closes.
+  std::string Rest() {
+    std::string out;
+    try {
+      while (true) out += (More(), std::exchange(text_, {}));
+    } catch (const std::runtime_error&) {
+    }
+    return out;
+  }
   // Waits for the other side to close; anything else that comes is an error.
   bool Ends() {
     AwaitReadable(fd_);
@@ -267,6 +283,14 @@
   }
   void GoOn() { ::kill(pid_, SIGCONT); }
   void HangUp() { ::kill(pid_, SIGHUP); }
+  // The most memory that it has had.
+  std::size_t PeakKb() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmHWM:")) return std::stoul(line.substr(6));
+    }
+    throw std::runtime_error("no peak");
+  }
   void Kill() { ::kill(pid_, SIGKILL); }
   // Its exit code, once its log has ended.
   int Exit() {
