Count a server as ejected once it was left out for half a second

Ruled out: hosts set aside for failing (at most one at a time).

Change: Balancer::Avoided names the hosts; core/left_out.h counts those left out at every look for half a second.

--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -152,8 +152,8 @@
   // stays. Throws std::invalid_argument, with nothing changed, if they make no sense.
   void Retune(const Settings& settings, const std::vector<int>& like);
 
-  // How many live hosts a request that may run again would be kept from now, for what is held against them.
-  int Avoided(double now_ms);
+  // The live hosts that a request that may run again would be kept from now, for what is held against them.
+  std::vector<std::string> Avoided(double now_ms);
 
  private:
   class Impl;
--- a/src/admin/figures.h
+++ b/src/admin/figures.h
@@ -14,7 +14,7 @@
 struct Standing {
   std::size_t outstanding = 0;  // jobs taken and not ended
   std::size_t discovered = 0;   // execute nodes in the list
-  int ejected = 0;              // listed ones that are avoided now
+  std::size_t ejected = 0;      // listed ones that are avoided
   std::uint64_t sighup_applied = 0, sighup_rejected = 0;
 };
 
--- a/src/cartspring/balancer.cpp
+++ b/src/cartspring/balancer.cpp
@@ -32,6 +32,6 @@
 void Balancer::Retune(const Settings& settings, const std::vector<int>& like) {
   impl_->Retune(settings, like);
 }
-int Balancer::Avoided(double now_ms) { return impl_->Avoided(now_ms); }
+std::vector<std::string> Balancer::Avoided(double now_ms) { return impl_->Avoided(now_ms); }
 
 }  // namespace cartspring
--- a/src/cartspring/beliefs.h
+++ b/src/cartspring/beliefs.h
@@ -185,11 +185,9 @@
   // `safe`: for a request that may run again.
   std::vector<int> Ready(const HostTable& hosts, bool safe) const {
     std::vector<int> ready, all;
-    std::size_t well = 0, live = 0;
-    for (int i = 0; i < hosts.size(); ++i) {
+    std::size_t well = 0;
+    for (const int i : hosts.live()) {
       const Host& host = hosts[i];
-      if (host.entry.state != HostState::kLive) continue;
-      ++live;
       if (!host.unreached || ctx_.now >= host.out_until) all.push_back(i);
       if (ctx_.now < host.out_until || Silent(host)) continue;
       if (host.doubt <= 0) {
@@ -201,9 +199,8 @@
         ready.push_back(i);
       }
     }
-    // If most of the fleet looks ill, the fault is likelier in this instance's view: use all that can be
-    // reached.
-    return 2 * well < live && !all.empty() ? all : ready;
+    // If most of the fleet looks ill, the fault is likelier in this view: use all that can be reached.
+    return 2 * well < hosts.live().size() && !all.empty() ? all : ready;
   }
 
  private:
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -121,9 +121,14 @@
     Forget(id, found->second);
   }
 
-  int Avoided(double now) {
+  std::vector<std::string> Avoided(double now) {
     Advance(now);
-    return static_cast<int>(hosts_.live().size() - health_.Ready(hosts_, /*safe=*/true).size());
+    const std::vector<int> ready = health_.Ready(hosts_, /*safe=*/true);
+    std::vector<std::string> out;
+    for (const int i : hosts_.live()) {
+      if (std::ranges::find(ready, i) == ready.end()) out.push_back(hosts_[i].entry.host);
+    }
+    return out;
   }
 
   void OnTimer(double now, std::uint64_t token) {
@@ -164,8 +169,7 @@
   }
 
   void Gather(RequestId id, Live& live) {
-    const bool safe = ctx_.ClassOf(live.request).effect == Effect::kSafe;
-    std::vector<int> pool = health_.Ready(hosts_, safe);
+    std::vector<int> pool = health_.Ready(hosts_, ctx_.ClassOf(live.request).effect == Effect::kSafe);
     std::erase_if(pool, [&](int i) { return !attempts_.MaySend(live, i) || live.Barred(i); });
     if (!reports_.Gather(id, live, std::move(pool))) return Decide(id, live);
     sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -74,8 +74,7 @@
   }
 
  private:
-  // Crossing zones costs time on the way and a price, a new connection a price; prices are taken as time of
-  // the aim, and all of it ranks beside the load's time.
+  // Crossing zones costs time and a price, a new connection a price; prices are taken as time of the aim.
   double Distance(const Host& host, const Live& live) const {
     const Settings& set = ctx_.set;
     const RequestClass& klass = ctx_.ClassOf(live.request);
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -73,8 +73,8 @@
   void Retune(const cartspring::Settings& settings, const std::vector<int>& like) {
     balancer_.Retune(settings, like);
   }
-  // How many of the nodes in service the module leaves out now for what it holds against them.
-  int Avoided(double now_ms) { return balancer_.Avoided(now_ms); }
+  // The nodes in service that the module leaves out now for what it holds against them.
+  std::vector<std::string> Avoided(double now_ms) { return balancer_.Avoided(now_ms); }
   void WatchBroken(double now_ms) { balancer_.OnDiscoveryRefused(now_ms); }
 
  private:
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,6 +13,7 @@
 #include "admin/figures.h"
 #include "core/facade.h"
 #include "core/job_table.h"
+#include "core/left_out.h"
 #include "core/retune.h"
 #include "core/timer_wheel.h"
 #include "events/catalogue.h"
@@ -40,6 +41,8 @@
 constexpr double kLastAnswersMs = 600;    // beyond the longest deadline; after that nobody waits any more
 constexpr double kIdleEndMs = 300;        // likewise; what idles beside a successor is closed
 constexpr double kListWaitMs = 1500;  // for discovery's list, before a successor goes by the one it remembers
+constexpr double kLookMs = 100;       // between two looks at which nodes are left out
+constexpr double kLeftOutMs = 500;    // for so long before that is told
 constexpr double kPlaceMs = 100;      // between two looks at whether another process serves here
 
 double UnixAheadMs() {
@@ -133,6 +136,7 @@
 
  private:
   void OpenDoor() {
+    LookForLeftOut();
     door_.Listen(net::EndpointOf(config_.door));
     std::ostringstream address;
     address << door_.address();
@@ -148,6 +152,11 @@
     MindPlace();
   }
 
+  void LookForLeftOut() {
+    left_out_.Look(NowMs(), facade_.Avoided(NowMs()));
+    wheel_.Add(NowMs() + kLookMs, [this] { LookForLeftOut(); });
+  }
+
   void AwaitList(double until_ms) {
     if (listed_ || NowMs() >= until_ms) return Listen();
     wheel_.Add(NowMs() + kTickMs, [this, until_ms] { AwaitList(until_ms); });
@@ -161,7 +170,7 @@
   }
 
   std::string Figures() {
-    return admin::WriteFigures(jobs_.stats(), {jobs_.held(), machines_.size(), facade_.Avoided(NowMs()),
+    return admin::WriteFigures(jobs_.stats(), {jobs_.held(), machines_.size(), left_out_.count(),
                                                sighup_applied_, sighup_rejected_});
   }
 
@@ -250,6 +259,7 @@
   net::DiscoveryWatch watch_;
   net::SubmitterServer server_;
   admin::Door door_;
+  LeftOut left_out_{kLeftOutMs};
   handover::Place place_;
   asio::steady_timer turn_;
   asio::signal_set signals_;
--- a/tests/core/stats_test.cpp
+++ b/tests/core/stats_test.cpp
@@ -8,6 +8,7 @@
 #include "cartspring/settings.h"
 #include "config/config.h"
 #include "core/job_table.h"
+#include "core/left_out.h"
 #include "support/peers.h"
 
 namespace bitternmux {
@@ -68,6 +69,18 @@
   CHECK((ends.succeeded > 0 && ends.declined > 0 && ends.aborted > 0));
 }
 
+TEST_CASE("a node counts as left out once it was so at every look for a while") {
+  LeftOut left_out(500);
+  for (double now = 0; now <= 400; now += 100) left_out.Look(now, {"a", now < 300 ? "b" : "c"});
+  CHECK(left_out.count() == 0);
+  left_out.Look(500, {"a", "b", "c"});
+  CHECK(left_out.count() == 1);
+  left_out.Look(800, {"b", "c"});
+  CHECK(left_out.count() == 1);
+  left_out.Look(900, {});
+  CHECK(left_out.count() == 0);
+}
+
 TEST_CASE("each class is listed from the start, and the names are the operators'") {
   Stats stats;
   stats.classes["space-hold"] = {3, 2, 1};
