Keep memory for large messages small, and refuse a body that finds none

By reckoning from the code: bodies grown by doubling, 32 KB kept by each connection that had carried a large message. A body that found the memory spent got 413, which tells a member that it failed, though it went nowhere.

Change: a body's room is reserved by its length, buffers give back what a large message made them grow to, reads of an answer that is passed on are no larger than its share; such a body is refused (503, with advice where allowed). Under the sanitizers a test held settings that were gone: a machine list cannot be made of a temporary any more, and the peak of memory is not judged there.

--- a/src/core/flow.h
+++ b/src/core/flow.h
@@ -25,6 +25,7 @@
     bytes_.empty() ? bytes_.swap(bytes) : void(bytes_.append(bytes));
     if (on_bytes) on_bytes();
   }
+  std::size_t most() const { return most_; }
   bool Full() const { return bytes_.size() >= most_; }
   // Nothing more comes; `whole`: all of it came.
   void End(bool whole) {
--- a/src/core/machine_list.h
+++ b/src/core/machine_list.h
@@ -32,6 +32,7 @@
  public:
   // The settings must outlive it. Names that they gain count from the next update on.
   explicit MachineList(const cartspring::Settings& settings) : settings_(settings) {}
+  explicit MachineList(cartspring::Settings&&) = delete;
 
   // Takes in an update and gives the module's view of its entries. `unix_ahead_ms`: Unix time less our clock.
   std::vector<cartspring::HostEntry> Apply(const MachineUpdate& update, double unix_ahead_ms);
--- a/src/http/buffer.h
+++ b/src/http/buffer.h
@@ -26,6 +26,10 @@
     return bytes_.data() + end_;
   }
   void Commit(std::size_t count) { end_ += count; }
+  // Gives memory back that is over `most`, while nothing is in it: for a connection that idles.
+  void Trim(std::size_t most) {
+    if (size() == 0 && bytes_.size() > most) std::vector<char>().swap(bytes_);
+  }
   void Consume(std::size_t count) {
     begin_ += count;
     if (begin_ == end_) begin_ = end_ = 0;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t kMaxHeaders = 100;
+constexpr std::size_t kReserved = 4 * 1024 * 1024;  // untouched, it costs nothing
 
 char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -229,6 +230,9 @@
     }
     left_ = length_ = *length;
     body_ = Body::kLength;
+    // Grown step by step, a large body would take half as much again, and twice that for a moment at each
+    // step.
+    if (role_ == Role::kRequest) message_.body.reserve(std::min(left_, kReserved));
     state_ = left_ > 0 ? State::kBody : State::kDone;
   } else if (role_ == Role::kResponse) {
     // Whole by the end of its connection. One that does not say that its connection ends cannot be told from
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -163,8 +163,8 @@
     if (!busy_) return ReadableWhileIdle();
     error_code failure = error;
     if (!failure) {
-      const std::size_t count =
-          socket_.read_some(asio::buffer(buffer_.Prepare(kReadSize), kReadSize), failure);
+      const std::size_t size = flow_ ? std::min(kReadSize, flow_->most()) : kReadSize;
+      const std::size_t count = socket_.read_some(asio::buffer(buffer_.Prepare(size), size), failure);
       if (failure == asio::error::would_block) return;
       if (!failure) buffer_.Commit(count);
       answered_ = answered_ || !failure;
@@ -262,6 +262,7 @@
     busy_ = false;
     runtime_.wheel.Cancel(until_timer_);
     const Ended ended = std::move(exchange_.ended);
+    buffer_.Trim(kReadSize);
     // The connection is back in the pool, or closed, before anyone hears of it and may want one.
     if (reusable) {
       Tell(/*broke=*/false);
--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -21,11 +21,13 @@
 constexpr std::size_t kHeadReadSize = 4 * 1024;
 constexpr std::size_t kMostReadAhead = http::kMaxHead;  // of the requests behind the one that is served
 constexpr std::size_t kDiscardSize = 1024 * 1024;
-constexpr double kHeadMs = 2600;        // for a connection's first head, or one that has begun, to be whole
-constexpr double kBodyStallMs = 2200;   // between two bytes of a body
-constexpr double kBodyGraceMs = 2000;   // after its head, before a body is held to a rate
-constexpr double kBodyRate = 16;        // bytes a millisecond, over the whole body
-constexpr double kStallMs = 10'000;     // for a submitter to take the next piece of a large answer
+constexpr double kHeadMs = 2600;       // for a connection's first head, or one that has begun, to be whole
+constexpr double kBodyStallMs = 2200;  // between two bytes of a body
+constexpr double kBodyGraceMs = 2000;  // after its head, before a body is held to a rate
+constexpr double kBodyRate = 16;       // bytes a millisecond, over the whole body
+constexpr double kStallMs = 10'000;    // for a submitter to take the next piece of a large answer
+constexpr double kComeBackMs = 1000;   // advised where no memory is left for a body
+constexpr std::size_t kIdleBuffer = 8 * 1024;
 constexpr int kSendBuffer = 64 * 1024;  // in the kernel, of a large answer
 constexpr double kWriteMs = 5000;       // for a submitter to take its answer
 constexpr double kLingerMs = 1000;      // for a submitter to read why it was turned away while it still sends
@@ -106,6 +108,17 @@
     Write(WriteBadRequest({status, reason, {}}, false));
   }
 
+  // The memory for bodies is spent. This one went nowhere, and may come again.
+  void RefuseBody() {
+    keep_alive_ = false;
+    Answer refused;
+    refused.kind = Answer::Kind::kRefused;
+    const auto& settings = server_.settings_;
+    if (settings.may_advise_retry)
+      refused.retry_after_ms = std::min(settings.max_retry_after_ms, kComeBackMs);
+    Write(WriteAnswer(refused, false));
+  }
+
   // Bytes that wait for the rest of their request. Guards the memory: a single request is bounded by the
   // parser, and all of them here.
   void CountUnread(std::size_t bytes) {
@@ -166,10 +179,8 @@
         case http::Progress::kMore:
           MindTime();
           InviteBody();
-          CountUnread(buffer_.size() + parser_.message().body.capacity());
-          if (unread_ > http::kMaxHead && server_.unread_ > server_.most_unread_) {
-            TurnAway(413, "too much is being sent at once");
-          }
+          CountUnread(buffer_.size() + parser_.message().body.size());
+          if (unread_ > http::kMaxHead && server_.unread_ > server_.most_unread_) return RefuseBody();
           return;
         case http::Progress::kBad:
           return TurnAway(parser_.error(), "the request cannot be read");
@@ -313,6 +324,7 @@
     if (error || left_) return Close();
     if (!keep_alive_) return Linger();
     state_ = State::kReading;
+    buffer_.Trim(kIdleBuffer);
     LimitTo(0);
     server_.limits_.Rests(runtime_.now_ms(), id_);
     if (buffer_.size() > 0) server_.limits_.Began(runtime_.now_ms(), id_);
--- a/tests/net/passing_stories.cpp
+++ b/tests/net/passing_stories.cpp
@@ -114,7 +114,9 @@
     CHECK(got == kSize);
   }
   for (std::thread& node : nodes) node.join();
+#ifndef __SANITIZE_ADDRESS__  // which keeps what was freed
   CHECK(bed.program.PeakKb() < 32 * 1024);
+#endif
 }
 
 TEST_CASE("a slow head and a slow body are waited for, and a stalled one is ended") {
