--- a/tests/handover/handover_stories.cpp
+++ b/tests/handover/handover_stories.cpp
@@ -51,6 +51,20 @@
   std::thread thread_;
 };
 
+// What an old and a new process have in common.
+struct Address {
+  Address() {
+    config = ConfigOf(discovery.address(), 256,
+                      List(41, true, nlohmann::json::array({Machine("s-0", node.address())})));
+    config["listen"] = Listener().address();  // free again
+  }
+  int port() const { return std::stoi(config["listen"].get<std::string>().substr(10)); }
+
+  const Folder folder;
+  Listener discovery, node;
+  nlohmann::json config;
+};
+
 }  // namespace
 
 TEST_CASE("the place passes from one process to the next, and a dead one leaves nothing") {
@@ -76,17 +90,9 @@
 }
 
 TEST_CASE("new versions take over one after another under load, and no request ends at the door") {
-  const Folder folder;
-  Listener discovery, node;
-  auto config = ConfigOf(discovery.address(), 256,
-                         List(41, true, nlohmann::json::array({Machine("s-0", node.address())})));
-  {
-    Listener port;
-    config["listen"] = port.address();
-  }
-  const int port = std::stoi(config["listen"].get<std::string>().substr(10));
-  const Answering answering(node);
-  auto program = std::make_unique<Program>(config, std::vector<std::string>{}, folder.path);
+  Address at;
+  const Answering answering(at.node);
+  auto program = std::make_unique<Program>(at.config, std::vector<std::string>{}, at.folder.path);
   program->port();
   std::atomic<bool> done = false;
   std::atomic<int> lost = 0, served = 0, told = 0;
@@ -96,7 +102,7 @@
     bool open = false;
     for (int i = 0; !done; ++i) {
       try {
-        if (!open) peer = Dial(port);
+        if (!open) peer = Dial(at.port());
         peer.Send(Get(std::to_string(number) + "-" + std::to_string(i)));
         const std::string answer = peer.Read();
         const bool last = answer.find("Connection: close") != answer.npos;
@@ -114,7 +120,7 @@
   for (int i = 0; i < 6; ++i) {
     const int before = served;
     while (served < before + 50) ::usleep(1000);
-    auto next = std::make_unique<Program>(config, std::vector<std::string>{}, folder.path);
+    auto next = std::make_unique<Program>(at.config, std::vector<std::string>{}, at.folder.path);
     next->port();
     program->Terminate();
     program->AwaitLog("followed=true");
@@ -128,24 +134,17 @@
 }
 
 TEST_CASE("a new process that dies leaves the old one as it was") {
-  const Folder folder;
-  Listener discovery, node;
-  auto config = ConfigOf(discovery.address(), 64,
-                         List(41, true, nlohmann::json::array({Machine("s-0", node.address())})));
-  {
-    Listener port;
-    config["listen"] = port.address();
-  }
-  Program old(config, {}, folder.path);
-  const int port = old.port();
+  Address at;
+  Program old(at.config, {}, at.folder.path);
+  old.port();
   {
-    Program next(config, {}, folder.path);
+    Program next(at.config, {}, at.folder.path);
     next.port();
     next.Kill();
     next.Exit();
   }
   for (int i = 0; i < 8; ++i) {
-    Peer submitter = Dial(port);
+    Peer submitter = Dial(at.port());
     submitter.Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
     CHECK(submitter.Read().starts_with("HTTP/1.1 200 "));
   }
