Name the key and the address that could not be listened on

Cause, seen by starting the program on a busy operator port: 'bind: Address already in use' does not say which of two addresses it is. A wrong key and a missing file were named already.

Change: the error begins with the key and the address. A test holds a busy port.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <sstream>
+#include <stdexcept>
 
 #include "admin/door.h"
 #include "admin/figures.h"
@@ -61,6 +62,17 @@
   return std::max(8, Descriptors(config.sockets) - kOtherDescriptors - door);
 }
 
+// Says which of the addresses is busy or not allowed.
+template <class Server>
+void ListenAt(Server& server, const char* key, const std::string& address) {
+  try {
+    server.Listen(net::EndpointOf(address));
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error(std::string(key) + ": cannot listen on " + address + ": " +
+                             error.code().message());
+  }
+}
+
 std::string Folder() {
   const char* folder = std::getenv("TMPDIR");
   return folder == nullptr ? "" : folder;
@@ -137,14 +149,14 @@
  private:
   void OpenDoor() {
     LookForLeftOut();
-    door_.Listen(net::EndpointOf(config_.door));
+    ListenAt(door_, "operator", config_.door);
     std::ostringstream address;
     address << door_.address();
     log_.Write(events::kDoorOpen, {{"address", address.view()}});
   }
 
   void Listen() {
-    server_.Listen(net::EndpointOf(config_.listen));
+    ListenAt(server_, "listen", config_.listen);
     listening_ = true;
     std::ostringstream address;
     address << server_.address();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -25,8 +25,8 @@
   ~Sidecar();
 
   // Listens, and serves while the context runs, until a SIGTERM or SIGINT has been carried out, which stops
-  // the context. SIGHUP reads the configuration again. Throws boost::system::system_error where it cannot
-  // listen.
+  // the context. SIGHUP reads the configuration again. Throws std::runtime_error, which names key and
+  // address, where it cannot listen.
   void Start();
 
  private:
--- a/tests/admin/door_stories.cpp
+++ b/tests/admin/door_stories.cpp
@@ -47,6 +47,15 @@
   CHECK(submitter.Read().starts_with("HTTP/1.1 404 "));
 }
 
+TEST_CASE("a busy address is named with its key") {
+  Listener discovery, node;
+  auto config = WithDoor(discovery, node);
+  config["operator"] = discovery.address();
+  Program program(config);
+  program.AwaitLog("operator: cannot listen on " + discovery.address());
+  CHECK(program.Exit() == 1);
+}
+
 TEST_CASE("callers that say nothing or half a call take no place from the next one") {
   Listener discovery, node;
   Program program(WithDoor(discovery, node));
