--- /dev/null
+++ b/tests/cartspring/exhaustive_test.cpp
@@ -0,0 +1,336 @@
+// All orders of a few events on three hosts, through the real module: the rules, checked after every event by
+// a record that knows nothing of the module (support/rule_book.h). No chance but the module's own, whose seed
+// is the order's number.
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+#include "cartspring/fixture.h"
+#include "support/rule_book.h"
+
+namespace cartspring {
+namespace {
+
+enum Event {
+  kAskSafe,
+  kAskKeyed,
+  kAskUnsafe,
+  kDrain,      // b drains
+  kColdStart,  // c has started again
+  kListShort,  // a whole list without a
+  kTimeOut,    // of the claim that is out longest
+  kLost,       // its connection breaks
+  kDeclined,   // it never ran
+  kLeave,      // whoever asked first and waits
+  kPass,       // 120 ms
+  kEvents,
+  kServed = kEvents,  // in the burst only
+};
+constexpr int kDepth = 7;
+constexpr std::uint64_t kOrdersEach = 10 * 9 * 8 * 7 * 6 * 5;  // behind each first event
+
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, Reporting reporting) : bed_(Settings(reporting), seed), hosts_(TestHosts(3)) {
+    hosts_[2].zone = 1;
+    List();
+  }
+
+  void Play(int event) {
+    switch (event) {
+      case kAskSafe:
+      case kAskKeyed:
+      case kAskUnsafe:
+        Ask(event);
+        break;
+      case kDrain:
+        Change(1, HostState::kDraining, 0);
+        break;
+      case kColdStart:
+        Change(2, HostState::kLive, bed_.now);
+        break;
+      case kListShort:
+        hosts_.erase(hosts_.begin());
+        book_.Told("a", false, 0, 0);
+        List();
+        break;
+      case kTimeOut:
+        EndOldest(Outcome::kTimeout);
+        break;
+      case kLost:
+        EndOldest(Outcome::kConnectionLost);
+        break;
+      case kDeclined:
+        EndOldest(Outcome::kRefusedByHost);
+        break;
+      case kLeave:
+        Leave();
+        break;
+      case kServed:
+        EndOldest(Outcome::kServed);
+        break;
+      default:
+        PassTo(bed_.now + 120);
+    }
+    Note();
+  }
+  void Ask(int klass) {
+    book_.Asked(bed_.last_id + 1, static_cast<rules::Effect>(klass), bed_.now + 800);
+    bed_.Request(klass);
+  }
+  // All that is open comes to its end.
+  const std::vector<std::string>& Finish() {
+    PassTo(bed_.now + 900);
+    return book_.breaches();
+  }
+
+ private:
+  struct Out {
+    RequestId id;
+    int number;
+    double until, sent;
+  };
+
+  static cartspring::Settings Settings(Reporting reporting) {
+    cartspring::Settings s = TestSettings();
+    s.reporting = reporting;
+    s.classes[kKeyedClass].group = RepeatGroup::kZone;
+    return s;
+  }
+  static bool Proof(Outcome outcome) {
+    return outcome == Outcome::kRefusedByHost || outcome == Outcome::kConnectFailed ||
+           outcome == Outcome::kNotSent;
+  }
+
+  void List() {
+    for (const HostEntry& host : hosts_) Tell(host);
+    bed_.Hosts(hosts_);
+    Note();
+  }
+  void Tell(const HostEntry& host) {
+    book_.Told(host.host, host.state == HostState::kLive, host.zone, host.started_ms);
+  }
+  void Change(std::size_t from_end_of_three, HostState state, double started) {
+    HostEntry& host = hosts_[hosts_.size() - (3 - from_end_of_three)];  // a may have left the front
+    host.state = state;
+    if (started > 0) host.started_ms = started;
+    Tell(host);
+    bed_.balancer.OnHostChanges(bed_.now, {host});
+  }
+
+  void EndOldest(Outcome outcome) {
+    if (out_.empty()) return;
+    const Out ended = out_.front();
+    out_.erase(out_.begin());
+    const bool served = outcome == Outcome::kServed;
+    book_.Ended(ended.id, ended.number, Proof(outcome), served);
+    if (served) book_.Answered(bed_.now, ended.id, rules::Answer::kServed);
+    bed_.End(ended.id, ended.number, outcome, served, bed_.now - ended.sent);
+    Note();
+  }
+  void Leave() {
+    for (RequestId id = 1; id <= bed_.last_id; ++id) {
+      if (!book_.IsOpen(id)) continue;
+      book_.Left(id);
+      bed_.balancer.OnClientGone(bed_.now, id);
+      return;
+    }
+  }
+  // Claims run out of time before the module's timers of the same moment ring, as in the sidecar. Where
+  // reports come by probe nobody tells of that, and the module has to end what it holds by itself.
+  void PassTo(double until) {
+    while (true) {
+      double next = bed_.out.timers.empty() ? until : bed_.out.timers.begin()->first;
+      const auto due = std::min_element(out_.begin(), out_.end(),
+                                        [](const Out& a, const Out& b) { return a.until < b.until; });
+      if (bed_.set.reporting != Reporting::kProbe && due != out_.end() &&
+          due->until <= std::min(next, until)) {
+        bed_.now = std::max(bed_.now, due->until);
+        std::rotate(out_.begin(), due, due + 1);
+        EndOldest(Outcome::kTimeout);
+        continue;
+      }
+      if (next >= until) break;
+      bed_.PassTo(next);
+      Note();
+    }
+    bed_.PassTo(until);
+    Note();
+  }
+  // Carries what the module did since the last look into the record, in order.
+  void Note() {
+    for (; cancels_ < bed_.out.cancels.size(); ++cancels_) {
+      const auto [id, number] = bed_.out.cancels[cancels_];
+      std::erase_if(
+          out_, [&, gone = id, which = number](const Out& o) { return o.id == gone && o.number == which; });
+      book_.GivenUp(id, number);
+    }
+    for (; refused_ < bed_.out.refused.size(); ++refused_)
+      book_.Answered(bed_.now, bed_.out.refused[refused_], rules::Answer::kRefused);
+    for (; failed_ < bed_.out.failed.size(); ++failed_)
+      book_.Answered(bed_.now, bed_.out.failed[failed_], rules::Answer::kFailed);
+    for (; sends_ < bed_.out.sends.size(); ++sends_) {
+      const auto& sent = bed_.out.sends[sends_];
+      book_.Sent(bed_.now, sent.id, sent.host);
+      out_.push_back({sent.id, claims_[sent.id]++, sent.give_up_ms, bed_.now});
+    }
+    book_.Review(bed_.now);
+  }
+
+  Bed bed_;
+  rules::Book book_{rules::Figures{}};
+  std::vector<HostEntry> hosts_;
+  std::vector<Out> out_;
+  std::map<RequestId, int> claims_;
+  std::size_t sends_ = 0, cancels_ = 0, refused_ = 0, failed_ = 0;
+};
+
+// Where reports come by probe, a request is held for them, so that what happens meanwhile counts.
+class AllOrders : public testing::TestWithParam<std::tuple<int, Reporting>> {};
+
+TEST_P(AllOrders, KeepTheRules) {
+  const auto [first, reporting] = GetParam();
+  std::uint64_t number = 0;
+  const std::uint64_t seen =
+      rules::ForEachOrder(kEvents, kDepth, first, [&, by = reporting](const std::vector<int>& order) {
+        Fleet fleet(++number, by);
+        for (const int event : order) fleet.Play(event);
+        const auto& breaches = fleet.Finish();
+        if (breaches.empty()) return;
+        std::string events;
+        for (const int event : order) events += " " + std::to_string(event);
+        ADD_FAILURE() << breaches.front() << " in the order" << events << ", seed " << number;
+      });
+  std::cout << seen << " orders of " << kDepth << " events behind event " << first << "\n";
+  EXPECT_EQ(seen, kOrdersEach);
+}
+INSTANTIATE_TEST_SUITE_P(Behind, AllOrders,
+                         testing::Combine(testing::Range(0, static_cast<int>(kEvents)),
+                                          testing::Values(Reporting::kAnswers, Reporting::kProbe)),
+                         [](const auto& run) {
+                           return "Event" + std::to_string(std::get<0>(run.param)) +
+                                  (std::get<1>(run.param) == Reporting::kProbe ? "ByProbe" : "ByAnswers");
+                         });
+
+// A burst of twelve around a cold start that comes at any place in it, with the other host in service or not.
+TEST(AllOrders, OfABurstAndAColdStartOverrunNoHost) {
+  std::uint64_t number = 0;
+  for (int start = 0; start <= 12; ++start) {
+    for (int drain = 0; drain <= 12; ++drain) {
+      for (int klass : {kAskSafe, kAskUnsafe}) {
+        Fleet fleet(++number, Reporting::kAnswers);
+        for (int i = 0; i <= 12; ++i) {
+          if (i == start) fleet.Play(kColdStart);
+          if (i == drain) fleet.Play(kDrain);
+          if (i == 12) continue;
+          fleet.Play(klass);
+          fleet.Play(kServed);
+        }
+        EXPECT_EQ(fleet.Finish(), std::vector<std::string>{}) << "start " << start << " drain " << drain;
+      }
+    }
+  }
+  EXPECT_EQ(number, 13u * 13 * 2);
+}
+
+// The record can fail: one breach of each rule, as a module that broke it would leave it.
+TEST(RuleBook, FindsABreachOfEachRule) {
+  using rules::Answer;
+  using rules::Effect;
+  const auto found = [](const std::function<void(rules::Book&)>& happens) {
+    rules::Book book{rules::Figures{}};
+    book.Told("a", true, 0, 0);
+    book.Told("b", true, 1, 0);
+    book.Asked(1, Effect::kUnsafe, 800);
+    book.Asked(2, Effect::kKeyed, 800);
+    book.Asked(3, Effect::kSafe, 800);
+    happens(book);
+    const auto& breaches = book.breaches();
+    return breaches.empty() ? std::string() : breaches.front();
+  };
+  const auto lost = [](rules::Book& book, std::uint64_t id) {
+    book.Sent(10, id, "a");
+    book.Ended(id, 0, /*never_ran=*/false, /*served=*/false);
+  };
+  EXPECT_EQ(found([&](auto& b) {
+              lost(b, 3);
+              b.Sent(20, 3, "b");
+              b.Ended(3, 1, false, /*served=*/true);
+              b.Answered(30, 3, Answer::kServed);
+              b.Sent(10, 1, "a");
+              b.Ended(1, 0, /*never_ran=*/true, false);
+              b.Sent(20, 1, "b");
+              b.GivenUp(1, 1);
+              b.Answered(700, 1, Answer::kFailed);
+              b.Left(2);
+              b.Review(2000);
+            }),
+            "");
+  EXPECT_EQ(found([&](auto& b) { b.Review(801); }), "answer-lost 1");
+  EXPECT_EQ(found([&](auto& b) { b.Answered(801, 1, Answer::kFailed); }), "answer-late 1");
+  EXPECT_EQ(found([&](auto& b) {
+              b.Answered(5, 1, Answer::kFailed);
+              b.Answered(6, 1, Answer::kFailed);
+            }),
+            "answer-twice 1");
+  EXPECT_EQ(found([&](auto& b) {
+              b.Left(1);
+              b.Answered(6, 1, Answer::kFailed);
+            }),
+            "answer-twice 1");
+  EXPECT_EQ(found([&](auto& b) { b.Answered(5, 1, Answer::kServed); }), "answer-unmade 1");
+  EXPECT_EQ(found([&](auto& b) {
+              lost(b, 1);
+              b.Answered(20, 1, Answer::kRefused);
+            }),
+            "refused-after-run 1");
+  EXPECT_EQ(found([&](auto& b) {
+              lost(b, 1);
+              b.Sent(20, 1, "a");
+            }),
+            "again-after-run 1");
+  EXPECT_EQ(found([&](auto& b) {
+              lost(b, 2);
+              b.Sent(20, 2, "b");  // in another group
+            }),
+            "again-after-run 2");
+  EXPECT_EQ(found([&](auto& b) {
+              lost(b, 2);
+              b.Sent(311, 2, "a");  // past the window
+            }),
+            "again-after-run 2");
+  EXPECT_EQ(found([&](auto& b) {
+              b.Sent(10, 3, "a");
+              b.Sent(20, 3, "b");
+            }),
+            "two-at-once 3");
+  EXPECT_EQ(found([&](auto& b) {
+              for (int i = 0; i < 5; ++i) {
+                b.Sent(10, 3, "a");
+                b.Ended(3, i, true, false);
+              }
+            }),
+            "too-many-claims 3");
+  EXPECT_EQ(found([&](auto& b) {
+              b.Answered(5, 1, Answer::kFailed);
+              b.Sent(10, 1, "a");
+            }),
+            "claim-after-end 1");
+  EXPECT_EQ(found([&](auto& b) { b.Sent(10, 9, "a"); }), "claim-after-end 9");  // nobody asked
+  EXPECT_EQ(found([&](auto& b) {
+              b.Told("a", false, 0, 0);
+              b.Sent(10, 1, "a");
+            }),
+            "drained 1");
+  EXPECT_EQ(found([&](auto& b) {
+              b.Told("a", true, 0, 5);
+              for (std::uint64_t id = 11; id < 23; ++id) {
+                b.Asked(id, Effect::kSafe, 800);
+                b.Sent(10, id, "a");
+              }
+            }),
+            "overrun 18");
+}
+
+}  // namespace
+}  // namespace cartspring
