Let a process follow another only once it serves, and keep the order of three

Lines at fault: place.cpp HasElder took `next` before the process listened, and took `serving` from under a process that followed and had not looked yet, for up to 100 ms; sidecar.cpp MindPlace detached what Stop had just attached. Now: Follow after Listen, health and `serving` told once the place behind the elder is held (at most 500 ms), no look at the place after Stop, a look each 20 ms; port 0 is no place.

--- a/src/handover/place.cpp
+++ b/src/handover/place.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 Place::Place(const std::string& folder, const std::string& address) {
-  if (folder.empty()) return;
+  if (folder.empty() || address.ends_with(":0")) return;  // any port is no place that two could share
   std::string path = folder;
   path.append("/bitternmux-").append(address);
   std::replace(path.begin() + static_cast<std::ptrdiff_t>(folder.size()), path.end(), ':', '-');
@@ -38,13 +38,21 @@
 
 bool Place::HasElder() {
   if (serving_) return false;
-  if (Try(serving_fd_) != Lock::kTheirs) {
-    serving_ = true;
-    if (std::exchange(waiting_, false)) ::flock(next_fd_, LOCK_UN);
-    return false;
+  if (Try(serving_fd_) == Lock::kTheirs) return true;
+  // The place is free, but not for us while one that came before us follows and has not seen it yet.
+  if (!next_ && Try(next_fd_) == Lock::kTheirs) {
+    ::flock(serving_fd_, LOCK_UN);
+    return true;
   }
-  if (!waiting_) waiting_ = Try(next_fd_) == Lock::kOurs;
-  return true;
+  serving_ = true;
+  next_ = false;
+  if (next_fd_ >= 0) ::flock(next_fd_, LOCK_UN);
+  return false;
+}
+
+bool Place::Follow() {
+  if (!serving_ && !next_) next_ = Try(next_fd_) == Lock::kOurs;
+  return next_;
 }
 
 bool Place::HasSuccessor() {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -44,7 +44,8 @@
 constexpr double kListWaitMs = 1500;  // for discovery's list, before a successor goes by the one it remembers
 constexpr double kLookMs = 100;       // between two looks at which nodes are left out
 constexpr double kLeftOutMs = 500;    // for so long before that is told
-constexpr double kPlaceMs = 100;      // between two looks at whether another process serves here
+constexpr double kPlaceMs = 20;       // between two looks at whether another process serves here
+constexpr double kFollowWaitMs = 500;  // for the place behind an elder, before it serves without that
 
 double UnixAheadMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -157,11 +158,20 @@
 
   void Listen() {
     ListenAt(server_, "listen", config_.listen);
+    MindPlace();
+    Announce(NowMs() + kFollowWaitMs);
+  }
+
+  // Whoever is told that this process serves may end the one before it, which has to know by then.
+  void Announce(double until_ms) {
+    if (beside_ && !follows_ && NowMs() < until_ms) {
+      wheel_.Add(NowMs() + kTickMs, [this, until_ms] { Announce(until_ms); });
+      return;
+    }
     listening_ = true;
     std::ostringstream address;
     address << server_.address();
     log_.Write(events::kServing, {{"address", address.view()}, {"version", BITTERNMUX_VERSION}});
-    MindPlace();
   }
 
   void LookForLeftOut() {
@@ -170,15 +180,22 @@
   }
 
   void AwaitList(double until_ms) {
-    if (listed_ || NowMs() >= until_ms) return Listen();
+    if (stopping_) return;
+    if (listed_ || NowMs() >= until_ms || !place_.HasElder()) return Listen();
     wheel_.Add(NowMs() + kTickMs, [this, until_ms] { AwaitList(until_ms); });
   }
 
   void MindPlace() {
+    if (stopping_) return;
+    LookAtPlace();
+    wheel_.Add(NowMs() + kPlaceMs, [this] { MindPlace(); });
+  }
+
+  void LookAtPlace() {
     const bool elder = place_.HasElder();
     if (beside_ && !elder) server_.Lead();
     beside_ = elder;
-    wheel_.Add(NowMs() + kPlaceMs, [this] { MindPlace(); });
+    follows_ = elder && place_.Follow();
   }
 
   std::string Figures() {
@@ -246,6 +263,7 @@
   // held gets its answer. Where a successor listens already, new connections are its own.
   void Stop() {
     if (std::exchange(stopping_, true)) return;
+    if (listening_) LookAtPlace();  // an elder may have gone since the last look
     const bool followed = place_.HasSuccessor();
     log_.Write(events::kStopping, {{"held", jobs_.held()}, {"followed", followed}});
     log_.Write(events::kNodeConnections, {{"believed", pool_.Describe()}});
@@ -276,8 +294,9 @@
   asio::steady_timer turn_;
   asio::signal_set signals_;
   bool listening_ = false;
-  bool beside_ = false;  // an older process still serves
-  bool listed_ = false;  // discovery has told of the execute nodes
+  bool beside_ = false;   // an older process still serves
+  bool follows_ = false;  // and this one is the next
+  bool listed_ = false;   // discovery has told of the execute nodes
   bool stopping_ = false;
   std::uint64_t sighup_applied_ = 0, sighup_rejected_ = 0;
 };
--- a/tests/handover/handover_stories.cpp
+++ b/tests/handover/handover_stories.cpp
@@ -75,15 +75,25 @@
   CHECK_FALSE(first->HasSuccessor());
   auto second = std::make_unique<Place>(folder.path, "127.0.0.1:1");
   CHECK(second->HasElder());
+  CHECK_FALSE(first->HasSuccessor());  // it does not serve yet
+  CHECK(second->Follow());
   CHECK(first->HasSuccessor());
   CHECK_FALSE(Place(folder.path, "127.0.0.1:2").HasElder());  // another address is another place
   second.reset();
   CHECK_FALSE(first->HasSuccessor());
-  Place third(folder.path, "127.0.0.1:1");
+  Place third(folder.path, "127.0.0.1:1"), fourth(folder.path, "127.0.0.1:1");
   CHECK(third.HasElder());
+  CHECK(third.Follow());
+  CHECK_FALSE(fourth.Follow());
   first.reset();
+  CHECK(fourth.HasElder());  // the place is the third one's, though that has not looked yet
   CHECK_FALSE(third.HasElder());
   CHECK_FALSE(third.HasSuccessor());
+  CHECK(fourth.Follow());
+  CHECK(third.HasSuccessor());
+  Place any(folder.path, "127.0.0.1:0");
+  CHECK_FALSE(any.HasElder());
+  CHECK_FALSE(Place(folder.path, "127.0.0.1:0").HasElder());
   // Without a folder each is alone.
   CHECK_FALSE(Place("", "127.0.0.1:1").HasElder());
   CHECK_FALSE(Place("/nowhere", "127.0.0.1:1").HasElder());
@@ -133,6 +143,30 @@
   CHECK(told >= 6);
 }
 
+TEST_CASE("an old process that is told to stop serves on while the new one still waits for its list") {
+  Address at;
+  Program old(at.config, {}, at.folder.path);
+  old.port();
+  const Peer old_watch = at.discovery.Accept();
+  Program next(at.config, {}, at.folder.path);
+  const Peer watch = at.discovery.Accept();  // it has asked for its list, which does not come
+  ::usleep(100'000);                         // it looks whether it is alone right after it has asked
+  old.Terminate();
+  old.AwaitLog("followed=");
+  const auto up = [&] {
+    Peer submitter = Dial(at.port());
+    submitter.Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    return submitter.Read().starts_with("HTTP/1.1 200 ");
+  };
+  for (int i = 0; i < 20; ++i) {
+    CHECK(up());
+    ::usleep(10'000);
+  }
+  CHECK(old.Exit() == 0);
+  next.port();
+  CHECK(up());
+}
+
 TEST_CASE("a new process that dies leaves the old one as it was") {
   Address at;
   Program old(at.config, {}, at.folder.path);
