Answer what waits to be accepted when a stopping process closes its door

Seen: eight requests that came while the process stood still in its restart window: all were reset (new story; "the connection ended after:" nothing). By the protocol they are taken, and lost. Ruled out: the window's length; the same happens at its end whatever that is. Lines at fault: submitter_server.cpp Close closed the acceptor with a queue behind it, and Accepted closed a connection that was in already. Now Close empties the queue as Leave did, into sockets of their own, and the end is looked for a turn later.

--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -409,10 +409,7 @@
 }
 
 void SubmitterServer::Accepted(const error_code& error) {
-  if (!acceptor_.is_open()) {
-    incoming_.close();
-    return;
-  }
+  if (error && !acceptor_.is_open()) return;
   if (error) {
     // Guards against a storm at the descriptor limit (EMFILE): the connection stays in the backlog, so that
     // trying again at once would only spin.
@@ -420,18 +417,19 @@
     MakeRoom();
     return AcceptLater();
   }
-  Enter();
+  Enter(std::exchange(incoming_, tcp::socket(runtime_.strand)));
   Trim();
-  Accept();
+  if (acceptor_.is_open()) Accept();
 }
 
-void SubmitterServer::Enter() {
+void SubmitterServer::Enter(tcp::socket socket) {
   const limits::Sessions::Id id = limits_.Opened(runtime_.now_ms());
   if (id >= sessions_.size()) sessions_.resize(id + 1);
-  const auto session = std::make_shared<Session>(*this, id, std::move(incoming_));
-  incoming_ = tcp::socket(runtime_.strand);
+  const auto session = std::make_shared<Session>(*this, id, std::move(socket));
   sessions_[id] = session;
   session->Start();
+  // It was let in by the kernel before the door closed.
+  if (closing_ && !leaving_) session->CloseWhenIdle();
 }
 
 // Tries the session of least use. False: there is none that may go.
@@ -467,8 +465,14 @@
 void SubmitterServer::Ended(limits::Sessions::Id id) {
   limits_.Closed(runtime_.now_ms(), id);
   sessions_[id] = nullptr;
-  if (closing_ && limits_.open() == 0 && closed_)
-    asio::post(runtime_.strand, std::exchange(closed_, nullptr));
+  if (closing_) EndWhenEmpty();
+}
+
+// Looked at later: a connection that was accepted already may still be on its way in.
+void SubmitterServer::EndWhenEmpty() {
+  asio::post(runtime_.strand, [this] {
+    if (limits_.open() == 0 && closed_) std::exchange(closed_, nullptr)();
+  });
 }
 
 void SubmitterServer::Leave(std::function<void()> done) {
@@ -487,24 +491,24 @@
   acceptor_.cancel(error);
   acceptor_.non_blocking(true, error);
   while (!error && acceptor_.is_open()) {
-    acceptor_.accept(incoming_, error);
-    if (!error) Enter();
+    tcp::socket socket(runtime_.strand);
+    acceptor_.accept(socket, error);
+    if (!error) Enter(std::move(socket));
   }
   acceptor_.close(error);
-  if (limits_.open() == 0 && closed_) asio::post(runtime_.strand, std::exchange(closed_, nullptr));
+  EndWhenEmpty();
 }
 
 void SubmitterServer::Close(std::function<void()> done) {
   closing_ = true;
   leaving_ = false;
   closed_ = std::move(done);
-  error_code ignored;
-  acceptor_.close(ignored);
+  if (acceptor_.is_open()) EmptyQueue();  // what the kernel has let in may carry requests
   const std::vector<std::shared_ptr<Session>> sessions = sessions_;
   for (const auto& session : sessions) {
     if (session) session->CloseWhenIdle();
   }
-  if (limits_.open() == 0 && closed_) asio::post(runtime_.strand, std::exchange(closed_, nullptr));
+  EndWhenEmpty();
 }
 
 }  // namespace bitternmux::net
--- a/src/net/submitter_server.h
+++ b/src/net/submitter_server.h
@@ -36,8 +36,9 @@
 
   void Accept();
   void Accepted(const error_code& error);
-  void Enter();
+  void Enter(tcp::socket socket);
   void EmptyQueue();
+  void EndWhenEmpty();
   void AcceptLater();
   bool MakeRoom();
   void Trim();
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -363,6 +363,23 @@
   CHECK(bed.program.Exit() == 0);
 }
 
+TEST_CASE("what waits to be accepted when the restart window ends is answered") {
+  Bed bed;
+  bed.program.port();
+  bed.program.Terminate();
+  bed.program.AwaitLog("stopping");
+  bed.program.Halt();
+  std::vector<Peer> late;
+  for (int i = 0; i < 8; ++i) {
+    late.push_back(bed.Submitter());
+    late.back().Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  ::usleep(600'000);  // the window's end, and some
+  bed.program.GoOn();
+  for (Peer& peer : late) CHECK(Status(peer.Read()) == 200);
+  CHECK(bed.program.Exit() == 0);
+}
+
 TEST_CASE("at the limit of descriptors the connection that idled longest makes room") {
   Bed bed(1, /*sockets=*/64);
   std::vector<Peer> submitters;
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -129,10 +129,11 @@
 
 class Listener {
  public:
-  Listener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  // `queue`: connections that come up before they are accepted; one more than that, as the kernel counts.
+  explicit Listener(int queue = 64) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in at = Loopback(0);
     socklen_t size = sizeof at;
-    if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(fd_, 64) != 0) {
+    if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(fd_, queue) != 0) {
       throw std::runtime_error("cannot listen");
     }
     ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
@@ -284,13 +285,8 @@
   void GoOn() { ::kill(pid_, SIGCONT); }
   void HangUp() { ::kill(pid_, SIGHUP); }
   // The most memory that it has had.
-  std::size_t PeakKb() const {
-    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string line; std::getline(status, line);) {
-      if (line.starts_with("VmHWM:")) return std::stoul(line.substr(6));
-    }
-    throw std::runtime_error("no peak");
-  }
+  std::size_t PeakKb() const { return Status("VmHWM:"); }
+  std::size_t Threads() const { return Status("Threads:"); }
   void Kill() { ::kill(pid_, SIGKILL); }
   // Its exit code, once its log has ended.
   int Exit() {
@@ -301,6 +297,13 @@
   }
 
  private:
+  std::size_t Status(const std::string& key) const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with(key)) return std::stoul(line.substr(key.size()));
+    }
+    throw std::runtime_error("not known of the process: " + key);
+  }
   int PortAfter(const std::string& mark) {
     const auto at = AwaitLog(mark).find(mark);
     if (at == log_.npos) throw std::runtime_error("not in the log: " + mark + log_);
