Send nothing on a connection that comes up once its node drains

Seen: a node whose connection took a second to come up and that was told to drain meanwhile got the request (new story, failed before). Line at fault: node_pool.cpp Dialed began without a look at the list. Now the claim ends as not sent, and the module chooses another node.

--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -119,8 +119,10 @@
     stage_ = Stage::kWriting;
     const double now_ms = runtime_.now_ms();
     pool_.choice_.Opened(now_ms, id_, node_, pool_.machines_.KindOf(node_), now_ms - dialed_ms_);
-    if (busy_) return Begin();
-    pool_.machines_.IsLive(node_) ? pool_.Idles(id_) : Close();
+    const bool live = pool_.machines_.IsLive(node_);
+    // Guards rule 3: the node may have been told to drain while the dial took its time.
+    if (busy_) return live ? Begin() : Broke(Break::kNoSocket);
+    live ? pool_.Idles(id_) : Close();
   }
 
   void Begin() {
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -380,6 +380,36 @@
   CHECK(bed.program.Exit() == 0);
 }
 
+TEST_CASE("a request whose connection comes up once its node drains is sent elsewhere") {
+  Listener discovery, other;
+  Listener slow(/*queue=*/0);
+  const Peer filling = Dial(slow.port());  // the next one comes up when this one is accepted
+  Program program(ConfigOf(discovery.address(), 256,
+                           List(41, true, nlohmann::json::array({Machine("s-0", slow.address())}))));
+  Peer submitter = Dial(program.port());
+  submitter.Send(Get("id-1"));
+  Peer watch = discovery.Accept();
+  watch.Read();
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  watch.Send(Chunk(List(42, false,
+                        nlohmann::json::array(
+                            {Machine("s-0", slow.address(), "DRAINING"), Machine("s-1", other.address())}))
+                       .dump() +
+                   "\n"));
+  Peer second = Dial(program.port());
+  second.Send(Get("id-2"));
+  Peer node = other.Accept();  // so that the drain was told
+  CHECK(Has(node.Read(), "Req-Id: id-2\r\n"));
+  node.Send(Served("second"));
+  CHECK(second.Read().ends_with("second"));
+  slow.Accept();
+  Peer drained = slow.Accept();
+  CHECK(drained.Ends());  // nothing came
+  CHECK(Has(node.Read(), "Req-Id: id-1\r\n"));
+  node.Send(Served("first"));
+  CHECK(submitter.Read().ends_with("first"));
+}
+
 TEST_CASE("at the limit of descriptors the connection that idled longest makes room") {
   Bed bed(1, /*sockets=*/64);
   std::vector<Peer> submitters;
