Watch discovery whatever the settings say of the simulator's discovery

Seen: with settings that name no kind of discovery the program never called it and went by the list of its start for good (new story: "nothing came"). Lines at fault: only the module asks for a watch, and only with must_subscribe, which ReadSettings takes from the simulator's `discovery`. On sockets nobody speaks unasked, so config.cpp sets it; without a limit in the settings 6 s stand, after which the protocol counts all as told.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -16,6 +16,7 @@
 
 constexpr int kFewestSockets = 32;
 constexpr int kLeastMemoryMb = 16;
+constexpr double kToldWithinMs = 6000;  // after which what discovery has to tell counts as told, asked or not
 
 std::string Joined(const std::vector<std::string>& faults) {
   std::string out;
@@ -220,6 +221,9 @@
         if (settings.classes[j].name == name) throw ConfigError(at + "'" + name + "' is there twice");
       }
     }
+    // On sockets discovery never speaks unasked, whatever it does in the simulator.
+    if (!settings.must_subscribe && settings.ask_within_ms <= 0) settings.ask_within_ms = kToldWithinMs;
+    settings.must_subscribe = true;
     std::vector<std::string> leaves;
     Leaves("", *found, leaves);
     for (const std::string& leaf : leaves) {
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -410,6 +410,16 @@
   CHECK(submitter.Read().ends_with("first"));
 }
 
+TEST_CASE("discovery is watched though the settings say that it speaks unasked") {
+  Listener discovery;
+  auto config = ConfigOf(discovery.address(), 256, List(41, true, nlohmann::json::array()));
+  config["settings"].erase("discovery");
+  config["settings"]["contract"].erase("askWithinMs");
+  Program program(config);
+  program.port();
+  CHECK(discovery.Accept().Read().starts_with("GET /discovery/hosts?follow=1&since=41 "));
+}
+
 TEST_CASE("at the limit of descriptors the connection that idled longest makes room") {
   Bed bed(1, /*sockets=*/64);
   std::vector<Peer> submitters;
