Spread calls for the list that hear nothing, follow new settings, and forbid re-entry

Seen by reading, then by tests that failed before: a hundred members that asked together and heard nothing asked again in the same millisecond (list_calls.h Asked, a fixed half of the limit); at SIGHUP a shorter limit on asking and another price of probes were not taken up (ListCalls and Reports kept copies from the start); a call to the module from within one of its actions went on over rows that had changed. Ruled out: jitter of refusals, which was there and is tested. The random stream moves by one draw for each call for the list.

--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -125,7 +125,8 @@
 
 // Bad use has one result each. Settings that make no sense: std::invalid_argument from the constructor. A
 // host or class never named, a request id in use: std::invalid_argument from the call, with nothing changed.
-// A time that goes back is taken as the latest time seen. An outcome for no known attempt, a probe result
+// A call from within an action (ActionSink): std::logic_error, with nothing changed; a walk would else go on
+// over rows that have changed. A time that goes back is taken as the latest time seen. An outcome for no known attempt, a probe result
 // nobody waits for, a timer or departure for a request that is over: ignored.
 class Balancer {
  public:
@@ -157,7 +158,9 @@
 
  private:
   class Impl;
+  class Entry;
   std::unique_ptr<Impl> impl_;
+  bool entered_ = false;  // a call is under way
 };
 
 }  // namespace cartspring
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -165,7 +165,7 @@
 
   void AskForList() {
     sink_.Subscribe();
-    sink_.SetTimer(list_calls_.Asked(ctx_.now), kDiscoveryTimer);
+    sink_.SetTimer(list_calls_.Asked(ctx_.now, ctx_.random.Unit()), kDiscoveryTimer);
   }
 
   void Gather(RequestId id, Live& live) {
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -25,10 +25,7 @@
 class Reports {
  public:
   Reports(Context& ctx, HostTable& hosts, const Estimates& estimates, ActionSink& sink)
-      : ctx_(ctx), hosts_(hosts), estimates_(estimates), sink_(sink) {
-    const double price = ctx.set.probe_price, affordable = price > 0 ? kLookSpend / price : kSampleMax;
-    sample_size_ = static_cast<int>(std::clamp<double>(affordable, kSampleMin, kSampleMax));
-  }
+      : ctx_(ctx), hosts_(hosts), estimates_(estimates), sink_(sink) {}
 
   bool Probing() const { return ctx_.set.reporting == Reporting::kProbe && ctx_.set.may_probe; }
   // Has this instance a connection to the host that nothing uses?
@@ -104,11 +101,11 @@
       // for.
       std::vector<int> linked = pool;
       std::erase_if(linked, [&](int i) { return !Linked(hosts_[i]) || hosts_.Warmth(hosts_[i]) < 1; });
-      ctx_.random.Draw(linked, sample_size_ / 2, live.sample);
+      ctx_.random.Draw(linked, SampleSize() / 2, live.sample);
     }
     std::vector<int> others = pool;
     std::erase_if(others, [&](int i) { return live.Sampled(i); });
-    ctx_.random.Draw(others, sample_size_ - static_cast<int>(live.sample.size()), live.sample);
+    ctx_.random.Draw(others, SampleSize() - static_cast<int>(live.sample.size()), live.sample);
     if (!pool.empty())
       live.considered = static_cast<double>(live.sample.size()) / static_cast<double>(pool.size());
     double wait = kHoldTicks * ctx_.set.tick_ms;
@@ -138,11 +135,15 @@
   }
 
  private:
+  int SampleSize() const {
+    const double price = ctx_.set.probe_price, affordable = price > 0 ? kLookSpend / price : kSampleMax;
+    return static_cast<int>(std::clamp<double>(affordable, kSampleMin, kSampleMax));
+  }
+
   Context& ctx_;
   HostTable& hosts_;
   const Estimates& estimates_;
   ActionSink& sink_;
-  int sample_size_ = kSampleMin;
   std::vector<double> rtt_;   // by zone
   double own_ = 0, all_ = 0;  // fading means of what a host holds, own and in all
   double share_ = 1.0 / ctx_.set.balancers, share_at_ = 0;
--- a/src/membership/list_calls.h
+++ b/src/membership/list_calls.h
@@ -1,8 +1,9 @@
 // When to ask discovery for the list, where it speaks only when asked: at the start, and after a refusal with
-// a pause that grows and is jittered, so that members that were turned away together do not come back
-// together.
+// a pause that grows. Both that pause and the wait for an answer are spread by the caller's chance, so that
+// members that called or were turned away together do not come back together. Spreading only shortens.
 //
-// Does no I/O, reads no clock and draws no chance. Times in ms, by the caller's clock.
+// Does no I/O, reads no clock and draws no chance. Times in ms, by the caller's clock; `chance`: uniform,
+// from 0 to below 1.
 #ifndef BITTERNMUX_SRC_MEMBERSHIP_LIST_CALLS_H_
 #define BITTERNMUX_SRC_MEMBERSHIP_LIST_CALLS_H_
 
@@ -12,14 +13,16 @@
 
 class ListCalls {
  public:
-  // `ask_within_ms`: a member must never go this long without asking.
-  explicit ListCalls(double ask_within_ms) : ask_within_ms_(ask_within_ms) {}
+  // `ask_within_ms`: a member must never go this long without asking. It is read at each call, so that new
+  // settings count at once, and must outlive this.
+  explicit ListCalls(const double& ask_within_ms) : ask_within_ms_(ask_within_ms) {}
+  explicit ListCalls(const double&&) = delete;
 
   // A call goes out now. Until its answer comes, the next is due at the time returned: an answer that never
-  // comes must not leave this member deaf.
-  double Asked(double now) {
+  // comes must not leave this member deaf. No sooner than most answers that are slow would have come.
+  double Asked(double now, double chance) {
     asked_ = true;
-    return due_ = now + ask_within_ms_ / 2;
+    return due_ = now + ask_within_ms_ / 2 * (0.75 + 0.25 * chance);
   }
   // The list, or a change of it, has come.
   void Answered() {
@@ -28,7 +31,7 @@
     subscribed_ = true;
     refusals_ = 0;
   }
-  // The call failed, or the watch broke. When the next is due; `chance`: uniform, from 0 to below 1.
+  // The call failed, or the watch broke. When the next is due.
   double Refused(double now, double chance) {
     subscribed_ = asked_ = false;
     const double base = std::min(ask_within_ms_ / 2, ask_within_ms_ / 8 * (1 << std::min(refusals_, 4)));
@@ -40,7 +43,7 @@
  private:
   static constexpr double kSettledMs = 1e-6;  // for comparing times
 
-  double ask_within_ms_;
+  const double& ask_within_ms_;
   bool asked_ = false;
   bool subscribed_ = false;
   int refusals_ = 0;
--- a/tests/cartspring/module_test.cpp
+++ b/tests/cartspring/module_test.cpp
@@ -370,6 +370,29 @@
   EXPECT_GE(bed.out.subscriptions, 2);
 }
 
+TEST(Discovery, NewSettingsBindTheNextCallAndTheSizeOfASample) {
+  Settings settings = SubscribeSettings();
+  settings.reporting = Reporting::kProbe;
+  settings.probe_price = 1;
+  Bed bed(settings);
+  bed.balancer.OnHostList(bed.now, TestHosts(8), true);
+  bed.Hosts(TestHosts(8));
+  bed.Request(kSafeClass);
+  EXPECT_EQ(bed.out.probes.size(), 2u);
+  for (const std::string& host : std::vector<std::string>(bed.out.probes)) bed.Probed(host, 1);
+  settings.ask_within_ms = 2000;
+  settings.probe_price = 0;
+  bed.balancer.Retune(settings, {0, 1, 2});
+  bed.balancer.OnDiscoveryRefused(bed.now);
+  const double refused_at = bed.now;
+  bed.PassTo(refused_at + 250);  // an eighth of it
+  EXPECT_EQ(bed.out.subscriptions, 2);
+  bed.out.probes.clear();
+  bed.PassTo(refused_at + 5000);  // the rows are old
+  bed.Request(kSafeClass);
+  EXPECT_EQ(bed.out.probes.size(), 5u);
+}
+
 TEST(Discovery, ABrokenSubscriptionIsRenewed) {
   Bed bed(SubscribeSettings());
   bed.balancer.OnHostList(bed.now, TestHosts(2), true);
@@ -418,6 +441,26 @@
   EXPECT_EQ(bed.out.sends.size(), 1u);
 }
 
+TEST(BadUse, ACallFromWithinAnActionThrowsAndTheNextOneWorks) {
+  struct Meddler : Recorder {
+    void Send(RequestId id, const std::string& host, double give_up_ms) override {
+      Recorder::Send(id, host, give_up_ms);
+      EXPECT_THROW(balancer->OnClientGone(1000, id), std::logic_error);
+    }
+    Balancer* balancer = nullptr;
+  } out;
+  Balancer balancer(TestSettings(), 1, out);
+  out.balancer = &balancer;
+  balancer.OnHostList(1000, TestHosts(2), false);
+  Request request;
+  request.id = 1;
+  request.give_up_ms = 1800;
+  balancer.OnRequest(1000, request);
+  ASSERT_EQ(out.sends.size(), 1u);
+  balancer.OnOutcome(1010, 1, 0, Outcome::kConnectFailed, false, 10, nullptr);  // it is known as ever
+  EXPECT_EQ(out.sends.size(), 2u);
+}
+
 TEST(BadUse, OutcomesForNoAttemptAreIgnored) {
   Bed bed(TestSettings());
   bed.Hosts(TestHosts(2));
