Remove settings and fields of a request that nothing reads

Tenants, the worth over a share, a request's tenant and the client's mark of a retry were read from the wire and the settings and used by no decision.

--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -36,14 +36,8 @@
   bool operator==(const RequestClass&) const = default;
 };
 
-struct Tenant {
-  double share = 0;
-  double quota_rps = 0;  // over all client processes
-};
-
 struct Settings {
   std::vector<RequestClass> classes;
-  std::vector<Tenant> tenants;
   int own_zone = 0;
   int balancers = 1;  // how many client processes decide beside each other
   double tick_ms = 1;
@@ -56,7 +50,6 @@
   bool must_subscribe = false;  // discovery speaks only when asked
   int max_attempts = 1;
   double max_retry_after_ms = 0;
-  double over_share_worth = 1;
   bool worth_by_work = false;  // worth counts for each unit of work, else for each request
   double ask_within_ms = 0;    // with must_subscribe: never go this long without asking
   double drain_grace_ms = 0;
@@ -93,10 +86,8 @@
 struct Request {
   RequestId id = 0;
   int klass = 0;
-  int tenant = 0;
-  double give_up_ms = 0;      // clock time at which the client leaves
-  double work_hint_ms = 0;    // 0: none
-  bool client_retry = false;  // where clients mark their repeats
+  double give_up_ms = 0;    // clock time at which the client leaves
+  double work_hint_ms = 0;  // 0: none
 };
 
 enum class Outcome {
@@ -126,8 +117,8 @@
 // Bad use has one result each. Settings that make no sense: std::invalid_argument from the constructor. A
 // host or class never named, a request id in use: std::invalid_argument from the call, with nothing changed.
 // A call from within an action (ActionSink): std::logic_error, with nothing changed; a walk would else go on
-// over rows that have changed. A time that goes back is taken as the latest time seen. An outcome for no known attempt, a probe result
-// nobody waits for, a timer or departure for a request that is over: ignored.
+// over rows that have changed. A time that goes back is taken as the latest time seen. An outcome for no
+// known attempt, a probe result nobody waits for, a timer or departure for a request that is over: ignored.
 class Balancer {
  public:
   Balancer(const Settings& settings, std::uint64_t seed, ActionSink& sink);
--- a/lab/virtual/sidecar.cpp
+++ b/lab/virtual/sidecar.cpp
@@ -123,7 +123,6 @@
   job.klass = attempt.klass;
   job.patience_ms = attempt.patience_ms;
   job.work_hint_ms = attempt.hint_ms;
-  job.client_retry = figures.clients.marks_retry && attempt.number > 0;
   ids_[attempt.id] = 0;
   const JobId taken =
       jobs_.Take(outside_.NowMs(), std::move(job), [this, id = attempt.id](const Answer& answer) {
--- a/src/cartspring/settings.cpp
+++ b/src/cartspring/settings.cpp
@@ -43,10 +43,6 @@
   for (std::uint64_t i = 0, count = fields.Whole("services.count"); i < count; ++i) {
     out.classes.push_back(ReadClass(fields, "services." + std::to_string(i) + "."));
   }
-  for (std::uint64_t i = 0, count = fields.Whole("tenants.count", 0); i < count; ++i) {
-    const std::string at = "tenants." + std::to_string(i) + ".";
-    out.tenants.push_back({fields.Number(at + "portion", 0), fields.Number(at + "quotaRps", 0)});
-  }
   constexpr std::array<std::pair<std::string_view, Reporting>, 3> kReporting = {
       {{"answers", Reporting::kAnswers}, {"probe", Reporting::kProbe}, {"none", Reporting::kNone}}};
   out.reporting = Lookup(kReporting, fields.Text("feedback.via"), "feedback.via");
@@ -63,7 +59,6 @@
   out.max_attempts = ToIndex(fields.Whole("bounds.sendCap"), "bounds.sendCap");
   out.max_retry_after_ms = fields.Number("bounds.maxRetryAfterMs", 0);
   out.worth_by_work = fields.Text("worthBy", "request") == "work";
-  out.over_share_worth = fields.Number("overShareWorth", 1);
   out.ask_within_ms = fields.Number("contract.askWithinMs", 0);
   out.drain_grace_ms = fields.Number("contract.drainGraceMs", 0);
   out.cold_from = fields.Number("contract.coldFrom", 1);
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -14,7 +14,6 @@
   request.klass = job.klass;
   request.give_up_ms = now_ms + job.patience_ms;
   request.work_hint_ms = job.work_hint_ms;
-  request.client_retry = job.client_retry;
   ++stats_.taken;
   Held& held = held_[request.id];
   held.job = std::move(job);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -25,7 +25,6 @@
   int klass = 0;
   double patience_ms = 0;  // how long the submitter waits, from the job's last byte
   double work_hint_ms = 0;
-  bool client_retry = false;
 };
 
 struct Answer {
--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -78,7 +78,6 @@
   job.klass = klass;
   job.patience_ms = static_cast<double>(*patience);
   job.work_hint_ms = static_cast<double>(cost_us) / 1000;
-  job.client_retry = message.Find("req-retry") == "1";
   job.content_type = message.Find("content-type").value_or("");
   job.method = std::move(message.method);
   job.target = std::move(message.target);
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -129,10 +129,8 @@
   Request out;
   out.id = line.Whole("corr");
   out.klass = ToIndex(line.Whole("type"), "type");
-  out.tenant = ToIndex(line.Whole("owner", 0), "owner");
   out.give_up_ms = line.Number("notAfterMs");
   out.work_hint_ms = line.Number("workHintMs", 0);
-  out.client_retry = line.Flag("resent");
   return out;
 }
 
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -420,6 +420,22 @@
   CHECK(discovery.Accept().Read().starts_with("GET /discovery/hosts?follow=1&since=41 "));
 }
 
+TEST_CASE("it has one thread, whatever it does") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  submitter.Send(Get("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  bed.program.HangUp();
+  bed.program.AwaitLog("config.reloaded");
+  CHECK(bed.program.Threads() == 1);
+  node.Send(Served("ok"));
+  CHECK(submitter.Read().ends_with("ok"));
+  bed.program.Terminate();
+  bed.program.AwaitLog("stopping");
+  CHECK(bed.program.Threads() == 1);
+}
+
 TEST_CASE("at the limit of descriptors the connection that idled longest makes room") {
   Bed bed(1, /*sockets=*/64);
   std::vector<Peer> submitters;
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -209,7 +209,7 @@
   Facade facade(settings, 1);
   facade.MachinesRemembered(0, {{"a", 0, 0, 0, HostState::kLive, 1, 0}});
   CHECK(facade.Tick(0).watch);
-  for (JobId id : {1, 2}) CHECK(facade.Pick(0, {id, 0, 0, 5000, 0, false}).kind == Verdict::Kind::kHold);
+  for (JobId id : {1, 2}) CHECK(facade.Pick(0, {id, 0, 5000, 0}).kind == Verdict::Kind::kHold);
   CHECK(facade.Tick(0).probes == std::vector<std::string>{"a"});
   const cartspring::LoadReport load{1, 0};
   facade.NodeProbed(1, "a", true, 1, &load);
--- a/tests/simhost/wire_test.cpp
+++ b/tests/simhost/wire_test.cpp
@@ -59,8 +59,6 @@
   EXPECT_EQ(s.classes[1].group, RepeatGroup::kCell);
   EXPECT_EQ(s.classes[1].repeat_window_ms, 12000);
   EXPECT_EQ(s.classes[1].worth, 1);
-  ASSERT_EQ(s.tenants.size(), 1u);
-  EXPECT_EQ(s.tenants[0].quota_rps, 90.5);
   EXPECT_EQ(s.own_zone, 1);
   EXPECT_EQ(s.max_attempts, 3);
   EXPECT_TRUE(s.must_subscribe && s.may_cancel && s.may_probe && s.weights_known && s.worth_by_work);
@@ -87,9 +85,7 @@
       wire::ReadRequest(wire::Line("WORK_ITEM\tproxy=p\tcorr=4503599627370495\tresent=1\tworkHintMs=12."
                                    "5\tnotAfterMs=8652.25\ttype=1\towner=4"));
   EXPECT_EQ(request.id, 4503599627370495u);
-  EXPECT_TRUE(request.client_retry);
   EXPECT_EQ(request.work_hint_ms, 12.5);
-  EXPECT_EQ(request.tenant, 4);
   const HostEntry host = wire::ReadHostEntry(
       wire::Line("ROW\thost=h:1\tarea=2\tfamilyType=1\tcluster=9\tstate=quiescing\tweight=1.5"));
   EXPECT_EQ(host.zone, 2);
