--- a/tests/admin/door_stories.cpp
+++ b/tests/admin/door_stories.cpp
@@ -166,4 +166,106 @@
   CHECK(ask("POST", "space-hold") == 404);
 }
 
+namespace {
+
+// A request at one stage of its way, for what may end it there.
+struct Underway {
+  explicit Underway(int deadline_ms)
+      : program(Config()), submitter(Dial(program.port())), deadline(deadline_ms) {}
+
+  // The node's connection comes up once `filling` is accepted.
+  void Dialing() { submitter.Send(Get("id-1", deadline)); }
+  void Begun() {
+    slow.Accept();
+    submitter.Send(Get("id-1", deadline));
+    node = slow.Accept();
+    node.Read();
+    node.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  }
+  void AwaitHeld(int count) {
+    for (int looks = 0; Figures(program.door())["outstanding"] != count; ++looks) {
+      REQUIRE(looks < 4000);
+      ::usleep(1000);
+    }
+  }
+  nlohmann::json Config() const {
+    auto config = WithDoor(discovery, slow);
+    return config;
+  }
+
+  Listener discovery;
+  Listener slow{/*queue=*/0};
+  Peer filling = Dial(slow.port());
+  Program program;
+  Peer submitter;
+  Peer node{-1};
+  int deadline;
+};
+
+}  // namespace
+
+TEST_CASE("a submitter that leaves leaves nothing held, whatever came of its request so far") {
+  Underway request(8000);
+  SECTION("half of its body") {
+    request.submitter.Send(Post("id-1").substr(0, 100));
+    request.submitter.Close();
+    request.AwaitHeld(0);
+    Peer next = Dial(request.program.port());
+    next.Send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(next.Read().starts_with("HTTP/1.1 200 "));
+    CHECK(Figures(request.program.door())["forwards"] == 0);
+  }
+  SECTION("the dial of its node") {
+    request.Dialing();
+    request.AwaitHeld(1);
+    request.submitter.Close();
+    request.AwaitHeld(0);
+    CHECK(Figures(request.program.door())["forwards"] == 0);
+  }
+  SECTION("half of its answer") {
+    request.Begun();
+    request.AwaitHeld(1);
+    request.submitter.Close();
+    request.AwaitHeld(0);
+    CHECK(request.node.Ends());
+  }
+}
+
+TEST_CASE("a request whose time is up is answered once, whatever came of it so far") {
+  Underway request(300);
+  SECTION("the dial of its node: it never ran, and may come again") {
+    request.Dialing();
+    CHECK(request.submitter.Read().starts_with("HTTP/1.1 503 "));
+  }
+  SECTION("half of its answer: it may have run, which its class allows again") {
+    request.Begun();
+    CHECK(request.submitter.Read().starts_with("HTTP/1.1 503 "));
+    CHECK(request.node.Ends());
+  }
+  request.AwaitHeld(0);
+}
+
+TEST_CASE("told to stop, it answers what is being dialed and what is half answered") {
+  Underway request(3000);
+  SECTION("the dial of its node") {
+    request.Dialing();
+    request.AwaitHeld(1);
+    request.program.Terminate();
+    request.program.AwaitLog("stopping held=1");
+    request.slow.Accept();
+    request.node = request.slow.Accept();
+    request.node.Read();
+    request.node.Send(Served("ok"));
+    CHECK(request.submitter.Read().ends_with("ok"));
+  }
+  SECTION("half of its answer") {
+    request.Begun();
+    request.program.Terminate();
+    request.program.AwaitLog("stopping held=1");
+    request.node.Send("whole");
+    CHECK(request.submitter.Read().ends_with("halfwhole"));
+  }
+  CHECK(request.program.Exit() == 0);
+}
+
 }  // namespace bitternmux::peers
