--- a/src/handover/place.h
+++ b/src/handover/place.h
@@ -13,8 +13,8 @@
 
 class Place {
  public:
-  // `folder`: empty for none. `address`: the one served at; the files are named by it. With port 0 each process
-  // has a port of its own, and is alone.
+  // `folder`: empty for none. `address`: the one served at; the files are named by it. With port 0 each
+  // process has a port of its own, and is alone.
   Place(const std::string& folder, const std::string& address);
   ~Place();
   Place(const Place&) = delete;
