Rank a lasting part of the hosts in a large tier, and take on there by the pace alone

Reports are rarely fresh where an instance makes five requests a second: a row counts for eight answer times (Reports::Reported, 0.2 s), so that walk.h ranked nearly all hosts by the mean of the few known ones, and key then falls to who is fastest, largest and linked: the same few everywhere (walk.h, `others`).

Change: src/subset: an order of an instance's own over all hosts, in which a large tier looks down to the third ready, warm and not full one, with one of another zone, kind and cell; three hosts an instance and three instances a host, so that small tiers rank all as before. An old row gives way to the fading mean of that host's reports, not to the mean of all. In tiers of more than six the pace decides what is taken on, InTime below that. time_shape.h is beliefs.h's fit, moved as it was.

--- a/src/cartspring/beliefs.h
+++ b/src/cartspring/beliefs.h
@@ -10,8 +10,8 @@
 #include <cmath>
 
 #include "cartspring/carry_over.h"
-#include "cartspring/fading_line.h"
 #include "cartspring/hosts.h"
+#include "cartspring/time_shape.h"
 
 namespace cartspring {
 
@@ -21,11 +21,6 @@
 constexpr double kOddMost = 3;          // times its level that one outcome counts as at most
 constexpr double kSlowMost = 8;         // a host is held to be this many times slower than its kind at most
 constexpr double kTypicalWeight = 0.1;  // weight of a new sample in running means
-constexpr double kShapeFade = 0.98;     // what the time's shape keeps of its past at each new outcome
-constexpr double kFirstOffset = 4;      // figure at which a host takes twice its unloaded time, at first
-constexpr double kOffsetLeast = 0.5;    // and the bounds within which that is learned
-constexpr double kOffsetMost = 16;
-constexpr double kShapeSpread = 0.01;   // least squared variation of the figures seen that tells a slope
 constexpr double kFailing = 0.6;        // a failing host is taken to fail this share of its requests
 constexpr double kSpoiltWeight = 0.01;  // weight of an outcome in the share that fails on any host
 constexpr double kSpoiltLeast = 0.003;
@@ -35,32 +30,6 @@
 constexpr double kLooksSaved = 2;
 constexpr double kSilentAfter = 3;  // expected times after which a host that says nothing is held silent
 
-// How the time of an attempt grows with its host's figure: in proportion to figure + offset, and 1 at the
-// mean of the figures seen. The offset is read from a fading straight-line fit over this instance's own
-// outcomes; the level is kept apart, by class and kind, so that what one class meets does not move what is
-// expected of another. Held at the mean, it stays true when the offset moves.
-class TimeShape {
- public:
-  TimeShape() {
-    constexpr double kMean = (1.0 + 5.0 + 20.0) / 3;
-    for (const double figure : {1.0, 5.0, 20.0})
-      Add(figure, (figure + kFirstOffset) / (kMean + kFirstOffset));
-  }
-  void Add(double figure, double time) {
-    line_.Add(figure, time);
-    if (!line_.Sloped(kShapeSpread)) return;  // figures all alike tell no slope, only noise
-    offset_ = line_.Slope() > 0 ? std::clamp(line_.Offset(), kOffsetLeast, kOffsetMost) : kOffsetMost;
-  }
-  // `share`: the request's own work against its class's mean, where clients hint at it.
-  double At(double figure, double share) const { return (figure + offset_ * share) * Slope(); }
-  double Offset() const { return offset_ * Slope(); }  // of the time, not of the figure
-  double Slope() const { return 1 / (line_.MeanX() + offset_); }
-
- private:
-  FadingLine line_{kShapeFade};
-  double offset_ = kFirstOffset;
-};
-
 class Estimates {
  public:
   explicit Estimates(const Context& ctx) : ctx_(ctx) { Retune(std::vector<int>(ctx.set.classes.size(), -1)); }
--- a/src/cartspring/hosts.h
+++ b/src/cartspring/hosts.h
@@ -10,20 +10,22 @@
 
 #include "cartspring/check.h"
 #include "cartspring/records.h"
+#include "subset/subset.h"
 
 namespace cartspring {
 
 constexpr double kDoubtLeast = -3.5;  // log odds that a host is failing before anything is held against it
+constexpr double kNear = 3;           // times as likely as another is a host of the own zone to be looked at
 constexpr std::uint64_t kDiscoveryTimer = ~std::uint64_t{0} >> 1;
 
 class HostTable {
  public:
-  explicit HostTable(const Context& ctx) : ctx_(ctx) {}
+  explicit HostTable(const Context& ctx, std::uint64_t seed = 0) : ctx_(ctx), subset_(seed) {}
 
   Host& operator[](int row) { return rows_[row]; }
   const Host& operator[](int row) const { return rows_[row]; }
   int size() const { return static_cast<int>(rows_.size()); }
-  const std::vector<int>& live() const { return live_; }  // rows
+  const std::vector<int>& live() const { return live_; }  // rows, in the own order
 
   int RowOf(const std::string& name) const {
     const auto found = index_.find(name);
@@ -43,6 +45,7 @@
       live_.push_back(i);
       weight += rows_[i].entry.weight;
     }
+    std::ranges::sort(live_, {}, [&](int i) { return std::pair(rows_[i].place, i); });
     mean_weight_ = weight > 0 ? weight / static_cast<double>(live_.size()) : 1;
   }
 
@@ -73,6 +76,8 @@
     }
     host.entry = entry;
     host.listed = true;
+    const double size = ctx_.set.weights_known && entry.weight > 0 ? entry.weight : 1;
+    host.place = subset_.PlaceOf(entry.host, size * (entry.zone == ctx_.set.own_zone ? kNear : 1));
   }
 
   // Rows of hosts that are gone for good are used again: ids that come and go all day must not pile up.
@@ -86,6 +91,7 @@
   }
 
   const Context& ctx_;
+  Subset subset_;
   std::vector<Host> rows_;
   std::unordered_map<std::string, int> index_;  // looked up, never walked
   std::vector<int> live_;
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -24,7 +24,7 @@
 class Balancer::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed, ActionSink& sink)
-      : ctx_{(CheckSettings(settings), settings), Random(seed)}, sink_(sink) {}
+      : ctx_{(CheckSettings(settings), settings), Random(seed)}, sink_(sink), hosts_(ctx_, seed) {}
 
   void Retune(const Settings& settings, const std::vector<int>& like) {
     CheckSettings(settings);
@@ -181,13 +181,15 @@
     std::erase_if(legal, [&](int i) { return !attempts_.MaySend(live, i); });
     const Ranked kept = walk_.Choose(live, legal);
     if (kept.host == kNoHost) return LookAgain(id, live);
-    if (kept.host == kAllFull || !Paced(live, kept) || !admission_.InTime(live, kept)) return End(id, live);
+    if (kept.host == kAllFull || !TakenOn(live, kept)) return End(id, live);
     SendTo(id, live, kept);
   }
 
-  // What is kept for a cold host goes there in any case: it is little, and warms it up.
-  bool Paced(const Live& live, const Ranked& kept) {
-    if (!ctx_.LargeTier() || live.Count() > 0 || hosts_.Warmth(hosts_[kept.host]) < 1) return true;
+  // A member of a large tier hears too seldom of a host to know when it would answer: there the pace decides,
+  // by all that it sees. What is kept for a cold host goes there in any case: it is little, and warms it up.
+  bool TakenOn(const Live& live, const Ranked& kept) {
+    if (!ctx_.LargeTier()) return admission_.InTime(live, kept);
+    if (live.Count() > 0 || hosts_.Warmth(hosts_[kept.host]) < 1) return true;
     return pace_.Admits(live.request.klass, ctx_.random.Unit());
   }
 
@@ -284,7 +286,7 @@
 
   Context ctx_;
   ActionSink& sink_;
-  HostTable hosts_{ctx_};
+  HostTable hosts_;
   Estimates estimates_{ctx_};
   Health health_{ctx_, estimates_};
   Attempts attempts_{ctx_, hosts_};
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -16,11 +16,13 @@
 struct Host {
   HostEntry entry;
   bool listed = true;
-  int held = 0;  // by the event handlers: attempts of requests that are not over, ended ones included
+  double place = 0;  // in the own order of all hosts, by HostTable
+  int held = 0;      // by the event handlers: attempts of requests that are not over, ended ones included
   // By Reports.
   double load = -1;  // last reported; -1: never
   double load_at = 0;
   double others = 0;        // what of it was not this instance's own
+  double usual = 0;         // fading mean of that over reports, which stands for it once it is old
   int own = 0;              // own attempts out
   int late = 0;             // of these, the ones that are late
   double own_mean = 0;      // fading mean of these
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -20,6 +20,7 @@
 constexpr double kShareMemoryMs = 1000;  // over which this instance's share of what hosts hold is averaged
 constexpr double kLoadMost = 24;         // requests that a host of the mean size is believed to hold at most
 constexpr double kFullest = 6;           // requests that a host of the mean size holds at most
+constexpr double kUsualWeight = 0.25;    // of a report in what a host usually holds
 constexpr double kShareLeast = 0.5;      // of an equal share among the instances
 
 class Reports {
@@ -48,6 +49,7 @@
     CountOwn(host, 0);
     // A report that came with an answer tells of some time before it, of which the mean is all that is known.
     host.others = std::max(0.0, load - (Probing() ? host.Working() : host.own_mean));
+    host.usual = host.load < 0 ? host.others : host.usual + kUsualWeight * (host.others - host.usual);
     host.load = load;
     host.load_at = ctx_.now;
     // Each report counts for the time since the one before it; half a request beside an equal share's worth
@@ -85,13 +87,21 @@
 
   // Where only probes report, a small random sample is looked at as the request arrives: at full size an
   // instance's rows are seconds old, and ranking those sends every instance to the same hosts (the paper's
-  // oscillation). Elsewhere all ready hosts are ranked by what answers told. False: no need to wait.
+  // oscillation). Elsewhere the first ready ones of the own order are ranked by what answers told. False: no
+  // need to wait.
   bool Gather(RequestId id, Live& live, std::vector<int> pool) {
     live.sample.clear();
     live.reports_due = 0;
     live.looked_at = ctx_.now;
     live.considered = 1;
     if (!Probing()) {
+      const double all = std::max<double>(1, pool.size());
+      const auto of = [&](auto field) { return [=, this](int i) { return hosts_[i].entry.*field; }; };
+      Subset::Cut(
+          pool, Subset::SizeFor(hosts_.live().size(), ctx_.set.balancers),
+          [&](int i) { return hosts_.Warmth(hosts_[i]) >= 1 && !Full(hosts_[i]); }, of(&HostEntry::zone),
+          of(&HostEntry::kind), of(&HostEntry::cell));
+      live.considered = std::max(1.0, static_cast<double>(pool.size())) / all;
       live.sample = std::move(pool);
       return false;
     }
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -38,8 +38,8 @@
     if (candidates.empty()) candidates = legal;
     double known = 0, known_count = 0;
     for (const int i : candidates) {
-      if (!reports_.Reported(hosts_[i], live)) continue;
-      known += hosts_[i].others;
+      if (hosts_[i].load < 0) continue;
+      known += hosts_[i].usual;
       ++known_count;
     }
     const double unreported = known / std::max(1.0, known_count);
@@ -54,7 +54,9 @@
       if (!KeptThoughCold(live, i)) continue;
       // A cold host without a row counts as having less than the mean to do: it must be tried to be known.
       const double warmth = hosts_.Warmth(host);
-      const double others = reports_.Reported(host, live) ? host.others : unreported * warmth - (1 - warmth);
+      const double others = reports_.Reported(host, live) ? host.others
+                            : host.load >= 0              ? host.usual
+                                                          : unreported * warmth - (1 - warmth);
       const double figure = (others + host.Working() + 1) / (hosts_.Size(host) * warmth);  // with this one
       // What is kept for a cold host goes there first: it warms up by being used, and looks slow until then.
       const double key =
--- /dev/null
+++ b/tests/subset/subset_test.cpp
@@ -0,0 +1,86 @@
+#include "subset/subset.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <numeric>
+#include <string>
+#include <vector>
+
+namespace cartspring {
+namespace {
+
+std::vector<int> OrderOf(std::uint64_t seed, const std::vector<int>& hosts, int large = -1) {
+  const Subset subset(seed);
+  std::vector<int> order = hosts;
+  std::ranges::sort(order, {},
+                    [&](int i) { return subset.PlaceOf("host-" + std::to_string(i), i == large ? 3 : 1); });
+  return order;
+}
+
+std::vector<int> UpTo(int count) {
+  std::vector<int> rows(static_cast<std::size_t>(count));
+  std::iota(rows.begin(), rows.end(), 0);
+  return rows;
+}
+
+constexpr auto kAll = [](int) { return true; };
+
+TEST_CASE("hosts are in the first places of instances evenly, and a larger one by its size") {
+  std::map<int, int> first;
+  for (std::uint64_t seed = 0; seed < 4200; ++seed) ++first[OrderOf(seed, UpTo(40), /*large=*/7).front()];
+  // Of 42 shares the large host has 3: 300 of the 4,200 instances, the others 100 each.
+  for (const auto& [host, count] : first) {
+    INFO(host);
+    CHECK(count == Approx(host == 7 ? 300 : 100).margin(host == 7 ? 70 : 45));
+  }
+}
+
+TEST_CASE("a host that goes moves no other, and comes back to its place") {
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    std::vector<int> order = OrderOf(seed, UpTo(30));
+    std::vector<int> without = UpTo(30);
+    std::erase(without, order[2]);
+    CHECK(OrderOf(seed, UpTo(30)) == order);
+    std::erase(order, order[2]);
+    CHECK(OrderOf(seed, without) == order);
+  }
+}
+
+TEST_CASE("what does not count is passed, and the next in the order takes its place") {
+  std::vector<int> order = {5, 8, 1, 9, 4, 0};
+  Subset::Cut(order, 3, [](int i) { return i != 8 && i != 9; });
+  CHECK(order == std::vector<int>{5, 8, 1, 9, 4});
+  std::vector<int> few = {8, 9};
+  Subset::Cut(few, 3, [](int i) { return i != 8 && i != 9; });
+  CHECK(few == std::vector<int>{8, 9});
+}
+
+TEST_CASE("where all are of one zone the next of another comes as well, if there is one that counts") {
+  const auto zone = [](int i) { return i / 10; };
+  std::vector<int> order = {1, 2, 3, 4, 21, 15};
+  Subset::Cut(
+      order, 3, [](int i) { return i != 21; }, zone);
+  CHECK(order == std::vector<int>{1, 2, 3, 15});
+  order = {1, 12, 3, 14, 21};
+  Subset::Cut(order, 3, kAll, zone);
+  CHECK(order == std::vector<int>{1, 12, 3});
+  order = {1, 2, 3, 4};
+  Subset::Cut(order, 3, kAll, zone);
+  CHECK(order == std::vector<int>{1, 2, 3});
+}
+
+TEST_CASE("a small tier looks at all hosts, and a larger one at less without a step") {
+  for (int tier = 1; tier <= 3; ++tier) CHECK(Subset::SizeFor(50, tier) == 50);
+  for (int tier = 3; tier < 1000; ++tier) {
+    const auto now = Subset::SizeFor(50, tier), next = Subset::SizeFor(50, tier + 1);
+    CHECK(next <= now);
+    CHECK(now - next <= now / 4 + 1);
+    CHECK(now * static_cast<std::size_t>(tier) >= 150);  // each host is looked at by three on the mean
+  }
+  CHECK(Subset::SizeFor(50, 1000) == 3);
+  CHECK(Subset::SizeFor(2, 1000) == 2);
+  CHECK(Subset::SizeFor(0, 1000) == 0);
+}
+
+}  // namespace
+}  // namespace cartspring
