--- a/lab/apps/run.cpp
+++ b/lab/apps/run.cpp
@@ -10,6 +10,7 @@
 #include "lab/record/writer.h"
 #include "lab/scenario/scenario.h"
 #include "lab/stands/loopback.h"
+#include "lab/virtual/comeback.h"
 #include "lab/virtual/day.h"
 #include "lab/virtual/phases.h"
 #include "lab/virtual/recorder.h"
@@ -26,7 +27,7 @@
   std::string mode = "virtual";
   std::optional<std::uint64_t> seed;
   std::string program;
-  bool phases = false;
+  bool phases = false, back = false;
   std::string record, json;
 };
 
@@ -39,6 +40,14 @@
   if (!(out << text << "\n") || !out.flush()) throw std::runtime_error(file + ": cannot be written");
 }
 
+Played Play(const Arguments& arguments, const model::Figures& figures,
+            const std::vector<Observer*>& observers) {
+  if (arguments.mode != "virtual") return PlayOnLoopback(figures, BesideThis(arguments.program), observers);
+  Day day(figures, observers);
+  day.Run();
+  return {};
+}
+
 int RunRun(const Arguments& arguments) {
   std::optional<scenario::Scenario> scenario;
   try {
@@ -62,18 +71,22 @@
     recorder = std::make_unique<Recorder>(figures, *writer);
     observers.push_back(recorder.get());
   }
-  Played played;
-  if (arguments.mode == "virtual") {
-    Day day(figures, observers);
-    day.Run();
-  } else {
-    played = PlayOnLoopback(figures, BesideThis(arguments.program), observers);
-  }
+  Comeback comeback(figures);
+  if (arguments.back) observers.push_back(&comeback);
+  Played played = Play(arguments, figures, observers);
+  const model::Figures calm_figures = WithoutTroubles(figures);
+  Comeback calm(calm_figures);
+  if (arguments.back && played.void_reason.empty()) played = Play(arguments, calm_figures, {&calm});
   if (arguments.json != "-" && arguments.record != "-") {
     std::cout << summary.Text();
     if (arguments.phases) std::cout << phases.Text();
+    if (arguments.back) std::cout << comeback.Text(calm);
+  }
+  if (!arguments.json.empty()) {
+    auto json = summary.ToJson();
+    if (arguments.back) json["comeback"] = comeback.ToJson(calm);
+    WriteJson(arguments.json, json.dump(1));
   }
-  if (!arguments.json.empty()) WriteJson(arguments.json, summary.ToJson().dump(1));
   if (played.void_reason.empty()) return 0;
   std::cerr << "void: " << played.void_reason << "\n";
   return played.interrupted ? kExitInterrupted : kExitVoid;
@@ -96,6 +109,10 @@
                       "loopback: the built bitternmux; else the one beside this program");
   command->add_flag("--phases", arguments->phases,
                     "Prints what the clients got before, during and after the troubles");
+  command->add_flag(
+      "--back", arguments->back,
+      "Plays the day also without its troubles, and prints how soon full service was there again "
+      "and what came at once");
   command->add_option("--record", arguments->record,
                       "Writes all that passed to this file; - is standard output");
   command->add_option("--json", arguments->json, "Writes the summary to this file; - is standard output");
