--- a/lab/virtual/comeback.h
+++ b/lab/virtual/comeback.h
@@ -5,8 +5,8 @@
 // servers lack anyway is not counted. A second is full if the worth served of the wishes due in it and in the
 // four after it is at least 0.95 of what is served of the same wishes there. The time to full service after a
 // trouble is from its beginning to the end of the last second that was not full before the next trouble
-// began: 0 if none was. Chance moves a window too: two runs of one second differ as the clients' later tries
-// do (docs/operators/comeback.md has figures).
+// began: 0 if none was. Chance moves a window too, by up to 0.011 where it was measured
+// (docs/operators/comeback.md).
 #ifndef BITTERNMUX_LAB_VIRTUAL_COMEBACK_H_
 #define BITTERNMUX_LAB_VIRTUAL_COMEBACK_H_
 
