--- a/lab/virtual/comeback.h
+++ b/lab/virtual/comeback.h
@@ -52,7 +52,7 @@
     std::int64_t started = 0;
     std::optional<std::int64_t> served, bound;  // its first answer, and its first to a request that may not
                                                 // be run twice
-    std::set<int> met;  // machines
+    std::set<int> met;                          // machines
   };
   struct Back {
     std::string trouble;
