Read what discovery told before anything else once the process has stood still

Seen, with the built program stopped for 0.4 s (SIGSTOP) and let go, its connections full: a request that came before the news is sent to the very node that the news drains, in each of four rounds; one whose 300 ms were over goes to a node, and one whose submitter has gone as well. A sidecar that is starved or stopped for long acts by what it knew before, past the grace of a drain.

Cause: what came meanwhile is handled in the order in which the kernel has it (SubmitterServer::Session::Read and NodePool::Connection before DiscoveryWatch::Call), and a request's time is counted from when it is read (JobTable::Take), not from when it came. Idle connections that nodes closed meanwhile are no part of it: they are looked at before use (Quiet()).

Then the first handler to run has the watch on discovery read all that lies there, before claims, dials and time-outs; until 250 ms later a request has lost the time that it may have lain unread (as the kernel tells it, at the most the standstill), and one whose submitter has gone is not sent. The watch waits for its socket and reads it itself, as the others do. One event, stood.still. Left: a claim that was decided just as the process was stopped is still written when it goes on; an answer that came meanwhile loses to its time-out where both are due.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -12,6 +12,7 @@
 inline constexpr EventKind kDoorOpen{"door.open", Severity::kInfo};
 inline constexpr EventKind kStopping{"stopping", Severity::kInfo};
 inline constexpr EventKind kStopped{"stopped", Severity::kInfo};
+inline constexpr EventKind kStoodStill{"stood.still", Severity::kWarning};
 inline constexpr EventKind kFailed{"failed", Severity::kError};
 // Configuration.
 inline constexpr EventKind kConfigFaulty{"config.faulty", Severity::kError};
@@ -29,9 +30,9 @@
 inline constexpr EventKind kLogDropped{"log.dropped", Severity::kWarning};
 
 inline constexpr const EventKind* kAll[] = {
-    &kServing,         &kDoorOpen,       &kStopping,      &kStopped,      &kFailed,
-    &kConfigFaulty,    &kConfigReloaded, &kConfigRefused, &kAcceptFailed, &kDiscoveryBroken,
-    &kNodeConnections, &kPlacesShort,    &kModuleNote,    &kLogLimited,   &kLogDropped,
+    &kStoodStill,   &kServing,        &kDoorOpen,      &kStopping,     &kStopped,         &kFailed,
+    &kConfigFaulty, &kConfigReloaded, &kConfigRefused, &kAcceptFailed, &kDiscoveryBroken, &kNodeConnections,
+    &kPlacesShort,  &kModuleNote,     &kLogLimited,    &kLogDropped,
 };
 
 }  // namespace bitternmux::events
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -35,6 +35,10 @@
     Run();
   }
 
+  void CatchUp() {
+    while (!closed_ && told_ && !ask_ && TakeSome()) continue;
+  }
+
   void Break(const std::string& why) {
     if (closed_) return;
     runtime_.events.Write(events::kDiscoveryBroken, {{"why", why}, {"address", address_}});
@@ -50,27 +54,48 @@
   }
 
  private:
-  void Run(const error_code& error = {}, std::size_t count = 0) {
+  void Run(const error_code& error = {}) {
     if (closed_) return;
     if (error) return Break(error.message());
     reenter(this) {
       yield socket_.async_connect(EndpointOf(address_),
                                   [self = shared_from_this()](const error_code& e) { self->Run(e); });
+      SetNonBlocking();
       while (!closed_) {
         if (std::exchange(ask_, false)) {
           out_ = whole_ ? WriteWholeList(address_) : WriteWatch(address_, watch_.machines_.revision());
-          yield asio::async_write(socket_, asio::buffer(out_), Resume());
+          yield asio::async_write(socket_, asio::buffer(out_), Written());
         }
-        yield socket_.async_read_some(asio::buffer(buffer_.Prepare(kReadSize), kReadSize), Resume());
-        buffer_.Commit(count);
-        Heard();
-        Read();
+        told_ = true;
+        yield socket_.async_wait(tcp::socket::wait_read,
+                                 [self = shared_from_this()](const error_code& e) { self->Run(e); });
+        TakeSome();
       }
     }
   }
 
-  std::function<void(const error_code&, std::size_t)> Resume() {
-    return [self = shared_from_this()](const error_code& e, std::size_t count) { self->Run(e, count); };
+  // False: nothing more is there, or the call is over.
+  bool TakeSome() {
+    error_code error;
+    const std::size_t count = socket_.read_some(asio::buffer(buffer_.Prepare(kReadSize), kReadSize), error);
+    if (error == asio::error::would_block) return false;
+    if (error) {
+      Break(error.message());
+      return false;
+    }
+    buffer_.Commit(count);
+    Heard();
+    Read();
+    return !closed_;
+  }
+
+  std::function<void(const error_code&, std::size_t)> Written() {
+    return [self = shared_from_this()](const error_code& e, std::size_t) { self->Run(e); };
+  }
+
+  void SetNonBlocking() {
+    error_code ignored;
+    socket_.non_blocking(true, ignored);
   }
 
   void Heard() {
@@ -137,7 +162,8 @@
   std::string out_;
   http::Buffer buffer_;
   http::Parser parser_{http::Role::kResponse, kNoBound};
-  std::string text_;  // the line that is not whole yet
+  std::string text_;   // the line that is not whole yet
+  bool told_ = false;  // the request is out, and what is there to read is its answer
   bool answered_ = false;
   bool closed_ = false;
   TimerWheel::Id silence_ = 0;
@@ -167,6 +193,13 @@
   Watch();
 }
 
+void DiscoveryWatch::CatchUp() {
+  // Held: the call ends itself where its answer does, and the list that one brings may end the other.
+  for (const auto& call : {old_, call_}) {
+    if (call) call->CatchUp();
+  }
+}
+
 void DiscoveryWatch::Told(const MachineUpdate& update, const std::shared_ptr<Call>& by) {
   if (by == call_ && whole_due_) {
     // Guards against a version of another discovery: a watch from it could leave out what it never told.
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -25,6 +25,8 @@
   // Goes over to another discovery. Versions are each discovery's own, so that the new one is asked for its
   // whole list first; until that has come, the old watch stays.
   void MoveTo(const std::string& address);
+  // Reads at once all that discovery has told by now.
+  void CatchUp();
 
  private:
   class Call;
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -109,7 +109,10 @@
   }
 
   std::function<void(const error_code&)> Resume() {
-    return [self = shared_from_this()](const error_code& error) { self->Run(error); };
+    return [self = shared_from_this()](const error_code& error) {
+      self->runtime_.mind();
+      self->Run(error);
+    };
   }
 
   void Dialed() {
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -20,6 +20,12 @@
   std::function<double()> now_ms;  // monotonic
   TimerWheel& wheel;
   EventSink& events = Unheard();
+  // Called as a handler begins that may lead to a claim: after a standstill it first reads what has to be
+  // known before. Never from within a call of the module, since it may bring it news.
+  std::function<void()> mind = [] {};
+  // For how long what is read now may have lain unread, at the most; 0 unless the process has just stood
+  // still.
+  std::function<double()> unread_ms = [] { return 0.0; };
 };
 
 // The address of an ip:port that was checked when it was read.
--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -1,11 +1,13 @@
 #include "net/submitter_server.h"
 
 #include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <boost/asio/coroutine.hpp>
 #include <cerrno>
+#include <limits>
 #include <vector>
 
 #include "events/catalogue.h"
@@ -132,6 +134,7 @@
         yield socket_.async_wait(tcp::socket::wait_read,
                                  [self = shared_from_this()](const error_code& e) { self->Read(e); });
         if (state_ == State::kClosed) return;
+        runtime_.mind();
         if (error || !TakeBytes()) return Left();
         Process();
         if (state_ == State::kClosed) return;
@@ -214,10 +217,32 @@
     if (std::holds_alternative<Ready>(asked)) return Write(WriteReady(keep_alive_));
     state_ = State::kServing;
     LimitTo(0);
-    job_ = server_.jobs_.Take(runtime_.now_ms(), std::move(std::get<Job>(asked)),
+    Job& taken = std::get<Job>(asked);
+    // Guards against what was over before it was read: it may lie here since before a standstill, its
+    // submitter may have gone, and may have asked elsewhere.
+    if (const double unread_ms = runtime_.unread_ms(); unread_ms > 0) {
+      if (HasLeft()) return Close();
+      taken.patience_ms = std::max(0.0, taken.patience_ms - std::min(unread_ms, SinceLastByteMs()));
+    }
+    job_ = server_.jobs_.Take(runtime_.now_ms(), std::move(taken),
                               [self = shared_from_this()](const Answer& answer) { self->Answered(answer); });
   }
 
+  bool HasLeft() {
+    char byte;
+    error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+  }
+
+  // As the kernel has it; where it does not say, anything is possible.
+  double SinceLastByteMs() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool told = ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return told ? info.tcpi_last_data_recv : std::numeric_limits<double>::infinity();
+  }
+
   // Time goes by progress: a head within its own, a body without long pauses and not too slowly over all. The
   // first head's time runs from the connection's start, a later one's from its first byte.
   void MindTime() {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -24,6 +24,7 @@
 #include "net/protocol.h"
 #include "net/runtime.h"
 #include "net/submitter_server.h"
+#include "standstill/standstill.h"
 
 namespace bitternmux {
 namespace {
@@ -112,7 +113,13 @@
         log_(log),
         io_(io),
         wheel_(NowMs(), kTickMs),
-        runtime_{asio::make_strand(io), NowMs, wheel_, log},
+        still_(NowMs()),
+        runtime_{asio::make_strand(io),
+                 NowMs,
+                 wheel_,
+                 log,
+                 [this] { Mind(); },
+                 [this] { return still_.UnreadFor(NowMs()); }},
         settings_(config_.settings),
         facade_(settings_, config_.seed),
         machines_(settings_),
@@ -203,7 +210,16 @@
                                                sighup_applied_, sighup_rejected_});
   }
 
+  // What discovery told while this process stood still counts before anything else that came meanwhile, and
+  // before what ran out of time.
+  void Mind() {
+    if (!still_.Woke(NowMs())) return;
+    log_.Write(events::kStoodStill, {{"ms", static_cast<std::int64_t>(still_.lasted_ms())}});
+    watch_.CatchUp();
+  }
+
   void Turn() {
+    Mind();
     wheel_.Turn(NowMs());  // claims that ran out of time are told before the module's own timers ring
     jobs_.Tick(NowMs());
     log_.Turn();
@@ -280,6 +296,7 @@
   log::Log& log_;
   asio::io_context& io_;
   TimerWheel wheel_;
+  Standstill still_;
   net::Runtime runtime_;
   cartspring::Settings settings_;  // in use; every part sees it as it is now
   Facade facade_;
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -1,4 +1,5 @@
 // The built program over loopback, between a submitter, scripted execute nodes and a scripted discovery.
+#include <array>
 #include <catch2/catch.hpp>
 
 #include "support/peers.h"
@@ -263,6 +264,75 @@
   CHECK_FALSE(bed.nodes[0].Waiting());
 }
 
+TEST_CASE("let go after it stood still, it knows what discovery told meanwhile before it sends anything") {
+  Bed bed(2);
+  auto [watch, asked] = bed.AcceptWatch();
+  std::array<std::vector<Peer>, 2> links;
+  // Serves the next claim, on whatever connection it comes; the node that it came to.
+  const auto serve = [&] {
+    for (;; ::usleep(1000)) {
+      for (std::size_t i = 0; i < 2; ++i) {
+        if (bed.nodes[i].Waiting()) links[i].push_back(bed.nodes[i].Accept());
+        std::erase_if(links[i], [](Peer& link) { return link.Waiting() && link.Ended(); });
+        for (Peer& link : links[i]) {
+          if (!link.Waiting()) continue;
+          link.Read();
+          link.Send(Served("ok"));
+          return i;
+        }
+      }
+    }
+  };
+  Peer submitter = bed.Submitter();
+  int revision = 41;
+  const auto tell = [&](std::size_t node, const char* phase) {
+    const auto members = nlohmann::json::array({Machine(Bed::Id(node), bed.nodes[node].address(), phase)});
+    watch.Send(Chunk(List(++revision, false, members).dump() + "\n"));
+  };
+  // Each time the node that it would go on with is told to drain, behind a request that came before that.
+  for (int round = 0; round < 4; ++round) {
+    submitter.Send(Post("before-" + std::to_string(round)));
+    const std::size_t used = serve();
+    CHECK(Status(submitter.Read()) == 200);
+    bed.program.Halt();
+    submitter.Send(Post("after-" + std::to_string(round)));
+    tell(used, "DRAINING");
+    ::usleep(400'000);  // standing still is what it is about, and takes time
+    bed.program.GoOn();
+    CHECK(serve() == 1 - used);
+    CHECK(Status(submitter.Read()) == 200);
+    tell(used, "SERVING");
+  }
+  bed.program.AwaitLog("stood.still ms=");
+}
+
+TEST_CASE("let go after it stood still, it sends nothing that is over or whose submitter has gone") {
+  Bed bed;
+  Peer patient = bed.Submitter(), hasty = bed.Submitter(), gone = bed.Submitter();
+  Peer* const all[] = {&patient, &hasty, &gone};
+  Peer node(-1);
+  // All three are known, so that their connections are there to be read at once.
+  for (int i = 0; i < 3; ++i) {
+    all[i]->Send(Post("id-" + std::to_string(i)));
+    if (i == 0) node = bed.nodes[0].Accept();
+    node.Read();
+    node.Send(Served("ok"));
+    CHECK(Status(all[i]->Read()) == 200);
+  }
+  bed.program.Halt();
+  hasty.Send(Post("over", "{}", 300));
+  gone.Send(Post("gone"));
+  gone.Close();
+  ::usleep(500'000);  // standing still is what it is about, and takes time
+  patient.Send(Post("good"));
+  bed.program.GoOn();
+  CHECK(Status(hasty.Read()) == 503);
+  CHECK(Has(node.Read(), "Req-Id: good\r\n"));
+  node.Send(Served("ok"));
+  CHECK(Status(patient.Read()) == 200);
+  CHECK_FALSE((node.Waiting() || bed.nodes[0].Waiting()));
+}
+
 TEST_CASE("a watch that cannot be read is broken off, and the list held stays") {
   const std::string line = GENERATE(
       std::string("{\"revision\":\n"), std::string("[]\n"),
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -83,6 +83,11 @@
     char byte;
     return ::recv(fd_, &byte, 1, 0) <= 0;
   }
+  // Where something is waiting: is it the end of the connection?
+  bool Ended() const {
+    char byte;
+    return ::recv(fd_, &byte, 1, MSG_PEEK) <= 0;
+  }
   // Has anything come?
   bool Waiting() const {
     pollfd wait{fd_, POLLIN, 0};
