--- a/lab/apps/run.cpp
+++ b/lab/apps/run.cpp
@@ -77,14 +77,15 @@
   const model::Figures calm_figures = WithoutTroubles(figures);
   Comeback calm(calm_figures);
   if (arguments.back && played.void_reason.empty()) played = Play(arguments, calm_figures, {&calm});
+  const bool told = arguments.back && played.void_reason.empty();  // half a pair tells nothing
   if (arguments.json != "-" && arguments.record != "-") {
     std::cout << summary.Text();
     if (arguments.phases) std::cout << phases.Text();
-    if (arguments.back) std::cout << comeback.Text(calm);
+    if (told) std::cout << comeback.Text(calm);
   }
   if (!arguments.json.empty()) {
     auto json = summary.ToJson();
-    if (arguments.back) json["comeback"] = comeback.ToJson(calm);
+    if (told) json["comeback"] = comeback.ToJson(calm);
     WriteJson(arguments.json, json.dump(1));
   }
   if (played.void_reason.empty()) return 0;
