Let the lab freeze, starve and kill starting sidecars, in shares and waves

Troubles `freeze` (SIGSTOP, SIGCONT) and `starve` (slices of a processor, prlimit on descriptors); `starts_killed` and `alive_ms` of `restart_sidecars`, drawn for each life; `sidecar_part`, `same_sidecars`, `other_sidecars` for every trouble that takes sidecars, `waves` for these three. In a virtual run what comes for a stopped process waits, and is read when it is let go as the program reads it, by its own Standstill. A process held by several troubles goes on when the last lets it go; one that is stopped at the run's end is let go before it is told to stop. The record has FROZEN and LET_GO; the checker takes the time in which a process was stopped off where it counts time, excuses a missing answer only where the process ran for less than half of the slack before, and stays strict on what discovery had written to it.

Running out is a void run, told by the door or the client that met it. Doors stay one for each sidecar and server: one listener for all on the loopback device was weighed and would need an owner for cuts between some of them.

The tests of the lab pass.

--- a/lab/model/figures.h
+++ b/lab/model/figures.h
@@ -207,6 +207,11 @@
     kTerm,         // SIGTERM, and SIGKILL `kill_after_ms` later if it still runs then
     kSidecarKill,  // SIGKILL
     kHup,          // the configuration is read again
+    kFreeze,       // its process stands still; `amount` numbers what holds it, and so in kLetGo
+    kLetGo,        // and goes on, once nothing holds it any more
+    kDescriptors,  // it may hold so many descriptors; 0: as many as it may by its rules
+    kShortLife,    // the process that is started next, or behind those of such a word before, is killed so
+                   // many milliseconds after its start
     // Discovery.
     kDiscoveryDown,
     kDiscoveryUp,
--- a/lab/model/fleet.cpp
+++ b/lab/model/fleet.cpp
@@ -60,6 +60,10 @@
     case Step::What::kTerm:
     case Step::What::kSidecarKill:
     case Step::What::kHup:
+    case Step::What::kFreeze:
+    case Step::What::kLetGo:
+    case Step::What::kDescriptors:
+    case Step::What::kShortLife:
       action.what = FleetAction::What::kSidecar;
       out.push_back(std::move(action));
       return;
--- a/lab/report/analysis.cpp
+++ b/lab/report/analysis.cpp
@@ -266,6 +266,8 @@
           sidecar.what() == Sidecar::CRASHED) {
         held_.erase(sidecar.sidecar());
       }
+      // Shown as troubles; one that is starved stops many times a second.
+      if (sidecar.what() == Sidecar::FROZEN || sidecar.what() == Sidecar::LET_GO) return;
       return Event(at, "sidecar", SidecarName(sidecar.sidecar()), Sidecar::What_Name(sidecar.what()));
     }
     case Entry::kSample:
--- a/lab/rules/machines.cpp
+++ b/lab/rules/machines.cpp
@@ -121,10 +121,11 @@
   const bool told = found != told_.end() && found->second.life == sidecars_.LifeOf(sidecar);
   if (told) std::tie(since, deemed) = std::pair(found->second.*what, found->second.deemed);
   // What discovery has to tell counts as told some time later, whether it was asked or not; a process that
-  // started after that has this time from its start.
+  // started after that has this time from its start, and one that stood still meanwhile that much more.
   const std::int64_t listed = machine.listed.*what;
   if (rules_.told_within_us() > 0 && listed >= 0 && sidecars_.StartedUs(sidecar) >= 0) {
-    const std::int64_t due = std::max(listed, sidecars_.StartedUs(sidecar)) + rules_.told_within_us();
+    const std::int64_t from = std::max(listed, sidecars_.StartedUs(sidecar));
+    const std::int64_t due = from + rules_.told_within_us() + sidecars_.StoodUs(sidecar, from, at_us);
     if (due <= at_us && (since < 0 || due < since)) std::tie(since, deemed) = std::pair(due, true);
   }
   return {since, deemed};
--- a/lab/rules/sidecars.cpp
+++ b/lab/rules/sidecars.cpp
@@ -34,6 +34,7 @@
     : report_(std::move(report)),
       names_(header.sidecars().begin(), header.sidecars().end()),
       lives_(names_.size()),
+      stops_(names_.size()),
       length_us_(header.length_us()),
       planned_kill_us_(LongestDeadline(header) + kRestartUs),
       memory_bytes_(header.rules().memory_bytes()),
@@ -69,6 +70,7 @@
     case record::Sidecar::KILLED:
       life.running = false;
       life.killed = true;
+      LetGo(at_us, entry.sidecar());
       if (life.term_us < 0 || at_us < life.term_us + planned_kill_us_) life.cut_us = at_us;
       break;
     case record::Sidecar::EXITED:
@@ -81,6 +83,15 @@
       life.running = false;
       report_({Rule::kCrash, at_us, 0, "", name + " was ended by signal " + std::to_string(entry.code())});
       break;
+    case record::Sidecar::FROZEN: {
+      std::vector<Stop>& stops = stops_[entry.sidecar()];
+      if (!stops.empty() && stops.back().until_us < 0) throw Untrusted(name + " was stopped twice");
+      stops.push_back({at_us, -1, StoodUntil(entry.sidecar(), at_us)});
+      break;
+    }
+    case record::Sidecar::LET_GO:
+      LetGo(at_us, entry.sidecar());
+      break;
     default:
       break;
   }
@@ -129,6 +140,26 @@
   for (std::uint32_t i = 0; i < lives_.size(); ++i) JudgeGrowth(at_us, i);
 }
 
+void Sidecars::LetGo(std::int64_t at_us, std::uint32_t sidecar) {
+  std::vector<Stop>& stops = stops_[sidecar];
+  if (!stops.empty() && stops.back().until_us < 0) stops.back().until_us = at_us;
+}
+
+// In all, since the run began.
+std::int64_t Sidecars::StoodUntil(std::uint32_t sidecar, std::int64_t at_us) const {
+  const std::vector<Stop>& stops = stops_[sidecar];
+  auto stop = std::upper_bound(stops.begin(), stops.end(), at_us,
+                               [](std::int64_t at, const Stop& later) { return at < later.from_us; });
+  if (stop == stops.begin()) return 0;
+  --stop;
+  const std::int64_t until = stop->until_us < 0 ? at_us : std::min(at_us, stop->until_us);
+  return stop->before_us + until - stop->from_us;
+}
+
+std::int64_t Sidecars::StoodUs(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const {
+  return StoodUntil(sidecar, to_us) - StoodUntil(sidecar, from_us);
+}
+
 bool Sidecars::CutOff(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const {
   return lives_[sidecar].cut_us >= from_us && lives_[sidecar].cut_us <= to_us;
 }
--- a/lab/rules/sidecars.h
+++ b/lab/rules/sidecars.h
@@ -1,7 +1,7 @@
 // The rules on the sidecars' processes: they do not end by themselves, and stay within memory and
 // descriptors.
 //
-// State: a few figures for each sidecar in the header.
+// State: a few figures for each sidecar in the header, and when it stood still.
 #ifndef BITTERNMUX_LAB_RULES_SIDECARS_H_
 #define BITTERNMUX_LAB_RULES_SIDECARS_H_
 
@@ -36,6 +36,9 @@
   // again. A planned restart leaves a sidecar the time to answer all, and excuses nothing: a kill that came
   // the longest deadline (3 s at least) and 0.7 s after the SIGTERM, or later.
   bool CutOff(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const;
+  // For how long between these times the lab had it stopped. A stopped process can do nothing, and that time
+  // counts against it nowhere.
+  std::int64_t StoodUs(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const;
 
  private:
   struct Life {
@@ -49,11 +52,19 @@
     std::array<std::uint32_t, 4> samples{};
   };
 
+  struct Stop {
+    std::int64_t from_us = 0, until_us = -1;  // below 0: it lasts
+    std::int64_t before_us = 0;               // the sum of those before
+  };
+
+  void LetGo(std::int64_t at_us, std::uint32_t sidecar);
+  std::int64_t StoodUntil(std::uint32_t sidecar, std::int64_t at_us) const;
   void JudgeGrowth(std::int64_t at_us, std::uint32_t sidecar) const;
 
   const Report report_;
   std::vector<std::string> names_;
   std::vector<Life> lives_;
+  std::vector<std::vector<Stop>> stops_;  // by sidecar, of all its lives
   const std::int64_t length_us_, planned_kill_us_, memory_bytes_;
   const std::uint32_t descriptors_;
 };
--- a/lab/rules/tries.h
+++ b/lab/rules/tries.h
@@ -102,6 +102,8 @@
   void JudgeServed(std::int64_t at_us, const Try& attempt, std::uint64_t claim_id);
   void JudgeRefused(std::int64_t at_us, const Try& attempt) const;
   void JudgeHeldBack(std::int64_t at_us, const Try& attempt) const;
+  // Did its sidecar stand still for most of the last moments in which it could have answered?
+  bool StoodStill(std::int64_t at_us, const Try& attempt) const;
   void JudgeOverlap(const Overlap& overlap);
   void Quieted(std::int64_t at_us, std::uint64_t id, Wish& wish);
   void Forget(std::deque<std::pair<std::int64_t, std::uint64_t>>& queue, std::int64_t hold_us,
--- a/lab/stands/client_stand.cpp
+++ b/lab/stands/client_stand.cpp
@@ -81,6 +81,7 @@
  private:
   void Connected(const error_code& error) {
     if (closed_) return;
+    if (error == asio::error::no_descriptors) owner_.stage_.OutOfDescriptors();
     if (error) return Fail(false);
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
--- a/lab/stands/discovery_stand.cpp
+++ b/lab/stands/discovery_stand.cpp
@@ -61,10 +61,12 @@
   auto& doors = doors_.emplace_back();
   for (std::size_t i = 0; i < told_.size(); ++i) {
     const auto s = static_cast<unsigned>(i);
-    doors.push_back(std::make_unique<Door>(stage_.io, at_.value_or(LoopbackAt(kNet, s / 250, 1 + s % 250)),
-                                           [this, sidecar = static_cast<int>(i), place](tcp::socket socket) {
-                                             Accept(sidecar, place, std::move(socket));
-                                           }));
+    doors.push_back(std::make_unique<Door>(
+        stage_.io, at_.value_or(LoopbackAt(kNet, s / 250, 1 + s % 250)),
+        [this, sidecar = static_cast<int>(i), place](tcp::socket socket) {
+          Accept(sidecar, place, std::move(socket));
+        },
+        [this] { stage_.OutOfDescriptors(); }));
   }
 }
 
--- a/lab/stands/door.cpp
+++ b/lab/stands/door.cpp
@@ -39,8 +39,8 @@
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
-Door::Door(asio::io_context& io, const tcp::endpoint& at, Came came)
-    : io_(io), at_(at), came_(std::move(came)), acceptor_(io), pause_(io) {
+Door::Door(asio::io_context& io, const tcp::endpoint& at, Came came, std::function<void()> full)
+    : io_(io), at_(at), came_(std::move(came)), full_(std::move(full)), acceptor_(io), pause_(io) {
   Bind();
 }
 
@@ -99,6 +99,7 @@
       if (state_ == State::kOpen) Accept();
       return;
     }
+    if (error == asio::error::no_descriptors) full_();
     pause_.expires_after(kAcceptPause);
     pause_.async_wait([this](const error_code& aborted) {
       if (!aborted && state_ == State::kOpen) Accept();
--- a/lab/stands/door.h
+++ b/lab/stands/door.h
@@ -20,8 +20,10 @@
   };
   using Came = std::function<void(boost::asio::ip::tcp::socket)>;
 
-  // Takes the address, any port for port 0, and refuses. Throws std::runtime_error that names it.
-  Door(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, Came came);
+  // Takes the address, any port for port 0, and refuses. `full` is told when a connection cannot be taken
+  // since this process may hold no more descriptors. Throws std::runtime_error that names the address.
+  Door(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, Came came,
+       std::function<void()> full);
 
   void Set(State state);
   const boost::asio::ip::tcp::endpoint& address() const { return at_; }
@@ -35,6 +37,7 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint at_;
   const Came came_;
+  const std::function<void()> full_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   State state_ = State::kRefusing;
--- a/lab/stands/quote_servers.cpp
+++ b/lab/stands/quote_servers.cpp
@@ -53,7 +53,8 @@
       const auto own = LoopbackAt(kFirstNet + p / 250, p % 250, 1 + static_cast<unsigned>(sidecar) % 250);
       doors_[i].push_back(std::make_unique<Door>(
           stage.io, at.value_or(own),
-          [this, sidecar, place](tcp::socket socket) { Accept(sidecar, place, std::move(socket)); }));
+          [this, sidecar, place](tcp::socket socket) { Accept(sidecar, place, std::move(socket)); },
+          [&stage] { stage.OutOfDescriptors(); }));
     }
   }
   stage.on_node = [this](int machine, const model::NodeAction& action) { Carry(machine, action); };
--- a/lab/stands/sidecars.h
+++ b/lab/stands/sidecars.h
@@ -3,15 +3,17 @@
 //
 // Each has a folder of its own under a temporary one, with its configuration and its log, and an address on
 // loopback that stays its own while it is down. A process ends with this object, and with the lab's own
-// process, however that ends; only processes that were started here are ever signalled.
+// process, however that ends, stopped or not; only processes that were started here are ever signalled.
 #ifndef BITTERNMUX_LAB_STANDS_SIDECARS_H_
 #define BITTERNMUX_LAB_STANDS_SIDECARS_H_
 
 #include <sys/types.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <deque>
 #include <filesystem>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,8 +53,11 @@
     pid_t pid = -1;
     int life = 0;
     bool stopping = false;  // it was told to end, or killed
-    double down_ms = 0;     // from its end to its next start; below 0: it stays down
+    bool killed = false;
+    double down_ms = 0;  // from its end to its next start; below 0: it stays down
     double killed_ms = -1;
+    std::deque<double> alive_ms;  // of its next processes, which are to be killed
+    std::set<int> held_by;        // what keeps the process stopped
   };
 
   Row& At(int sidecar) { return rows_[static_cast<std::size_t>(sidecar)]; }
@@ -60,6 +65,9 @@
   void Start(int sidecar);
   void AskUp(int sidecar, int life);
   void Carry(const model::Step& step);
+  void Freeze(int sidecar, int holder);
+  void LetGo(int sidecar, int holder);
+  void Limit(int sidecar, int descriptors);
   void Terminate(int sidecar);
   void Kill(int sidecar);
   void AwaitEnds();
--- a/lab/stands/stage.cpp
+++ b/lab/stands/stage.cpp
@@ -37,6 +37,10 @@
   Tell(&Observer::Void, reason);
 }
 
+void Stage::OutOfDescriptors() {
+  Void("the lab ran out of descriptors: fewer sidecars or servers, or ulimit -n");
+}
+
 void Stage::Carry() {
   // What is carried out may call the model again, which appends to a list of its own.
   model::FleetActions todo;
--- a/lab/stands/stage.h
+++ b/lab/stands/stage.h
@@ -31,6 +31,7 @@
   void Carry();
   // Nothing may be concluded from the run; the first reason counts.
   void Void(const std::string& reason);
+  void OutOfDescriptors();
   const std::string& void_reason() const { return void_reason_; }
 
   template <class Method, class... Arguments>
--- a/lab/virtual/day.h
+++ b/lab/virtual/day.h
@@ -9,6 +9,7 @@
 #define BITTERNMUX_LAB_VIRTUAL_DAY_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,7 +61,10 @@
     kReady,       // and serves
     kDoorsClose,  // told to stop, it takes nothing new any more
     kGiveUp,      // and ends, whatever it still holds
-    kWarmed,      // `id`: a machine
+    kTermRead,    // it learns that it is told to stop
+    kHupRead,     // and that the configuration is another
+    kKilled,  // it still runs so long after it was told to stop, or was to be killed so long after its start
+    kWarmed,  // `id`: a machine
     kSample,
   };
   struct Event {
@@ -89,6 +93,7 @@
       values_[at] = std::move(value);
       return at;
     }
+    const T& At(std::uint32_t at) const { return values_[at]; }
     T Take(std::uint32_t at) {
       free_.push_back(at);
       return std::move(values_[at]);
@@ -106,6 +111,10 @@
     cartspring::Settings settings;
     std::int64_t wake_us = 0;             // 0: no turn is queued
     double down_ms = 0;                   // from its end to its next start
+    std::deque<double> alive_ms;          // of its next processes, which are to be killed
+    std::set<int> held_by;                // what keeps its process standing still
+    std::vector<Event> unread;            // what has come meanwhile
+    bool catches_up = false;              // and is being read: that it was told is in the record
     std::optional<model::ToldList> told;  // always there; outlives the process
     std::uint64_t connections_made = 0;
     std::set<model::TryId> tries;  // taken and not answered
@@ -123,6 +132,7 @@
     model::Try attempt;
     bool taken = false;  // it has come to its sidecar
     bool left = false;   // its client left before
+    double came_ms = 0;  // to its sidecar
   };
   struct Request {
     model::Offered offered;
@@ -163,6 +173,11 @@
   void CarryNode(int machine, const model::NodeAction& action);
   void CarryTold(const model::DiscoveryAction& action);
   void CarrySidecar(const model::Step& step);
+  bool StandsStill(int sidecar) { return !Row(sidecar).held_by.empty(); }
+  // True for what a sidecar has to read, while it does not: that waits until it is let go.
+  bool Waits(const Event& event);
+  void LetGo(int sidecar, int holder);
+  void TermRead(int sidecar);
   void TryArrives(int sidecar, model::TryId id);
   void ClientLeaves(int sidecar, model::TryId id);
   void TellClient(model::TryId id, const TryOutcome& outcome);
--- a/lab/virtual/sidecar.cpp
+++ b/lab/virtual/sidecar.cpp
@@ -29,6 +29,7 @@
       start_ms_(outside.NowMs()),
       heard_list_(std::move(heard_list)),
       wheel_(start_ms_, kTickMs),
+      still_(start_ms_),
       facade_(settings, seed),
       machines_(settings),
       jobs_(settings, facade_, machines_),
@@ -114,14 +115,15 @@
   jobs_.Tick(now);
 }
 
-void SidecarProcess::Take(const model::Try& attempt) {
+void SidecarProcess::Take(const model::Try& attempt, double lay_ms) {
   const model::Figures& figures = outside_.figures();
   const model::ClassFigures& klass = figures.classes[static_cast<std::size_t>(attempt.klass)];
   Job job;
   job.request_id = std::to_string(attempt.id);
   job.method = klass.repeat == model::Repeat::kSafe ? "GET" : "POST";
   job.klass = attempt.klass;
-  job.patience_ms = attempt.patience_ms;
+  // As the program has it: its time went on while nobody read it.
+  job.patience_ms = std::max(0.0, attempt.patience_ms - std::min(still_.UnreadFor(outside_.NowMs()), lay_ms));
   job.work_hint_ms = attempt.hint_ms;
   ids_[attempt.id] = 0;
   const JobId taken =
--- a/lab/virtual/sidecar.h
+++ b/lab/virtual/sidecar.h
@@ -19,6 +19,7 @@
 #include "lab/virtual/outside.h"
 #include "lab/virtual/pool.h"
 #include "lab/virtual/watch.h"
+#include "standstill/standstill.h"
 
 namespace bitternmux::lab {
 
@@ -32,11 +33,16 @@
 
   // With the list that it remembers.
   void Start(const model::Listing& known);
-  void Take(const model::Try& attempt);
+  // `lay_ms`: for how long it has lain unread.
+  void Take(const model::Try& attempt, double lay_ms);
   void ClientLeft(model::TryId id);
   void Turn();
   void Deferred();
   void Reload();
+  // It stands still from now on, and until LetGo nothing else is called. That gives true if the process finds
+  // by itself that it stood still, and then reads first what discovery told.
+  void Froze() { still_ = Standstill(outside_.NowMs()); }
+  bool LetGo() { return still_.Woke(outside_.NowMs()); }
   // It ends, and nothing more is done: its connections close.
   void Drop();
 
@@ -63,6 +69,7 @@
   const double start_ms_;
   const std::function<void(const model::Listing&)> heard_list_;
   TimerWheel wheel_;
+  Standstill still_;  // asked only where it may have stood still: its turns are few
   std::priority_queue<double, std::vector<double>, std::greater<>> due_;  // on the wheel, cancelled ones too
   Facade facade_;
   MachineList machines_;
--- a/tests/lab/rules/rules_test.cpp
+++ b/tests/lab/rules/rules_test.cpp
@@ -105,6 +105,32 @@
   CHECK(Broken(out.Over(1, ClaimEnded::CANCELLED)) == kNone);
 }
 
+TEST_CASE("a process that was stopped is judged by the time in which it ran") {
+  const auto lost = [](double let_go_ms) {
+    Story story;
+    story.At(10).Sent(1).At(900).Process(0, Sidecar::FROZEN);
+    story.At(let_go_ms).Process(0, Sidecar::LET_GO).At(1060).Ends(1, TryEnded::LOST);
+    return Broken(story);
+  };
+  CHECK(lost(1050) == kNone);
+  CHECK(lost(1030) == Rules{"answer-lost"});  // it had half of the slack
+  const auto refused = [](double ms) {
+    Story story;
+    story.At(0).Sent(1).At(100).Process(0, Sidecar::FROZEN).At(300).Process(0, Sidecar::LET_GO);
+    return Broken(story.At(ms).Ends(1, TryEnded::REFUSED));
+  };
+  CHECK(refused(700) == kNone);
+  CHECK(refused(710) == Rules{"held-back"});
+  // Its client went meanwhile: soon after it was let go it must know.
+  const auto begun = [](double ms) {
+    Story story;
+    story.At(0).Sent(1).At(100).Process(0, Sidecar::FROZEN).At(200).Ends(1, TryEnded::LEFT);
+    return Broken(story.At(500).Process(0, Sidecar::LET_GO).At(ms).Claim(1, 1, ClaimEnded::CANCELLED));
+  };
+  CHECK(begun(540) == kNone);
+  CHECK(begun(560) == Rules{"claim-after-end"});
+}
+
 TEST_CASE("refused-after-run") {
   const auto refused = [](ClaimEnded::How how, std::uint32_t klass = kNever) {
     return Story().At(10).Sent(1, klass).Claim(1, 1, how).Ends(1, TryEnded::REFUSED);
--- a/tests/lab/scenario/scenario_test.cpp
+++ b/tests/lab/scenario/scenario_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 #include "lab/model/figures.h"
 
@@ -188,5 +189,36 @@
   CHECK(shipped >= 12);
 }
 
+TEST_CASE("which sidecars a trouble takes: a share, those before or the others, in waves") {
+  const std::string fleet = "[sidecars]\ncount = 20\n";
+  const std::string day = "name = \"day\"\n[[class]]\nname = \"ask\"\n" + fleet;
+  const std::string troubles =
+      "[[trouble]]\nkind = \"restart_sidecars\"\nat_s = 1\nsidecar_part = 0.7\nwaves = 7\nevery_s = 1\n"
+      "starts_killed = 2\nalive_ms = [20, 200]\n"
+      "[[trouble.then]]\nkind = \"freeze\"\nlen_s = 1\nsame_sidecars = true\nsidecar_part = 0.5\n"
+      "[[trouble.then]]\nkind = \"starve\"\nlen_s = 1\nshare = 0.5\ndescriptors = 40\nother_sidecars = "
+      "true\n";
+  const Figures figures = Scenario(day + troubles, "day.toml").Draw(5);
+  const std::vector<int>&killed = figures.troubles[0].sidecars, &frozen = figures.troubles[1].sidecars;
+  CHECK(killed.size() == 14);
+  CHECK(frozen.size() == 7);
+  CHECK(std::includes(killed.begin(), killed.end(), frozen.begin(), frozen.end()));
+  CHECK(figures.troubles[2].sidecars.size() == 6);
+  std::map<Step::What, std::map<double, int>> at;
+  for (const Step& step : figures.steps) ++at[step.what][step.at_ms];
+  CHECK(at[Step::What::kTerm].size() == 7);
+  CHECK(at[Step::What::kTerm].begin()->second == 2);
+  CHECK(at[Step::What::kShortLife].begin()->second == 4);
+  // Slices of sidecars are not in step.
+  CHECK(at[Step::What::kFreeze].size() > 6 * 9);
+  CHECK(at[Step::What::kDescriptors].size() == 2);
+  const std::string one = "[[trouble]]\nat_s = 1\nlen_s = 1\n";
+  CHECK(FaultOf(one + "kind = \"freeze\"\nsame_sidecars = true") ==
+        "day.toml:13: trouble.0.same_sidecars: no trouble of sidecars stands before this one");
+  CHECK(FaultOf(one + "kind = \"starve\"\n").find("share or descriptors must be there") != std::string::npos);
+  CHECK(FaultOf("[[trouble]]\nat_s = 1\nkind = \"restart_sidecars\"\nstarts_killed = 3\nalive_ms = [9, -1]")
+            .find("alive_ms: the range is the wrong way round") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace bitternmux::lab::scenario
--- a/tests/lab/stands/loopback_test.cpp
+++ b/tests/lab/stands/loopback_test.cpp
@@ -194,6 +194,43 @@
   CHECK(told.size() == 2);
 }
 
+TEST_CASE("a frozen process is let go and serves again, and one that is starved serves on") {
+  const Run run =
+      Play(kSmall + Trouble("kind = \"freeze\"\nsidecars = [0]\nlen_s = 1\n") +
+           Trouble("kind = \"starve\"\nsidecars = [1]\nlen_s = 1\nshare = 0.5\ndescriptors = 200\n"));
+  CHECK(run.breaches == "");
+  bool frozen = false, let_go = false;
+  int during = 0, after = 0;
+  for (const Entry& e : run.entries) {
+    const bool own = e.has_sidecar() && e.sidecar().sidecar() == 0;
+    frozen |= own && e.sidecar().what() == record::Sidecar::FROZEN;
+    let_go |= own && e.sidecar().what() == record::Sidecar::LET_GO;
+    const bool claim = e.has_claim_begun() && e.claim_begun().sidecar() == 0;
+    during += claim && frozen && !let_go;
+    after += claim && let_go;
+  }
+  // What it had written lies at the stand-ins' sockets.
+  CHECK(frozen);
+  CHECK(during < 3);
+  CHECK(after > 10);
+}
+
+TEST_CASE("seven in ten processes are killed, half of these again as they start, and all serve in the end") {
+  std::string many = kSmall;
+  many.replace(many.find("count = 2"), 9, "count = 10");
+  const Run run =
+      Play(many + Trouble("kind = \"restart_sidecars\"\nsignal = \"kill\"\nsidecar_part = 0.7\ndown_s = 0.1\n"
+                          "[[trouble.then]]\nkind = \"restart_sidecars\"\nsignal = \"kill\"\n"
+                          "after_s = 0.3\nsame_sidecars = true\nsidecar_part = 0.5\ndown_s = 0.1\n"
+                          "starts_killed = 1\nalive_ms = 5\n"));
+  CHECK(run.breaches == "");
+  const auto count = [&](record::Sidecar::What what) {
+    return run.Count([&](const Entry& e) { return e.has_sidecar() && e.sidecar().what() == what; });
+  };
+  CHECK(count(record::Sidecar::KILLED) == 7 + 4 + 4);
+  CHECK(count(record::Sidecar::STARTED) == 10 + 7 + 4 + 4);
+}
+
 TEST_CASE("a body tells who made it for whom") {
   const Made made = ReadMade(BodyOf({7, "00ab"}, "s-1"));
   CHECK(made.claim == 7);
--- a/tests/lab/virtual/day_test.cpp
+++ b/tests/lab/virtual/day_test.cpp
@@ -281,5 +281,32 @@
   CHECK(run.Count(4, 8, by_node) > 20);
 }
 
+TEST_CASE("a frozen sidecar answers nothing, and then reads first what discovery told") {
+  const std::string text = Trouble(
+      "kind = \"freeze\"\nsidecars = [0]\nlen_s = 4\n"
+      "[[trouble.then]]\nkind = \"drain\"\nfrom = \"begin\"\nafter_s = 0.2\nmachines = [0, 1]\n");
+  const Run run = Play(text);
+  CHECK(Breaches(run) == "");
+  CHECK(run.bytes == Play(text).bytes);
+  CHECK(run.Sidecars(3.9, 4.1, record::Sidecar::FROZEN) == 1);
+  CHECK(run.Sidecars(7.9, 8.1, record::Sidecar::LET_GO) == 1);
+  const auto claims = [](const Entry& e) { return e.has_claim_begun() && e.claim_begun().sidecar() == 0; };
+  CHECK(run.Count(4, 8, claims) == 0);
+  CHECK(run.Count(8, 12, claims) > 20);
+  // It was told while it stood still.
+  CHECK(run.Count(4, 8, [](const Entry& e) { return e.has_told() && e.told().sidecar() == 0; }) > 1);
+}
+
+TEST_CASE("sidecars are starved, killed while they stand still, and killed as they start") {
+  const Run run = Play(Trouble("kind = \"starve\"\nsidecars = [0]\nlen_s = 4\nshare = 0.5\n") +
+                       "[[trouble]]\nat_s = 4\nkind = \"freeze\"\nsidecars = [1]\nlen_s = 4\n"
+                       "[[trouble.then]]\nkind = \"restart_sidecars\"\nfrom = \"begin\"\nafter_s = 1\n"
+                       "same_sidecars = true\nsignal = \"kill\"\nstarts_killed = 3\nalive_ms = [20, 200]\n");
+  CHECK(Breaches(run) == "");
+  CHECK(run.Sidecars(4, 8.1, record::Sidecar::LET_GO) == 40);
+  CHECK(run.Sidecars(4, 8, record::Sidecar::KILLED) == 4);
+  CHECK(run.Sidecars(4, 8, record::Sidecar::STARTED) == 4);
+}
+
 }  // namespace
 }  // namespace bitternmux::lab
