--- a/lab/apps/run.cpp
+++ b/lab/apps/run.cpp
@@ -7,10 +7,10 @@
 #include <string>
 
 #include "lab/apps/commands.h"
+#include "lab/back/comeback.h"
 #include "lab/record/writer.h"
 #include "lab/scenario/scenario.h"
 #include "lab/stands/loopback.h"
-#include "lab/virtual/comeback.h"
 #include "lab/virtual/day.h"
 #include "lab/virtual/phases.h"
 #include "lab/virtual/recorder.h"
--- a/lab/back/comeback.cpp
+++ b/lab/back/comeback.cpp
@@ -1,4 +1,4 @@
-#include "lab/virtual/comeback.h"
+#include "lab/back/comeback.h"
 
 #include <algorithm>
 #include <cmath>
--- a/lab/back/comeback.h
+++ b/lab/back/comeback.h
@@ -7,8 +7,8 @@
 // trouble is from its beginning to the end of the last second that was not full, of those whose window is
 // over when the next trouble begins: 0 if none was, and none if the last of them was not. Chance moves a
 // window too, by up to 0.011 where it was measured (docs/operators/comeback.md).
-#ifndef BITTERNMUX_LAB_VIRTUAL_COMEBACK_H_
-#define BITTERNMUX_LAB_VIRTUAL_COMEBACK_H_
+#ifndef BITTERNMUX_LAB_BACK_COMEBACK_H_
+#define BITTERNMUX_LAB_BACK_COMEBACK_H_
 
 #include <cstdint>
 #include <map>
@@ -83,4 +83,4 @@
 
 }  // namespace bitternmux::lab
 
-#endif  // BITTERNMUX_LAB_VIRTUAL_COMEBACK_H_
+#endif  // BITTERNMUX_LAB_BACK_COMEBACK_H_
--- a/tests/lab/back/comeback_test.cpp
+++ b/tests/lab/back/comeback_test.cpp
@@ -1,5 +1,5 @@
 // The way back as the lab tells it: beside the same day without its troubles.
-#include "lab/virtual/comeback.h"
+#include "lab/back/comeback.h"
 
 #include <catch2/catch.hpp>
 
