Name the states from a start to full service, tell them, and hold back in a crash loop

Needed: on-call could not see whether a sidecar that was just started is as good as one that has run, and a process that dies again and again called discovery, dialed and took requests on at each start.

src/comeback/comeback.h (no I/O) has the states remembering, listed, learning and full, fed by lists, answers and refused calls (Impl::OnHosts, Judge, AskForList in policy.h; it holds ListCalls, which did not change). With a host to go by they take a minute at most, whatever discovery does. The state is a member of the door's figures and each change one event; Balancer::StateChanges and the facade hand them on, and the lab's virtual sidecar has them too. src/comeback/starts.h says how long a start is held back by the starts before it that did not get to full: from the fourth on 0.5 s, doubled up to 16 s. The file is kept where the operator file names a folder; absent means off.

No decision goes by the states yet.

Ruled out on the way: full once all hosts that an instance looks at have answered (it stays with the two that it is connected to); a further action for the state (every sink of the interface would have to take it).

--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -68,6 +68,15 @@
   std::vector<std::string> kinds;  // of machines, likewise
 };
 
+// From its start to as good as one that has run for a minute: by the list that it was started with; discovery
+// heard; hosts answering; as good as any.
+enum class ServiceState { kRemembering, kListed, kLearning, kFull };
+struct StateChange {
+  std::uint64_t number = 0;  // from 1: the start
+  ServiceState state = ServiceState::kRemembering;
+  double at_ms = 0;
+};
+
 struct HostEntry {
   std::string host;
   int zone = 0;
@@ -147,6 +156,9 @@
   // The live hosts that a request that may run again would be kept from now, for what is held against them.
   std::vector<std::string> Avoided(double now_ms);
 
+  // The changes of its state after the `after`-th, the oldest first; the last eight are kept.
+  std::vector<StateChange> StateChanges(double now_ms, std::uint64_t after);
+
  private:
   class Impl;
   class Entry;
--- a/lab/virtual/sidecar.h
+++ b/lab/virtual/sidecar.h
@@ -53,6 +53,10 @@
   void Line(model::CallId call);
   void CallBroke(model::CallId call);
 
+  // Its changes of state, as Balancer::StateChanges.
+  std::vector<cartspring::StateChange> StateChanges(std::uint64_t after) {
+    return facade_.StateChanges(outside_.NowMs(), after);
+  }
   std::size_t held() const { return jobs_.held(); }
   std::size_t connections() const { return pool_.connections(); }
 
--- a/src/apps/bitternmux.cpp
+++ b/src/apps/bitternmux.cpp
@@ -45,7 +45,8 @@
     MachineUpdate known = Verify(config);
     config.known = nullptr;  // or it would be held twice
     boost::asio::io_context io(1);
-    Sidecar sidecar(io, std::move(config), std::move(known), log);
+    const auto& comeback = file.settings.comeback;
+    Sidecar sidecar(io, std::move(config), std::move(known), log, comeback ? comeback->folder : "");
     sidecar.Start();
     io.run();
   } catch (const ConfigError& error) {
--- a/src/cartspring/balancer.cpp
+++ b/src/cartspring/balancer.cpp
@@ -71,5 +71,9 @@
   const Entry entry(entered_);
   return impl_->Avoided(now_ms);
 }
+std::vector<StateChange> Balancer::StateChanges(double now_ms, std::uint64_t after) {
+  const Entry entry(entered_);
+  return impl_->StateChanges(now_ms, after);
+}
 
 }  // namespace cartspring
--- a/src/cartspring/context.h
+++ b/src/cartspring/context.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cartspring/balancer.h"
+#include "comeback/comeback.h"
 
 namespace cartspring {
 
@@ -47,6 +48,7 @@
   Settings set;
   Random random;
   double now = 0;  // ms
+  Comeback comeback{set};
 
   // Of the classes that requests come of.
   int Hastiest() const {  // the one with the shortest aim, the first of those
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -12,7 +12,6 @@
 
 #include "cartspring/attempts.h"
 #include "cartspring/walk.h"
-#include "membership/list_calls.h"
 #include "pace/pace.h"
 
 namespace cartspring {
@@ -37,14 +36,15 @@
   void OnHosts(double now, const std::vector<HostEntry>& entries, bool whole, bool remembered) {
     Advance(now);
     hosts_.Take(entries, whole);
-    if (!remembered) return list_calls_.Answered();
-    if (ctx_.set.must_subscribe) AskForList();
+    const auto name_of = [&](int i) -> const std::string& { return hosts_[i].entry.host; };
+    ctx_.comeback.Told(ctx_.now, hosts_.live(), name_of, remembered);
+    if (remembered && ctx_.set.must_subscribe) AskForList();
   }
 
   void OnDiscoveryRefused(double now) {
     Advance(now);
     if (!ctx_.set.must_subscribe) return;
-    sink_.SetTimer(list_calls_.Refused(ctx_.now, ctx_.random.Unit()), kDiscoveryTimer);
+    sink_.SetTimer(ctx_.comeback.Refused(ctx_.now, ctx_.random.Unit()), kDiscoveryTimer);
   }
 
   void OnRequest(double now, const Request& request) {
@@ -131,9 +131,13 @@
     return out;
   }
 
+  std::vector<StateChange> StateChanges(double now, std::uint64_t after) {
+    return ctx_.comeback.Changes(std::max(ctx_.now, now), after);
+  }
+
   void OnTimer(double now, std::uint64_t token) {
     Advance(now);
-    if (token == kDiscoveryTimer) return list_calls_.Due(ctx_.now) ? AskForList() : void();
+    if (token == kDiscoveryTimer) return ctx_.comeback.Due(ctx_.now) ? AskForList() : void();
     const RequestId id = token / kTimerKinds;
     const auto found = requests_.find(id);
     if (found == requests_.end() || found->second.begun) return;
@@ -165,7 +169,7 @@
 
   void AskForList() {
     sink_.Subscribe();
-    sink_.SetTimer(list_calls_.Asked(ctx_.now, ctx_.random.Unit()), kDiscoveryTimer);
+    sink_.SetTimer(ctx_.comeback.Asked(ctx_.now, ctx_.random.Unit()), kDiscoveryTimer);
   }
 
   void Gather(RequestId id, Live& live) {
@@ -237,6 +241,7 @@
     if (heard || outcome == Outcome::kConnectFailed) host.unreached = !heard;
     switch (outcome) {
       case Outcome::kServed:
+        ctx_.comeback.Answered(ctx_.now, host.entry.host);
         reports_.Served(host);
         health_.Weigh(host, false);
         if (!tried.slow && hosts_.Warmth(host) >= 1) pace_.Heard(took > admission_.SlowAfter(live));
@@ -293,7 +298,6 @@
   Reports reports_{ctx_, hosts_, estimates_, sink_};
   Walk walk_{ctx_, hosts_, estimates_, reports_};
   Admission admission_{ctx_, hosts_, estimates_};
-  ListCalls list_calls_{ctx_.set.ask_within_ms};
   Pace pace_{ctx_.Worths()};
   std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
 };
--- /dev/null
+++ b/src/comeback/starts.cpp
@@ -0,0 +1,69 @@
+#include "comeback/starts.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bitternmux {
+namespace {
+
+constexpr std::string_view kHead = "bitternmux starts 1", kEnd = "end";
+constexpr std::string_view kStarted = " started", kFull = " full";
+
+// Takes the next line off the front; none where it is not whole.
+std::optional<std::string_view> TakeLine(std::string_view& text) {
+  const auto end = text.find('\n');
+  if (end == text.npos) return std::nullopt;
+  const std::string_view line = text.substr(0, end);
+  text.remove_prefix(end + 1);
+  return line;
+}
+
+}  // namespace
+
+std::optional<Starts> Starts::Read(std::string_view text) {
+  if (TakeLine(text) != kHead) return std::nullopt;
+  Starts out;
+  while (const auto line = TakeLine(text)) {
+    if (*line == kEnd) return text.empty() ? std::optional(out) : std::nullopt;
+    if (out.starts_.size() == kMost) return std::nullopt;
+    Start start;
+    const auto [end, error] = std::from_chars(line->data(), line->data() + line->size(), start.unix_ms);
+    const std::string_view word(end, static_cast<std::size_t>(line->data() + line->size() - end));
+    if (error != std::errc() || (word != kStarted && word != kFull)) return std::nullopt;
+    start.full = word == kFull;
+    out.starts_.push_back(start);
+  }
+  return std::nullopt;  // torn
+}
+
+std::string Starts::Text() const {
+  std::string out(kHead);
+  for (const Start& start : starts_)
+    out.append("\n").append(std::to_string(start.unix_ms)).append(start.full ? kFull : kStarted);
+  return out.append("\n").append(kEnd).append("\n");
+}
+
+std::int64_t Starts::Begin(std::int64_t unix_ms) {
+  std::erase_if(starts_, [&](const Start& start) {
+    return start.unix_ms > unix_ms || start.unix_ms < unix_ms - kAgeMs;
+  });
+  failed_ = static_cast<std::size_t>(std::ranges::count(starts_, false, &Start::full));
+  if (starts_.size() == kMost) starts_.erase(starts_.begin());
+  starts_.push_back({unix_ms, false});
+  if (failed_ <= kFree) return 0;
+  return std::min(kMostMs, kFirstMs << (failed_ - kFree - 1));
+}
+
+void Starts::Full(std::int64_t began) {
+  for (Start& start : starts_) start.full |= start.unix_ms == began;
+}
+
+void Starts::Forget(std::int64_t began) {
+  std::erase_if(starts_, [&](const Start& start) { return start.unix_ms <= began; });
+}
+
+void Starts::Stopped(std::int64_t began) {
+  std::erase_if(starts_, [&](const Start& start) { return start.unix_ms == began; });
+}
+
+}  // namespace bitternmux
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -5,6 +5,7 @@
 
 using schema::OneOf;
 using schema::TableOf;
+using schema::Text;
 
 // Every table, every key: the one place where their names, bounds, units and purposes stand. Defaults are
 // those of the structs.
@@ -20,6 +21,8 @@
                       {"warning", Severity::kWarning},
                       {"error", Severity::kError}},
                      "events below it are not written")}),
+      TableOf("comeback", settings.comeback, "a crash loop steps back",
+              {Text("folder", &ComebackSettings::folder, "the folder in which starts are kept")}),
   };
 }
 
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -4,6 +4,7 @@
 #ifndef BITTERNMUX_SRC_CONFIG_OPERATOR_FILE_H_
 #define BITTERNMUX_SRC_CONFIG_OPERATOR_FILE_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,9 +13,15 @@
 
 namespace bitternmux {
 
+// That a start after a start after a start is told from one start.
+struct ComebackSettings {
+  std::string folder;  // where this is kept from one process to the next
+};
+
 // A member for each table. One that is std::optional is off while its table is absent.
 struct OperatorSettings {
   log::Settings log;
+  std::optional<ComebackSettings> comeback;
 };
 
 struct OperatorFile {
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -75,6 +75,10 @@
   }
   // The nodes in service that the module leaves out now for what it holds against them.
   std::vector<std::string> Avoided(double now_ms) { return balancer_.Avoided(now_ms); }
+  // As Balancer::StateChanges.
+  std::vector<cartspring::StateChange> StateChanges(double now_ms, std::uint64_t after) {
+    return balancer_.StateChanges(now_ms, after);
+  }
   void WatchBroken(double now_ms) { balancer_.OnDiscoveryRefused(now_ms); }
 
  private:
--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -13,6 +13,9 @@
 inline constexpr EventKind kStopping{"stopping", Severity::kInfo};
 inline constexpr EventKind kStopped{"stopped", Severity::kInfo};
 inline constexpr EventKind kStoodStill{"stood.still", Severity::kWarning};
+inline constexpr EventKind kComebackState{"comeback.state", Severity::kInfo};
+inline constexpr EventKind kComebackHeld{"comeback.held", Severity::kWarning};
+inline constexpr EventKind kComebackStarts{"comeback.starts", Severity::kWarning};
 inline constexpr EventKind kFailed{"failed", Severity::kError};
 // Configuration.
 inline constexpr EventKind kConfigFaulty{"config.faulty", Severity::kError};
@@ -30,9 +33,10 @@
 inline constexpr EventKind kLogDropped{"log.dropped", Severity::kWarning};
 
 inline constexpr const EventKind* kAll[] = {
-    &kStoodStill,   &kServing,        &kDoorOpen,      &kStopping,     &kStopped,         &kFailed,
-    &kConfigFaulty, &kConfigReloaded, &kConfigRefused, &kAcceptFailed, &kDiscoveryBroken, &kNodeConnections,
-    &kPlacesShort,  &kModuleNote,     &kLogLimited,    &kLogDropped,
+    &kStoodStill,      &kServing,         &kDoorOpen,       &kStopping,       &kStopped,
+    &kFailed,          &kConfigFaulty,    &kConfigReloaded, &kConfigRefused,  &kAcceptFailed,
+    &kDiscoveryBroken, &kNodeConnections, &kPlacesShort,    &kModuleNote,     &kLogLimited,
+    &kLogDropped,      &kComebackState,   &kComebackHeld,   &kComebackStarts,
 };
 
 }  // namespace bitternmux::events
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -24,6 +24,7 @@
 #include "net/protocol.h"
 #include "net/runtime.h"
 #include "net/submitter_server.h"
+#include "sidecar/starts_file.h"
 #include "standstill/standstill.h"
 
 namespace bitternmux {
@@ -107,7 +108,7 @@
 
 class Sidecar::Impl {
  public:
-  Impl(asio::io_context& io, Config config, MachineUpdate known, log::Log& log)
+  Impl(asio::io_context& io, Config config, MachineUpdate known, log::Log& log, const std::string& starts)
       : config_(std::move(config)),
         known_(std::move(known)),
         log_(log),
@@ -138,23 +139,44 @@
                 static_cast<std::size_t>(kUnreadShare * config_.memory_mb * 1024 * 1024)),
         door_(runtime_, {[this] { return listening_; }, [this] { return Figures(); }}),
         place_(Folder(), config_.listen),
+        starts_(starts, config_.listen, log),
         turn_(runtime_.strand),
         signals_(runtime_.strand, SIGTERM, SIGINT, SIGHUP) {
     jobs_.Attach(pool_, [this] { watch_.Watch(); });
   }
 
   void Start() {
-    facade_.MachinesRemembered(NowMs(), machines_.Apply(known_, UnixAheadMs()));
-    pool_.Prune();
-    jobs_.Tick(NowMs());
+    const auto held_ms = static_cast<double>(starts_.Begin());
+    held_ = held_ms > 0;
+    state_.at_ms = NowMs();
+    if (!held_) Begin();
     if (!config_.door.empty()) OpenDoor();
-    // What an older process still serves is better left to it until this one goes by a list of now.
-    place_.HasElder() ? AwaitList(NowMs() + kListWaitMs) : Listen();
+    if (held_) {
+      log_.Write(events::kComebackHeld,
+                 {{"ms", static_cast<std::int64_t>(held_ms)}, {"failed", starts_.failed()}});
+      wheel_.Add(NowMs() + held_ms, [this] {
+        held_ = false;
+        Begin();
+        if (reload_due_) Reload();
+        Serve();
+      });
+    } else {
+      Serve();
+    }
     Turn();
     AwaitSignal();
   }
 
  private:
+  void Begin() {
+    facade_.MachinesRemembered(NowMs(), machines_.Apply(known_, UnixAheadMs()));
+    pool_.Prune();
+    jobs_.Tick(NowMs());
+  }
+
+  // What an older process still serves is better left to it until this one goes by a list of now.
+  void Serve() { place_.HasElder() ? AwaitList(NowMs() + kListWaitMs) : Listen(); }
+
   void OpenDoor() {
     LookForLeftOut();
     ListenAt(door_, "operator", config_.door);
@@ -206,8 +228,23 @@
   }
 
   std::string Figures() {
-    return admin::WriteFigures(jobs_.stats(), {jobs_.held(), machines_.size(), left_out_.count(),
-                                               sighup_applied_, sighup_rejected_});
+    return admin::WriteFigures(
+        jobs_.stats(), {jobs_.held(), machines_.size(), left_out_.count(), sighup_applied_, sighup_rejected_,
+                        held_ ? "held" : admin::NameOf(state_.state), NowMs() - state_.at_ms});
+  }
+
+  void LookAtState() {
+    if (held_) return;
+    for (const cartspring::StateChange& change : facade_.StateChanges(NowMs(), state_.number)) {
+      const double was_ms = change.at_ms - state_.at_ms;
+      state_ = change;
+      log_.Write(events::kComebackState,
+                 {{"state", admin::NameOf(change.state)}, {"after_ms", static_cast<std::int64_t>(was_ms)}});
+      if (change.state == cartspring::ServiceState::kFull) starts_.Full();
+    }
+    if (forgotten_ || state_.state != cartspring::ServiceState::kFull) return;
+    forgotten_ = NowMs() >= state_.at_ms + static_cast<double>(Starts::kForgetMs);
+    if (forgotten_) starts_.Forget();
   }
 
   // What discovery told while this process stood still counts before anything else that came meanwhile, and
@@ -222,6 +259,7 @@
     Mind();
     wheel_.Turn(NowMs());  // claims that ran out of time are told before the module's own timers ring
     jobs_.Tick(NowMs());
+    LookAtState();
     log_.Turn();
     turn_.expires_after(std::chrono::microseconds(static_cast<int>(kTickMs * 1000)));
     turn_.async_wait([this](const boost::system::error_code& error) {
@@ -240,7 +278,7 @@
   void AwaitSignal() {
     signals_.async_wait([this](const boost::system::error_code& error, int signal) {
       if (error) return;
-      signal == SIGHUP ? Reload() : Stop();
+      signal != SIGHUP ? Stop() : held_ ? void(reload_due_ = true) : Reload();
       AwaitSignal();
     });
   }
@@ -279,6 +317,8 @@
   // held gets its answer. Where a successor listens already, new connections are its own.
   void Stop() {
     if (std::exchange(stopping_, true)) return;
+    starts_.Stopped();
+    if (held_) return io_.stop();
     if (listening_) LookAtPlace();  // an elder may have gone since the last look
     const bool followed = place_.HasSuccessor();
     log_.Write(events::kStopping, {{"held", jobs_.held()}, {"followed", followed}});
@@ -308,8 +348,13 @@
   admin::Door door_;
   LeftOut left_out_{kLeftOutMs};
   handover::Place place_;
+  StartsFile starts_;
   asio::steady_timer turn_;
   asio::signal_set signals_;
+  cartspring::StateChange state_;  // the last one told
+  bool forgotten_ = false;         // the starts before
+  bool held_ = false;              // it takes nothing on yet, for the starts before it
+  bool reload_due_ = false;        // once it does
   bool listening_ = false;
   bool beside_ = false;   // an older process still serves
   bool follows_ = false;  // and this one is the next
@@ -318,8 +363,9 @@
   std::uint64_t sighup_applied_ = 0, sighup_rejected_ = 0;
 };
 
-Sidecar::Sidecar(asio::io_context& io, Config config, MachineUpdate known, log::Log& log)
-    : impl_(std::make_unique<Impl>(io, std::move(config), std::move(known), log)) {}
+Sidecar::Sidecar(asio::io_context& io, Config config, MachineUpdate known, log::Log& log,
+                 const std::string& starts)
+    : impl_(std::make_unique<Impl>(io, std::move(config), std::move(known), log, starts)) {}
 Sidecar::~Sidecar() = default;
 void Sidecar::Start() { impl_->Start(); }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <string>
 
 #include "config/config.h"
 #include "core/machine_list.h"
@@ -20,8 +21,10 @@
 
 class Sidecar {
  public:
-  // Of a configuration that was verified, with its list. The context and the log have to outlive it.
-  Sidecar(boost::asio::io_context& io, Config config, MachineUpdate known, log::Log& log);
+  // Of a configuration that was verified, with its list. `starts`: the folder in which its starts are kept,
+  // empty for none. The context and the log have to outlive it.
+  Sidecar(boost::asio::io_context& io, Config config, MachineUpdate known, log::Log& log,
+          const std::string& starts);
   ~Sidecar();
 
   // Listens, and serves while the context runs, until a SIGTERM or SIGINT has been carried out, which stops
--- /dev/null
+++ b/tests/comeback/comeback_stories.cpp
@@ -0,0 +1,101 @@
+// The built program on its way to full service, as the door and the log tell it; and in a crash loop.
+#include <catch2/catch.hpp>
+
+#include "support/peers.h"
+
+namespace bitternmux::peers {
+namespace {
+
+std::string Call(int door, const std::string& path) {
+  Peer caller = Dial(door);
+  caller.Send("GET " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
+  return caller.Read();
+}
+
+std::string StateOf(Program& program) {
+  const std::string answer = Call(program.door(), "/admin/stats");
+  const auto figures = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n")));
+  CHECK(figures["state_ms"].get<int>() >= 0);
+  return figures["state"];
+}
+
+struct Folder {
+  Folder() {
+    std::string made = (std::filesystem::temp_directory_path() / "comeback-XXXXXX").string();
+    if (::mkdtemp(made.data()) == nullptr) throw std::runtime_error("no temporary folder");
+    path = made;
+    std::ofstream(path / "operator.toml") << "[comeback]\nfolder = '" << made << "'\n";
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::vector<std::string> Arguments() const { return {"--operator", (path / "operator.toml").string()}; }
+  std::filesystem::path path;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "from a list that is partly gone and a silent discovery to full, each state at the door and in the log") {
+  Listener discovery, node, gone;
+  const auto all = nlohmann::json::array({Machine("s-0", node.address()), Machine("s-1", gone.address())});
+  gone.Close();
+  auto config = ConfigOf(discovery.address(), 64, List(41, true, all));
+  config["operator"] = "127.0.0.1:0";
+  Program program(config);
+  Peer submitter = Dial(program.port()), watch = discovery.Accept(), carrier(-1);
+  watch.Read();  // and says nothing
+  bool dialed = false;
+  const auto ask = [&](const std::string& request) {
+    submitter.Send(request);
+    if (!std::exchange(dialed, true)) carrier = node.Accept();
+    carrier.Read();
+    carrier.Send(Served("ok"));
+    CHECK(submitter.Read().starts_with("HTTP/1.1 200 "));
+  };
+  for (int i = 0; i < 12; ++i) ask(i % 2 == 0 ? Get("early") : Post("early"));
+  CHECK(StateOf(program) == "remembering");
+  const std::string list =
+      List(42, true, nlohmann::json::array({Machine("s-0", node.address())})).dump() + "\n";
+  watch.Send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + list);
+  program.AwaitLog("comeback.state state=listed");
+  CHECK(StateOf(program) == "listed");
+  ask(Get("first"));
+  program.AwaitLog("comeback.state state=learning");
+  CHECK(StateOf(program) == "learning");
+  for (int i = 0; i < 8; ++i) ask(Post("later"));
+  const std::string log = program.AwaitLog("comeback.state state=full");
+  CHECK(StateOf(program) == "full");
+  std::size_t told = 0;
+  for (auto at = log.find("comeback.state"); at != log.npos; at = log.find("comeback.state", at + 1)) ++told;
+  CHECK(told == 4);
+}
+
+TEST_CASE("killed again and again before it is full, it holds back, says no, and ends at once when told to") {
+  Listener discovery;
+  const Folder folder;
+  auto config = ConfigOf(discovery.address(), 64, nullptr);
+  config["operator"] = "127.0.0.1:0";
+  for (int i = 0; i < 7; ++i) {
+    Program program(config, folder.Arguments());
+    program.door();
+    program.Kill();
+    program.Exit();
+  }
+  while (discovery.Waiting()) discovery.Accept();
+  {
+    Program held(config, folder.Arguments());
+    held.AwaitLog("comeback.held ms=8000 failed=7");
+    CHECK(Call(held.door(), "/admin/health").starts_with("HTTP/1.1 503 "));
+    CHECK(StateOf(held) == "held");
+    CHECK_FALSE(discovery.Waiting());
+    held.Terminate();
+    CHECK(held.Exit() == 0);
+    CHECK(held.AwaitLog("stopped").find(" serving ") == std::string::npos);
+  }
+  // What is torn counts as none, and is told.
+  std::ofstream(folder.path / "bitternmux-127.0.0.1-0.starts") << "bitternmux starts 1\n17960";
+  Program free(config, folder.Arguments());
+  free.port();
+  CHECK(free.AwaitLog("serving").find("comeback.starts why=\"torn, or not ours\"") != std::string::npos);
+}
+
+}  // namespace bitternmux::peers
--- a/tests/core/stats_test.cpp
+++ b/tests/core/stats_test.cpp
@@ -86,10 +86,10 @@
   stats.classes["space-hold"] = {3, 2, 1};
   stats.classes["rate-check"];
   CHECK(
-      admin::WriteFigures(stats, {4, 5, 6, 7, 8}) ==
+      admin::WriteFigures(stats, {4, 5, 6, 7, 8, "full", 9}) ==
       R"({"succeeded":{"rate-check":0,"space-hold":3},"declined":{"rate-check":0,"space-hold":2},)"
       R"("aborted":{"rate-check":0,"space-hold":1},"forwards":0,"outstanding":4,"discovered":5,"ejected":6,)"
-      "\"sighup_applied\":7,\"sighup_rejected\":8}\n");
+      "\"sighup_applied\":7,\"sighup_rejected\":8,\"state\":\"full\",\"state_ms\":9}\n");
 }
 
 }  // namespace bitternmux
