Do not call a process ready that was killed while it answered the lab's first question

Sidecars::AskUp (lab/stands/sidecars.cpp) took the answer to GET /up that a process wrote before its SIGKILL, since it counts as starting until it is reaped; `starts_killed` makes that likely, and the lab had been held up for 9 s by other work. A killed one is asked no more.

--- a/lab/stands/sidecars.cpp
+++ b/lab/stands/sidecars.cpp
@@ -214,7 +214,7 @@
   if (row.life != life || row.phase != Phase::kStarting) return;
   std::make_shared<UpCall>(stage_.io, [this, sidecar, life](bool up) {
     Row& asked = At(sidecar);
-    if (asked.life != life || asked.phase != Phase::kStarting) return;
+    if (asked.life != life || asked.phase != Phase::kStarting || asked.killed) return;
     if (!up)
       return stage_.pace.At(stage_.pace.NowMs() + kAskUpMs, [this, sidecar, life] { AskUp(sidecar, life); });
     asked.phase = Phase::kReady;
