Forget calls that were left while they waited for the lab's discovery

Discovery::NextMs (lab/model/discovery.cpp) gave 0 where the first call that waits had been left, and Pace took that for something due at 0. Virtual time hid it, as nothing is due before now there. Sidecars that are killed as they start leave such calls.

The change: Leave takes the call out of those that wait; what skipped such calls elsewhere is gone. The new test was not seen to fail; NextMs as it was gives 0 there by reading.

--- a/lab/model/discovery.cpp
+++ b/lab/model/discovery.cpp
@@ -42,8 +42,7 @@
 double Discovery::NextMs() const {
   double next = std::min(served_at_, NextPublish());
   if (!waiting_.empty()) {
-    const auto first = calls_.find(waiting_.front());
-    next = std::min(next, first == calls_.end() ? 0 : first->second.came + figures_.discovery.timeout_ms);
+    next = std::min(next, calls_.at(waiting_.front()).came + figures_.discovery.timeout_ms);
   }
   if (!tellings_.empty()) next = std::min(next, tellings_.begin()->first);
   if (!lines_.empty()) next = std::min(next, lines_.begin()->first);
@@ -55,11 +54,9 @@
   if (NextPublish() <= now) Publish(now, out);
   while (!waiting_.empty()) {
     const auto first = calls_.find(waiting_.front());
-    if (first != calls_.end() && first->second.came + figures_.discovery.timeout_ms > now) break;
-    if (first != calls_.end()) {
-      out.push_back({DiscoveryAction::What::kFail, first->first, {}, {}, 0});
-      Forget(first);
-    }
+    if (first->second.came + figures_.discovery.timeout_ms > now) break;
+    out.push_back({DiscoveryAction::What::kFail, first->first, {}, {}, 0});
+    Forget(first);
     waiting_.pop_front();
   }
   if (served_at_ <= now) {
@@ -132,6 +129,7 @@
   const auto found = calls_.find(call);
   if (found != calls_.end()) Forget(found);
   std::erase_if(closing_, [&](const auto& closing) { return closing.second == call; });
+  std::erase(waiting_, call);
   if (serving_ != call) return;
   serving_ = 0;
   served_at_ = kNever;
@@ -139,22 +137,14 @@
 }
 
 void Discovery::ServeNext(double now) {
-  while (!waiting_.empty()) {
-    const CallId call = waiting_.front();
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) {
-      waiting_.pop_front();
-      continue;
-    }
-    if (found->second.came + figures_.discovery.timeout_ms <= now) return;  // Advance fails it
-    waiting_.pop_front();
-    serving_ = call;
-    const std::size_t lines =
-        found->second.watch ? Since(found->second.since).entries.size() : Whole().entries.size();
-    served_at_ = now + 1000 * (figures_.discovery.call_lines + static_cast<double>(lines)) /
-                           figures_.discovery.lines_per_s;
-    return;
-  }
+  if (waiting_.empty()) return;
+  const Call& call = calls_.at(waiting_.front());
+  if (call.came + figures_.discovery.timeout_ms <= now) return;  // Advance fails it
+  serving_ = waiting_.front();
+  waiting_.pop_front();
+  const std::size_t lines = call.watch ? Since(call.since).entries.size() : Whole().entries.size();
+  served_at_ = now + 1000 * (figures_.discovery.call_lines + static_cast<double>(lines)) /
+                         figures_.discovery.lines_per_s;
 }
 
 void Discovery::Tell(double now, CallId id, DiscoveryActions& out) {
--- a/lab/model/discovery.h
+++ b/lab/model/discovery.h
@@ -120,8 +120,8 @@
   std::vector<Note> notes_;  // by the time at which they are known
   std::uint64_t notes_drawn_ = 0, spreads_drawn_ = 0;
   std::map<CallId, Call> calls_;  // at the present place
-  std::deque<CallId> waiting_;    // some have left
-  CallId serving_ = 0;            // 0: none
+  std::deque<CallId> waiting_;
+  CallId serving_ = 0;  // 0: none
   double served_at_ = kNever;
   std::set<std::pair<double, CallId>> tellings_;  // watches, and when they are to be told
   std::set<std::pair<double, CallId>> lines_;     // watches, and when an empty line is due
--- a/tests/lab/model/world_test.cpp
+++ b/tests/lab/model/world_test.cpp
@@ -137,6 +137,12 @@
   CHECK(listener.Count(DiscoveryAction::What::kFail) == 2);
   listener.discovery.Apply(10000, Step::What::kDiscoveryDown, listener.out);
   CHECK(listener.Count(DiscoveryAction::What::kEnd) == 0);  // all of them are over
+
+  // One that is left while it waits makes nothing due.
+  Listener left(figures);
+  for (CallId call = 1; call <= 3; ++call) left.discovery.Ask(100, call, false, 0);
+  left.discovery.Leave(200, 2);
+  CHECK(left.discovery.NextMs() > 200);
 }
 
 TEST_CASE("watches end when discovery goes down, and a moved one closes them later and counts anew") {
