--- a/lab/apps/report.cpp
+++ b/lab/apps/report.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 struct Arguments {
-  std::string of, out;
+  std::string of, out, calm;
 };
 
 int RunReport(const Arguments& arguments) {
@@ -22,8 +22,12 @@
   if (sweep && !arguments.out.empty()) {
     throw std::invalid_argument("--out: the report of a sweep goes into its own folder");
   }
+  if (sweep && !arguments.calm.empty()) {
+    throw std::invalid_argument("--calm: a sweep has played what its experiment asks for");
+  }
   const std::string folder = arguments.out.empty() ? arguments.of + ".report" : arguments.out;
-  std::cout << (sweep ? report::ReportSweep(arguments.of) : report::ReportRecord(arguments.of, folder))
+  std::cout << (sweep ? report::ReportSweep(arguments.of)
+                      : report::ReportRecord(arguments.of, folder, arguments.calm))
             << "\n";
   return 0;
 }
@@ -36,6 +40,10 @@
   command->add_option("OF", arguments->of, "The folder of a sweep, or the record of a run")->required();
   command->add_option("--out", arguments->out,
                       "The folder for the page of a record; RECORD.report if not given");
+  command->add_option(
+      "--calm", arguments->calm,
+      "The record of the same day without its troubles (run --calm, or --back): tells how soon "
+      "full service was there again");
   command->footer("Needs gnuplot. Exit code: 0 written, 2 it could not be.");
   command->callback([arguments, &code] { code = RunReport(*arguments); });
 }
--- a/lab/apps/run.cpp
+++ b/lab/apps/run.cpp
@@ -1,5 +1,6 @@
 // bitternmux-lab run SCENARIO: plays a day.
 #include <CLI/CLI.hpp>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -7,10 +8,10 @@
 #include <string>
 
 #include "lab/apps/commands.h"
+#include "lab/back/comeback.h"
 #include "lab/record/writer.h"
 #include "lab/scenario/scenario.h"
 #include "lab/stands/loopback.h"
-#include "lab/virtual/comeback.h"
 #include "lab/virtual/day.h"
 #include "lab/virtual/phases.h"
 #include "lab/virtual/recorder.h"
@@ -19,6 +20,7 @@
 namespace bitternmux::lab {
 namespace {
 
+constexpr const char* kCalmSuffix = ".calm";  // of the record of the run without troubles
 constexpr int kExitVoid = 1;
 constexpr int kExitInterrupted = 130;  // as a shell has it
 
@@ -27,7 +29,7 @@
   std::string mode = "virtual";
   std::optional<std::uint64_t> seed;
   std::string program;
-  bool phases = false, back = false;
+  bool phases = false, calm = false, back = false;
   std::string record, json;
 };
 
@@ -40,6 +42,24 @@
   if (!(out << text << "\n") || !out.flush()) throw std::runtime_error(file + ": cannot be written");
 }
 
+// A run's record, in a file.
+struct Kept {
+  Kept(const std::string& file, const model::Figures& figures, const record::Header& header)
+      : sink(file), writer(sink, header), recorder(figures, writer) {}
+  record::FileSink sink;
+  record::Writer writer;
+  Recorder recorder;
+};
+
+// What a record would say of how the fleet came back.
+struct Seen {
+  Seen(const model::Figures& figures, const record::Header& header)
+      : comeback(header, std::llround(figures.first_ms * 1000)), feed(comeback), recorder(figures, feed) {}
+  back::Comeback comeback;
+  back::Feed feed;
+  Recorder recorder;
+};
+
 Played Play(const Arguments& arguments, const model::Figures& figures,
             const std::vector<Observer*>& observers) {
   if (arguments.mode != "virtual") return PlayOnLoopback(figures, BesideThis(arguments.program), observers);
@@ -56,36 +76,36 @@
     std::cerr << error.what() << "\n";
     return kExitUnusable;
   }
-  const model::Figures figures = scenario->Draw(arguments.seed);
+  const model::Figures calm_figures = model::WithoutTroubles(scenario->Draw(arguments.seed));
+  const model::Figures figures = arguments.calm ? calm_figures : scenario->Draw(arguments.seed);
+  const record::Header header = HeaderOf(figures, arguments.mode, BITTERNMUX_LAB_VERSION, scenario->text());
   Summary summary(figures, arguments.mode);
   Phases phases(figures);
   std::vector<Observer*> observers = {&summary};
   if (arguments.phases) observers.push_back(&phases);
-  std::unique_ptr<record::FileSink> sink;
-  std::unique_ptr<record::Writer> writer;
-  std::unique_ptr<Recorder> recorder;
-  if (!arguments.record.empty()) {
-    sink = std::make_unique<record::FileSink>(arguments.record);
-    writer = std::make_unique<record::Writer>(
-        *sink, HeaderOf(figures, arguments.mode, BITTERNMUX_LAB_VERSION, scenario->text()));
-    recorder = std::make_unique<Recorder>(figures, *writer);
-    observers.push_back(recorder.get());
-  }
-  Comeback comeback(figures);
-  if (arguments.back) observers.push_back(&comeback);
+  std::optional<Kept> kept, calm_kept;
+  if (!arguments.record.empty())
+    observers.push_back(&kept.emplace(arguments.record, figures, header).recorder);
+  Seen seen(figures, header), calm(calm_figures, header);
+  if (arguments.back) observers.push_back(&seen.recorder);
   Played played = Play(arguments, figures, observers);
-  const model::Figures calm_figures = WithoutTroubles(figures);
-  Comeback calm(calm_figures);
-  if (arguments.back && played.void_reason.empty()) played = Play(arguments, calm_figures, {&calm});
-  const bool told = arguments.back && played.void_reason.empty();  // half a pair tells nothing
+  if (arguments.back && played.void_reason.empty()) {
+    std::vector<Observer*> beside = {&calm.recorder};
+    if (kept && arguments.record != "-") {
+      beside.push_back(&calm_kept.emplace(arguments.record + kCalmSuffix, calm_figures, header).recorder);
+    }
+    played = Play(arguments, calm_figures, beside);
+  }
+  nlohmann::ordered_json told;  // null: half a pair tells nothing
+  if (arguments.back && played.void_reason.empty()) told = seen.comeback.ToJson(&calm.comeback);
   if (arguments.json != "-" && arguments.record != "-") {
     std::cout << summary.Text();
     if (arguments.phases) std::cout << phases.Text();
-    if (told) std::cout << comeback.Text(calm);
+    if (!told.is_null()) std::cout << back::TextOf(told);
   }
   if (!arguments.json.empty()) {
     auto json = summary.ToJson();
-    if (told) json["comeback"] = comeback.ToJson(calm);
+    if (!told.is_null()) json["back"] = told;
     WriteJson(arguments.json, json.dump(1));
   }
   if (played.void_reason.empty()) return 0;
@@ -110,10 +130,12 @@
                       "loopback: the built bitternmux; else the one beside this program");
   command->add_flag("--phases", arguments->phases,
                     "Prints what the clients got before, during and after the troubles");
-  command->add_flag(
-      "--back", arguments->back,
-      "Plays the day also without its troubles, and prints how soon full service was there again "
-      "and what came at once");
+  auto* calm = command->add_flag("--calm", arguments->calm, "Plays the day without its troubles");
+  command
+      ->add_flag("--back", arguments->back,
+                 "Plays the day also without its troubles, and prints how soon full service was there again "
+                 "and what came at once; the record of that run is FILE.calm")
+      ->excludes(calm);
   command->add_option("--record", arguments->record,
                       "Writes all that passed to this file; - is standard output");
   command->add_option("--json", arguments->json, "Writes the summary to this file; - is standard output");
--- a/lab/model/figures.h
+++ b/lab/model/figures.h
@@ -228,6 +228,7 @@
   std::vector<int> machines;
   std::vector<int> sidecars;
   std::string detail;
+  bool of_load = false;  // arrivals alone, and nothing that goes wrong
 };
 
 // ---- Rules and bounds ----
@@ -283,6 +284,9 @@
   std::vector<SettingFigure> settings;
 };
 
+// The same day, and nothing goes wrong in it. Load that rises and falls stays as it is.
+Figures WithoutTroubles(Figures figures);
+
 }  // namespace bitternmux::lab::model
 
 #endif  // BITTERNMUX_LAB_MODEL_FIGURES_H_
--- a/lab/record/reader.cpp
+++ b/lab/record/reader.cpp
@@ -46,9 +46,9 @@
   if (!Have(1)) Fail("empty");
   const Entry& entry = Parse();
   if (!entry.has_header()) Fail("the first entry is not a header");
-  if (entry.header().format() != kFormat) {
+  if (entry.header().format() < kOldestFormat || entry.header().format() > kFormat) {
     Fail("format " + std::to_string(entry.header().format()) + ", and this version reads " +
-         std::to_string(kFormat));
+         std::to_string(kOldestFormat) + " to " + std::to_string(kFormat));
   }
   if (!entry.header().has_rules()) Fail("the header has no rules");
   header_ = entry.header();
--- a/lab/record/writer.h
+++ b/lab/record/writer.h
@@ -20,8 +20,9 @@
 
 namespace bitternmux::lab::record {
 
-// The format that is written, and the only one that is read.
-constexpr std::uint32_t kFormat = 1;
+// The format that is written, and the oldest that is read: 1 knows nothing of dials that failed.
+constexpr std::uint32_t kFormat = 2;
+constexpr std::uint32_t kOldestFormat = 1;
 
 // Where a record's bytes go. Throws std::system_error if they cannot be taken.
 class Sink {
@@ -60,18 +61,12 @@
   std::string bytes_;
 };
 
-class Writer {
+// Where a run's entries go.
+class Entries {
  public:
-  // Writes the header as the first entry, at time 0, with `format` set. The sink must outlive the writer.
-  Writer(Sink& sink, const Header& header);
-  // What was not closed stays without a trailer, and no reader takes it for whole.
-  ~Writer();
-  Writer(const Writer&) = delete;
-  Writer& operator=(const Writer&) = delete;
+  virtual ~Entries() = default;
 
-  // Writes what `fill(Entry&)` puts into an empty entry, with its number and time set. Times are microseconds
-  // since the run began. Throws std::logic_error for a time before the last entry's, for an entry without
-  // content and after Close: these are faults of whoever records, and the record would not be taken.
+  // Takes what `fill(Entry&)` puts into an empty entry, with its time set: microseconds since the run began.
   template <class Fill>
   void Put(std::int64_t at_us, Fill&& fill) {
     Entry& entry = Begin(at_us);
@@ -80,18 +75,39 @@
   }
 
   // From here on nothing may be concluded from the run; the first reason is kept.
-  void Void(std::string reason);
+  virtual void Void(std::string reason) = 0;
+  // Nothing may be put after it.
+  virtual void Close() = 0;
+
+ private:
+  virtual Entry& Begin(std::int64_t at_us) = 0;
+  virtual void End(const Entry& entry) = 0;
+};
+
+// Put sets the entry's number too. It throws std::logic_error for a time before the last entry's, for an
+// entry without content and after Close: these are faults of whoever records, and the record would not be
+// taken.
+class Writer : public Entries {
+ public:
+  // Writes the header as the first entry, at time 0, with `format` set. The sink must outlive the writer.
+  Writer(Sink& sink, const Header& header);
+  // What was not closed stays without a trailer, and no reader takes it for whole.
+  ~Writer() override;
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  void Void(std::string reason) override;
   bool is_void() const { return void_; }
 
-  // Writes the trailer, and closes the sink. Nothing may be put after it.
-  void Close();
+  // Writes the trailer, and closes the sink.
+  void Close() override;
 
   std::uint64_t entries() const { return next_seq_; }
   std::int64_t last_us() const { return last_us_; }
 
  private:
-  Entry& Begin(std::int64_t at_us);
-  void End(const Entry& entry);
+  Entry& Begin(std::int64_t at_us) override;
+  void End(const Entry& entry) override;
   void Flush();
 
   Sink& sink_;
--- a/lab/report/analysis.cpp
+++ b/lab/report/analysis.cpp
@@ -5,11 +5,13 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "lab/back/comeback.h"
 #include "lab/rules/checker.h"
 #include "lab/scenario/scenario.h"
 
@@ -117,20 +119,61 @@
   double worked_s = 0;
 };
 
+// A record that was not made from a scenario of this version has no goal, and its time is its own.
+std::optional<model::Figures> FiguresOf(const record::Header& header) {
+  try {
+    return scenario::Scenario(header.scenario_text(), "scenario").Draw(header.seed());
+  } catch (const scenario::ScenarioError&) {
+    return std::nullopt;
+  }
+}
+
+std::int64_t FirstUs(const std::optional<model::Figures>& figures) {
+  return figures ? std::llround(figures->first_ms * 1000) : 0;
+}
+
+// The single numbers of how the fleet came back.
+void AddBack(const ordered_json& back, ordered_json& figures) {
+  for (const Measure& measure : kMeasures) {
+    if (measure.of_back) figures[measure.name] = nullptr;
+  }
+  if (back.contains("full_service")) {
+    std::size_t never = 0;
+    for (const ordered_json& one : back["full_service"]) {
+      if (one["looked_s"] == 0) continue;
+      const bool is_never = one["after_s"].is_null();
+      const double after = one[is_never ? "looked_s" : "after_s"].get<double>();
+      never += is_never;
+      ordered_json& longest = figures["full_service_s"];
+      if (longest.is_null() || longest.get<double>() < after) longest = Number(after);
+    }
+    figures["never_full"] = never;
+  }
+  for (const auto& [name, peak] : back["peaks"].items()) {
+    if (!peak.is_null()) figures["most_" + name] = peak["count"];
+  }
+  const ordered_json& starts = back["starts"];
+  figures["first_answer_ms"] = starts["first_answer_ms"]["p50"];
+  figures["first_binding_answer_ms"] = starts["first_binding_answer_ms"]["p50"];
+  if (!starts.contains("full_ms")) return;
+  figures["full_ms"] = starts["full_ms"]["p50"];
+  figures["full_most_ms"] = starts["full_ms"]["most"];
+  figures["instances_never_full"] = starts["full_ms"]["never"];
+}
+
 class Analysis {
  public:
-  explicit Analysis(const record::Header& header) : header_(header), checker_(header) {
-    length_us_ = static_cast<std::int64_t>(header.length_us());
-    try {
-      figures_ = scenario::Scenario(header.scenario_text(), "scenario").Draw(header.seed());
-      first_us_ = std::llround(figures_->first_ms * 1000);
-    } catch (const scenario::ScenarioError&) {
-      // A record that was not made from a scenario of this version has no goal, and its time is its own.
-    }
-  }
+  explicit Analysis(const record::Header& header)
+      : header_(header),
+        checker_(header),
+        figures_(FiguresOf(header)),
+        first_us_(FirstUs(figures_)),
+        length_us_(static_cast<std::int64_t>(header.length_us())),
+        back_(header, first_us_) {}
 
   void Take(const Entry& entry);
-  ordered_json Result(const record::Trailer& trailer);
+  // `calm` may be null.
+  ordered_json Result(const record::Trailer& trailer, const back::Comeback* calm);
 
  private:
   struct Try {
@@ -183,6 +226,7 @@
   rules::Checker checker_;
   std::optional<model::Figures> figures_;
   std::int64_t first_us_ = 0, length_us_ = 0;
+  back::Comeback back_;
   std::uint64_t entries_ = 1;
   std::vector<Wish> wishes_;
   std::unordered_map<std::uint64_t, Try> tries_;  // looked up only
@@ -225,6 +269,7 @@
 
 void Analysis::Take(const Entry& entry) {
   checker_.Take(entry);  // throws for what contradicts itself, so that the numbers below are known ones
+  back_.Take(entry);
   ++entries_;
   const std::int64_t at = entry.at_us();
   Level(at);
@@ -522,7 +567,7 @@
   return out;
 }
 
-ordered_json Analysis::Result(const record::Trailer& trailer) {
+ordered_json Analysis::Result(const record::Trailer& trailer, const back::Comeback* calm) {
   checker_.Finish();
   std::size_t length = Second(std::max<std::int64_t>(length_us_ - 1, first_us_)) + 1;
   for (const Wish& wish : wishes_) length = std::max(length, wish.second + 1);
@@ -595,6 +640,8 @@
                     {"claims", Number(claims_sent_.Sum() / wishes)},
                     {"dials", Number(dials_.Sum() / wishes)},
                     {"breaches", checker_.found()}};
+  out["back"] = back_.ToJson(calm);
+  AddBack(out["back"], out["figures"]);
   out["worst_window"] = {{"from_s", worst_from}, {"seconds", window}};
   if (!classes.empty()) out["worst_class"] = header_.classes(static_cast<int>(worst_class)).name();
   out["asked"] = Number(all.asked);
@@ -618,6 +665,7 @@
     out["classes"].push_back(one);
   }
   out["seconds"] = SecondsJson(length);
+  out["seconds"].update(back_.Columns(length, calm));
   out["machines"] = MachinesJson(length);
   out["blame"] = Blame(length);
   out["troubles"] = ordered_json::array();
@@ -650,12 +698,18 @@
 
 }  // namespace
 
-ordered_json Analyse(record::Source& source) {
+ordered_json Analyse(record::Source& source, record::Source* calm) {
   record::Reader reader(source);
   try {
     Analysis analysis(reader.header());
     while (const Entry* entry = reader.Next()) analysis.Take(*entry);
-    return analysis.Result(reader.trailer());
+    if (calm == nullptr) return analysis.Result(reader.trailer(), nullptr);
+    record::Reader calm_reader(*calm);
+    back::Comeback beside(calm_reader.header(), FirstUs(FiguresOf(calm_reader.header())));
+    while (const Entry* entry = calm_reader.Next()) beside.Take(*entry);
+    return analysis.Result(reader.trailer(), &beside);
+  } catch (const std::invalid_argument& fault) {
+    throw record::ReadError(0, fault.what());
   } catch (const rules::Untrusted& fault) {
     throw record::ReadError(reader.offset(), fault.what());
   }
--- a/lab/report/experiment.cpp
+++ b/lab/report/experiment.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <system_error>
 
+#include "lab/report/analysis.h"
 #include "lab/report/files.h"
 #include "lab/scenario/overrides.h"
 #include "lab/scenario/reader.h"
@@ -85,6 +86,7 @@
     const int count = Exact(reader_, table_, "seeds", 1, {1, 10'000});
     for (int i = 0; i < count; ++i) out_.seeds.push_back(static_cast<std::uint64_t>(first + i));
     out_.keep = static_cast<Keep>(reader_.Word("keep_records", {"none", "breaches", "all"}, 1));
+    back_ = reader_.Flag("back", false);
     const std::vector<std::string> files = reader_.Texts("scenarios", {});
     if (!reader_.Has("scenarios")) reader_.Fault("scenarios", "must be there");
     Settings();
@@ -171,8 +173,12 @@
       }
       out_.scenarios.push_back(scenario.name());
     }
+    const auto troubles = scenario.Draw().troubles;
+    const bool back =
+        back_ && !std::all_of(troubles.begin(), troubles.end(),
+                              [](const model::TroubleFigures& trouble) { return trouble.of_load; });
     out_.variants.push_back(
-        {scenario.name(), out_.settings[setting], scenario.text(), DigestOf(scenario.text())});
+        {scenario.name(), out_.settings[setting], scenario.text(), DigestOf(scenario.text()), back});
   }
 
   const std::string file_;
@@ -183,6 +189,7 @@
   Faults faults_;
   Reader reader_;
   Experiment out_;
+  bool back_ = false;
 };
 
 }  // namespace
@@ -201,6 +208,8 @@
           {"build", build->name},
           {"seed", seed},
           {"mode", build->loopback ? "loopback" : "virtual"},
+          {"back", variant->back},
+          {"format", kResultFormat},
           {"scenario_digest", variant->digest},
           {"build_digest", build->digest}};
 }
--- a/lab/report/experiment.h
+++ b/lab/report/experiment.h
@@ -23,6 +23,7 @@
   std::string scenario, setting;
   std::string text;    // TOML
   std::string digest;  // of the text
+  bool back = false;   // is played without its troubles too, to tell how the fleet comes back
 };
 
 struct Build {
--- a/lab/report/panels.cpp
+++ b/lab/report/panels.cpp
@@ -65,6 +65,22 @@
     Columns("service", "Service",
             "Share of the worth asked for in each second that was served, and served in time.",
             {{"worth", "served"}, {"worth_in_time", "in time"}}, "set yrange [0:1.05]\n", "lines");
+    if (seconds_.contains("worth_calm")) {
+      Columns(
+          "back", "Coming back",
+          "Share of the worth asked for in each second that was served, and that the same day serves without "
+          "its troubles.",
+          {{"worth", "served"}, {"worth_calm", "without troubles"}}, "set yrange [0:1.05]\n", "lines");
+    }
+    Columns("stampede", "At once, 1/s",
+            "Dials, those that came to nothing, those of the server that got the most, first contacts of a "
+            "sidecar's process with a server, and calls for the list; logarithmic.",
+            {{"dials", "dials"},
+             {"failed_dials", "failed"},
+             {"dials_of_one_server", "of one server"},
+             {"first_contacts", "first contacts"},
+             {"list_calls", "list calls"}},
+            "", "linespoints");
     Columns("latency", "Latency, ms", "Of what was served, by the second in which it was due; logarithmic.",
             {{"p50_ms", "p50"}, {"p90_ms", "p90"}, {"p99_ms", "p99"}}, "", "lines");
     Columns("outcomes", "Not served in time",
--- a/lab/report/report.cpp
+++ b/lab/report/report.cpp
@@ -110,6 +110,39 @@
   page.Rows({"trouble", "from, s", "until, s", "on", "detail"}, rows, "What the script did.");
 }
 
+void AddBack(Page& page, const ordered_json& result) {
+  const ordered_json& back = result.at("back");
+  Cells rows;
+  for (const ordered_json& one : back.value("full_service", ordered_json::array())) {
+    if (rows.size() == kMostListed) break;
+    const ordered_json &after = one.at("after_s"), &looked = one.at("looked_s");
+    rows.push_back({one.at("trouble"), Shown(one.at("from_s")),
+                    looked == 0       ? "not told"
+                    : after.is_null() ? "never"
+                                      : Shown(after),
+                    Shown(looked), one.at("before").is_null() ? "-" : Shown(one.at("before"))});
+  }
+  page.Rows({"trouble", "from, s", "full service after, s", "looked at, s", "up to"}, rows,
+            "Coming back: a second has full service if the five from it on serve 0.95 of what the same day "
+            "serves in them without its troubles.");
+  rows.clear();
+  for (const auto& [name, peak] : back.at("peaks").items()) {
+    if (!peak.is_null()) rows.push_back({name, Shown(peak.at("count")), Shown(peak.at("second"))});
+  }
+  page.Rows({"most in a second", "count", "at, s"}, rows, "From the first trouble on.");
+  const ordered_json& starts = back.at("starts");
+  if (starts.at("count") == 0) return;
+  rows.clear();
+  for (const char* name : {"first_answer_ms", "first_binding_answer_ms", "full_ms"}) {
+    if (!starts.contains(name)) continue;
+    const ordered_json& times = starts.at(name);
+    rows.push_back({name, Shown(times.at("p50")), Shown(times.at("most")), Shown(times.at("never")),
+                    Shown(times.value("untold", ordered_json()))});
+  }
+  page.Rows({"from the start of a process", "half within", "the slowest", "never", "too few wishes to tell"},
+            rows, "Sidecars that started after the first arrival: " + Shown(starts.at("count")) + ".");
+}
+
 // All that there is to say about one run.
 void AddDay(Page& page, const ordered_json& result, const std::string& prefix) {
   if (result.contains("void")) {
@@ -117,6 +150,7 @@
   }
   std::vector<std::string> head, row;
   for (const Measure& measure : kMeasures) {
+    if (measure.of_back) continue;
     head.emplace_back(measure.title);
     row.push_back(Shown(result.at("figures").at(measure.name)));
   }
@@ -138,6 +172,7 @@
   }
   AddBlame(page, result);
   AddTroubles(page, result);
+  AddBack(page, result);
   for (Figure& figure : PanelsOf(result, prefix)) page.Plot(std::move(figure));
 }
 
@@ -486,9 +521,11 @@
 
 }  // namespace
 
-std::string ReportRecord(const std::string& record, const std::string& folder) {
+std::string ReportRecord(const std::string& record, const std::string& folder, const std::string& calm) {
   record::FileSource source(record);
-  const ordered_json result = Analyse(source);
+  std::optional<record::FileSource> calm_source;
+  if (!calm.empty()) calm_source.emplace(calm);
+  const ordered_json result = Analyse(source, calm_source ? &*calm_source : nullptr);
   fs::create_directories(folder);
   WriteFile((fs::path(folder) / "result.json").string(), result.dump(1) + "\n");
   Page page(Shown(result.at("scenario")) + ", seed " + Shown(result.at("seed")));
--- a/lab/report/sweep.cpp
+++ b/lab/report/sweep.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <mutex>
+#include <optional>
 #include <stdexcept>
 #include <system_error>
 #include <thread>
@@ -180,7 +181,37 @@
   // The result, which has been written; or empty, and why.
   ordered_json Played(const Run& run, std::string& why) {
     const std::string partial = (folder_ / "partial" / run.Name()).string();
-    const std::string record = partial + ".record", output = partial + ".out";
+    const std::string record = partial + ".record", output = partial + ".out", calm = partial + ".calm";
+    if (!Recorded(run, record, output, {}, why)) return {};
+    record::FileSource source(record);
+    std::optional<record::FileSource> calm_source;
+    // A run that is void has no pair.
+    if (run.variant->back && !IsVoid(record)) {
+      if (!Recorded(run, calm, output, {"--calm"}, why)) return {};
+      if (!IsVoid(calm)) calm_source.emplace(calm);
+    }
+    ordered_json result = Analyse(source, calm_source ? &*calm_source : nullptr);
+    if (run.variant->back && !calm_source && !result.contains("void")) {
+      result["void"] = "the run without its troubles is void";
+    }
+    const bool broken = result["figures"]["breaches"].get<std::uint64_t>() > 0;
+    const std::string kept = (folder_ / "runs" / (run.Name() + ".record")).string();
+    if (experiment_.keep == Keep::kAll || (experiment_.keep == Keep::kBreaches && broken)) {
+      fs::rename(record, kept);
+    } else {
+      fs::remove(record);
+      fs::remove(kept);  // of another run of this name
+    }
+    fs::remove(calm);
+    fs::remove(output);
+    // Last: with it, the run is done.
+    WriteFile(ResultFile(run), ordered_json{{"run", run.Identity()}, {"result", result}}.dump(1) + "\n");
+    return result;
+  }
+
+  // Plays it, with its record in that file. False, and why, if there is none; a run that is void has one.
+  bool Recorded(const Run& run, const std::string& record, const std::string& output,
+                const std::vector<std::string>& more, std::string& why) {
     std::vector<std::string> arguments = {
         run.build->loopback || run.build->path.empty() ? options_.program : run.build->path, "run",
         ScenarioFile(*run.variant)};
@@ -188,6 +219,7 @@
       arguments.insert(arguments.end(), {"--mode", "loopback", "--program", run.build->path});
     }
     arguments.insert(arguments.end(), {"--seed", std::to_string(run.seed), "--record", record});
+    arguments.insert(arguments.end(), more.begin(), more.end());
     const int status = children_.Run(arguments, output);
     if (status != 0) {
       why = WIFEXITED(status) ? "exit " + std::to_string(WEXITSTATUS(status))
@@ -195,24 +227,11 @@
       // Some builds may end so for a run that is void, which its record then says.
       if (!WIFEXITED(status) || !IsVoid(record)) {
         why += ": " + LastLine(output);
-        return {};
+        return false;
       }
       why.clear();
     }
-    record::FileSource source(record);
-    ordered_json result = Analyse(source);
-    const bool broken = result["figures"]["breaches"].get<std::uint64_t>() > 0;
-    const std::string kept = (folder_ / "runs" / (run.Name() + ".record")).string();
-    if (experiment_.keep == Keep::kAll || (experiment_.keep == Keep::kBreaches && broken)) {
-      fs::rename(record, kept);
-    } else {
-      fs::remove(record);
-      fs::remove(kept);  // of another run of this name
-    }
-    fs::remove(output);
-    // Last: with it, the run is done.
-    WriteFile(ResultFile(run), ordered_json{{"run", run.Identity()}, {"result", result}}.dump(1) + "\n");
-    return result;
+    return true;
   }
 
   static bool IsVoid(const std::string& file) {
--- a/lab/report/sweep.h
+++ b/lab/report/sweep.h
@@ -3,6 +3,8 @@
 //
 // In the folder: experiment.json (what is played, in its order), scenarios/ (each as it is run), runs/ (a
 // result for each run, written whole or not at all, and records that are kept) and partial/ (what runs now).
+// Where the experiment asks how the fleet comes back, each run is followed by the same one without its
+// troubles, by the same build, and its result is made of both records; the calm one is not kept.
 // A run that has its result is not played again; a changed scenario or build makes it another run. So a sweep
 // that was stopped, at whatever moment, goes on where it was.
 #ifndef BITTERNMUX_LAB_REPORT_SWEEP_H_
--- a/lab/rules/checker.cpp
+++ b/lab/rules/checker.cpp
@@ -78,6 +78,8 @@
       return machines_.Known(entry.probed().machine());
     case Entry::kConnection:
       return machines_.Connection(now_us_, entry.connection());
+    case Entry::kDialFailed:
+      return sidecars_.Known(entry.dial_failed().sidecar());
     case Entry::kMachineChanged:
       return machines_.Changed(now_us_, entry.machine_changed());
     case Entry::kTold:
--- a/lab/scenario/troubles.cpp
+++ b/lab/scenario/troubles.cpp
@@ -132,7 +132,8 @@
     steps_.push_back({at, What::kTroubleBegins, static_cast<int>(index)});
     ReadKind(table, kind, frame);
     steps_.push_back({frame.until, What::kTroubleEnds, static_cast<int>(index)});
-    figures_.troubles[index] = {name, frame.from, frame.until, frame.servers, frame.sidecars, frame.detail};
+    figures_.troubles[index] = {name,           frame.from,   frame.until,         frame.servers,
+                                frame.sidecars, frame.detail, kind == Kind::kBurst};
     for (Reader& then : table.Tables("then")) {
       if (depth >= kDeepest) {
         then.Fault("", "chains go too deep");
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -309,6 +309,7 @@
   }
   const bool taken = fleet_.Connect(NowMs(), machine, id, fleet_actions_);
   if (taken) found->second.machine = machine;
+  found->second.turned_away = !taken;
   Tell(&Observer::Connection, ConnectionChange{sidecar, machine, true, false, !taken});
   CarryFleet();
   taken ? Row(sidecar).process->Dialed(id) : Row(sidecar).process->DialFailed(id);
@@ -348,7 +349,10 @@
   if (found == links_.end()) return;
   Link link = found->second;
   links_.erase(found);
-  if (link.machine < 0) return;
+  if (link.machine < 0) {
+    if (!link.turned_away) Tell(&Observer::DialFailed, link.sidecar);
+    return;
+  }
   if (!link.node_closed) {
     Tell(&Observer::Connection, ConnectionChange{link.sidecar, link.machine, false, false, false});
   }
--- a/lab/virtual/day.h
+++ b/lab/virtual/day.h
@@ -117,6 +117,7 @@
     double there = 0;  // when the last message each way arrives
     double back = 0;
     std::uint64_t messages = 0;
+    bool turned_away = false;  // it came up, and the node would not have it
     bool node_closed = false;  // the node has ended it, which the sidecar may not have heard yet
   };
   struct TryRow {
--- a/lab/virtual/observer.h
+++ b/lab/virtual/observer.h
@@ -58,6 +58,9 @@
   virtual void Effect(std::int64_t, std::uint64_t /*claim*/) {}
   virtual void Probed(std::int64_t, int /*sidecar*/, int /*machine*/) {}
   virtual void Connection(std::int64_t, const ConnectionChange&) {}
+  // A dial came to nothing: refused, given up, or its process ended before. Virtual runs only: on sockets it
+  // shows nowhere outside the sidecar.
+  virtual void DialFailed(std::int64_t, int /*sidecar*/) {}
   virtual void MachineChanged(std::int64_t, int /*machine*/, model::MachineState, double /*started_ms*/) {}
   virtual void Warmed(std::int64_t, int /*machine*/, double /*share*/) {}
   virtual void Listed(std::int64_t, const model::ListEntry&, std::int64_t /*revision*/) {}
--- a/lab/virtual/recorder.cpp
+++ b/lab/virtual/recorder.cpp
@@ -147,6 +147,12 @@
   });
 }
 
+void Recorder::DialFailed(std::int64_t at, int sidecar) {
+  writer_.Put(at, [&](record::Entry& entry) {
+    entry.mutable_dial_failed()->set_sidecar(static_cast<std::uint32_t>(sidecar));
+  });
+}
+
 void Recorder::MachineChanged(std::int64_t at, int machine, model::MachineState state, double started_ms) {
   const model::MachineFigures& figures = figures_.machines[static_cast<std::size_t>(machine)];
   writer_.Put(at, [&](record::Entry& entry) {
@@ -245,6 +251,7 @@
     out.set_name(figures.name);
     out.set_begins(begins);
     out.set_detail(figures.detail);
+    out.set_of_load(figures.of_load);
     for (const int machine : figures.machines) out.add_machines(static_cast<std::uint32_t>(machine));
     for (const int sidecar : figures.sidecars) out.add_on_sidecars(static_cast<std::uint32_t>(sidecar));
   });
--- a/lab/virtual/recorder.h
+++ b/lab/virtual/recorder.h
@@ -1,4 +1,4 @@
-// Writes a run's record, of either mode.
+// Makes the entries of a run's record, of either mode.
 #ifndef BITTERNMUX_LAB_VIRTUAL_RECORDER_H_
 #define BITTERNMUX_LAB_VIRTUAL_RECORDER_H_
 
@@ -16,8 +16,8 @@
 
 class Recorder : public Observer {
  public:
-  // Both must outlive it. The writer is closed when the run is over.
-  Recorder(const model::Figures& figures, record::Writer& writer) : figures_(figures), writer_(writer) {}
+  // Both must outlive it. `to` is closed when the run is over.
+  Recorder(const model::Figures& figures, record::Entries& to) : figures_(figures), writer_(to) {}
 
   void TrySent(std::int64_t at, const model::Try& attempt) override;
   void TryEnded(std::int64_t at, const model::Try& attempt, const TryOutcome& outcome) override;
@@ -27,6 +27,7 @@
   void Effect(std::int64_t at, std::uint64_t claim) override;
   void Probed(std::int64_t at, int sidecar, int machine) override;
   void Connection(std::int64_t at, const ConnectionChange& change) override;
+  void DialFailed(std::int64_t at, int sidecar) override;
   void MachineChanged(std::int64_t at, int machine, model::MachineState state, double started_ms) override;
   void Warmed(std::int64_t at, int machine, double share) override;
   void Listed(std::int64_t at, const model::ListEntry& entry, std::int64_t revision) override;
@@ -43,7 +44,7 @@
 
  private:
   const model::Figures& figures_;
-  record::Writer& writer_;
+  record::Entries& writer_;
 };
 
 }  // namespace bitternmux::lab
--- a/tests/lab/record/record_test.cpp
+++ b/tests/lab/record/record_test.cpp
@@ -127,7 +127,7 @@
   Entry first;
   *first.mutable_header() = SomeHeader();
   first.mutable_header()->set_format(kFormat + 1);
-  CHECK(Fault(delimited(first)) == "byte 0: format 2, and this version reads 1");
+  CHECK(Fault(delimited(first)) == "byte 0: format 3, and this version reads 1 to 2");
   first.mutable_header()->set_format(kFormat);
   first.mutable_header()->clear_rules();
   CHECK(Fault(delimited(first)) == "byte 0: the header has no rules");
--- a/tests/lab/report/report_test.cpp
+++ b/tests/lab/report/report_test.cpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <regex>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -328,3 +329,27 @@
   CHECK((*worth)["difference_mean"].get<double>() == Approx(difference / 3));
   CHECK(folder.Read("out/report.html").find("sign test p") != std::string::npos);
 }
+
+TEST_CASE("a record and that of the calm day tell the way back as the run does, and a sweep plays the pair") {
+  const Folder folder;
+  const std::string day =
+      folder.Write("short.toml", std::regex_replace(kDay, std::regex("length_s = \\d+"), "length_s = 12"));
+  const std::string at = (folder.path / "day").string();
+  REQUIRE(Lab("run " + day + " --back --record " + at + ".record --json " + at + ".json").first == 0);
+  REQUIRE(Lab("report " + at + ".record --calm " + at + ".record.calm").first == 0);
+  const auto run = ordered_json::parse(folder.Read("day.json"))["back"];
+  CHECK(ordered_json::parse(folder.Read("day.record.report/result.json"))["back"] == run);
+  CHECK(fs::exists(folder.path / "day.record.report/figures/day-back.csv"));
+  REQUIRE(Lab("run " + day + " --seed 99 --record " + at + ".other").first == 0);
+  CHECK(Lab("report " + at + ".record --calm " + at + ".other").first == 2);  // of another day
+
+  const std::string out = (folder.path / "out").string();
+  CHECK(Lab("sweep " + folder.Write("experiment.toml", "back = true\n" + kExperiment) + " --out " + out)
+            .first == 0);
+  CHECK(Lab("report " + out).first == 0);
+  const auto comparisons = ordered_json::parse(folder.Read("out/comparisons.json"));
+  const auto full = std::find_if(comparisons.begin(), comparisons.end(),
+                                 [](const ordered_json& one) { return one["measure"] == "full_service_s"; });
+  REQUIRE(full != comparisons.end());
+  CHECK((*full)["pairs"] == 3);
+}
