Look at each wish once for an instance's time to full

The sum over a window was made anew from each wish on: a busy sidecar that stays short of full would have cost the square of its wishes. Back::Comeback::TimeToFull now moves both ends of one window.

--- a/lab/back/comeback.cpp
+++ b/lab/back/comeback.cpp
@@ -237,9 +237,9 @@
                            }),
             own.end());
   bool told = false;
+  double earned = 0, there = 0;
+  std::size_t at = 0;  // the window is [from, at)
   for (std::size_t from = 0; from < own.size(); ++from) {
-    double earned = 0, there = 0;
-    std::size_t at = from;
     while (at < own.size() &&
            (at - from < kAheadWishes ||
             own[at].due_us - own[from].due_us < static_cast<std::int64_t>(kAheadS) * kSecondUs)) {
@@ -247,11 +247,14 @@
       there += calm_earned[own[at].due_us];
       ++at;
     }
-    if (at == own.size()) break;
+    if (at == own.size()) break;  // it may not be over
     told = true;
-    if (earned < kFullShareOfOne * there) continue;
-    ms = from == 0 ? 0 : static_cast<double>(own[from - 1].due_us - life.started_us) / 1000;
-    break;
+    if (earned >= kFullShareOfOne * there) {
+      ms = from == 0 ? 0 : static_cast<double>(own[from - 1].due_us - life.started_us) / 1000;
+      break;
+    }
+    earned -= own[from].earned;
+    there -= calm_earned[own[from].due_us];
   }
   return told;
 }
