--- a/tests/lab/rules/trust_test.cpp
+++ b/tests/lab/rules/trust_test.cpp
@@ -68,6 +68,7 @@
       break;
     }
     story.Add().mutable_probed()->set_sidecar(1);
+    story.Add().mutable_dial_failed()->set_sidecar(0);
     story.Sample(static_cast<std::uint32_t>(draw(2)), 20);
     if (draw(3) == 0) {
       const std::uint32_t leaves = machines - 2;
