Count a dial that comes to nothing as out when a refusal is judged held back

So the program holds nothing back: its waits end a tick (5 ms) before half (`half_at`), and the wheel's 2 ms were not it. The fault is the checker's: `Tries::JudgeHeldBack` counts as out what was written to a server, and of a dial nothing is written.

Change: the record's entry of a dial that failed names the try that it was made for, and so does `Connection` where it was turned away; virtual runs write it (`Outside::Dial` is told the try), and the checker counts the time until then as time in which something was out. On sockets nobody outside sees a dial that never came up; the documents say so.

--- a/lab/rules/checker.cpp
+++ b/lab/rules/checker.cpp
@@ -77,9 +77,11 @@
       sidecars_.Known(entry.probed().sidecar());
       return machines_.Known(entry.probed().machine());
     case Entry::kConnection:
+      tries_.DialLost(now_us_, entry.connection().try_id());
       return machines_.Connection(now_us_, entry.connection());
     case Entry::kDialFailed:
-      return sidecars_.Known(entry.dial_failed().sidecar());
+      sidecars_.Known(entry.dial_failed().sidecar());
+      return tries_.DialLost(now_us_, entry.dial_failed().try_id());
     case Entry::kMachineChanged:
       return machines_.Changed(now_us_, entry.machine_changed());
     case Entry::kTold:
--- a/lab/rules/tries.cpp
+++ b/lab/rules/tries.cpp
@@ -300,6 +300,13 @@
   if (--wish.out == 0) Quieted(at_us, claims_.at(claim.id).wish, wish);
 }
 
+void Tries::DialLost(std::int64_t at_us, std::uint64_t id) {
+  if (id == 0) return;
+  const auto found = tries_.find(id);
+  if (found == tries_.end()) throw Untrusted("try " + Named(id) + " is unknown");
+  wishes_.at(found->second.wish).tries[found->second.attempt].idle_us = at_us;
+}
+
 void Tries::Effect(std::int64_t at_us, const record::Effect& entry) {
   const auto [wish, attempt, claim] = FindClaim(entry.claim_id());
   if (!claim.whole()) throw Untrusted("claim " + Named(claim.id) + " took effect and was not whole");
--- a/lab/rules/tries.h
+++ b/lab/rules/tries.h
@@ -36,6 +36,7 @@
   void Begun(std::int64_t at_us, const record::ClaimBegun& entry);
   void Whole(std::int64_t at_us, const record::ClaimWhole& entry);
   void ClaimOver(std::int64_t at_us, const record::ClaimEnded& entry);
+  void DialLost(std::int64_t at_us, std::uint64_t id);  // a dial made for it, 0: for none
   void Effect(std::int64_t at_us, const record::Effect& entry);
 
   // Before each entry: judges what had to wait for entries that may stand in the wrong order, and forgets.
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -328,11 +328,12 @@
 
 // ---- Execute nodes ----
 
-model::ConnectionId Day::Dial(int sidecar, const std::string& address) {
+model::ConnectionId Day::Dial(int sidecar, const std::string& address, model::TryId attempt) {
   const model::ConnectionId id =
       (static_cast<model::ConnectionId>(sidecar) + 1) << kConnectionShift | ++Row(sidecar).connections_made;
   Link& link = links_[id];
   link.sidecar = sidecar;
+  link.attempt = attempt;
   std::from_chars(address.data(), address.data() + address.size(), link.place);
   const double up = network_.DialUp(NowMs(), sidecar, fleet_.At(link.place), MessageKey(id, link.messages++));
   if (up < model::kNever) Queue(up, What::kDialUp, sidecar, id);
@@ -354,7 +355,7 @@
   const bool taken = fleet_.Connect(NowMs(), machine, id, fleet_actions_);
   if (taken) found->second.machine = machine;
   found->second.turned_away = !taken;
-  Tell(&Observer::Connection, ConnectionChange{sidecar, machine, true, false, !taken});
+  Tell(&Observer::Connection, ConnectionChange{sidecar, machine, true, false, !taken, found->second.attempt});
   CarryFleet();
   taken ? Row(sidecar).process->Dialed(id) : Row(sidecar).process->DialFailed(id);
 }
@@ -394,7 +395,7 @@
   Link link = found->second;
   links_.erase(found);
   if (link.machine < 0) {
-    if (!link.turned_away) Tell(&Observer::DialFailed, link.sidecar);
+    if (!link.turned_away) Tell(&Observer::DialFailed, link.sidecar, link.attempt);
     return;
   }
   if (!link.node_closed) {
--- a/lab/virtual/day.h
+++ b/lab/virtual/day.h
@@ -122,8 +122,9 @@
   struct Link {  // a connection that is up, or is being dialed
     int sidecar = 0;
     int place = 0;
-    int machine = -1;  // that it came up to
-    double there = 0;  // when the last message each way arrives
+    int machine = -1;          // that it came up to
+    model::TryId attempt = 0;  // that it was dialed for
+    double there = 0;          // when the last message each way arrives
     double back = 0;
     std::uint64_t messages = 0;
     bool turned_away = false;  // it came up, and the node would not have it
@@ -154,7 +155,7 @@
   void WakeAt(int sidecar, double at_ms) override;
   void Defer(int sidecar) override;
   void Answered(int sidecar, model::TryId id, const Answer& answer) override;
-  model::ConnectionId Dial(int sidecar, const std::string& address) override;
+  model::ConnectionId Dial(int sidecar, const std::string& address, model::TryId id) override;
   model::ClaimId Send(model::ConnectionId connection, model::TryId id, int claim_number,
                       double wait_ms) override;
   void SendProbe(model::ConnectionId connection) override;
--- a/lab/virtual/observer.h
+++ b/lab/virtual/observer.h
@@ -37,6 +37,7 @@
   bool opened = false;  // else closed
   bool by_node = false;
   bool turned_away = false;
+  model::TryId attempt = 0;  // that one turned away was dialed for; 0: none, or not known
 };
 
 // What a sidecar's process holds, as the system has it.
@@ -59,8 +60,8 @@
   virtual void Probed(std::int64_t, int /*sidecar*/, int /*machine*/) {}
   virtual void Connection(std::int64_t, const ConnectionChange&) {}
   // A dial came to nothing: refused, given up, or its process ended before. Virtual runs only: on sockets it
-  // shows nowhere outside the sidecar.
-  virtual void DialFailed(std::int64_t, int /*sidecar*/) {}
+  // shows nowhere outside the sidecar. The try that it was made for; 0: none.
+  virtual void DialFailed(std::int64_t, int /*sidecar*/, model::TryId) {}
   virtual void MachineChanged(std::int64_t, int /*machine*/, model::MachineState, double /*started_ms*/) {}
   virtual void Warmed(std::int64_t, int /*machine*/, double /*share*/) {}
   virtual void Listed(std::int64_t, const model::ListEntry&, std::int64_t /*revision*/) {}
--- a/lab/virtual/outside.h
+++ b/lab/virtual/outside.h
@@ -30,8 +30,8 @@
 
   // ---- Execute nodes ----
   // Dials the address; the connection gets the number that is given back. Pool::Dialed or Pool::DialFailed
-  // follows, or nothing does.
-  virtual model::ConnectionId Dial(int sidecar, const std::string& address) = 0;
+  // follows, or nothing does. `id`: the try that it is made for; 0: none.
+  virtual model::ConnectionId Dial(int sidecar, const std::string& address, model::TryId id) = 0;
   // Writes a claim on a connection that is up; gives its number. `wait_ms`: how long the sidecar says that it
   // waits.
   virtual model::ClaimId Send(model::ConnectionId connection, model::TryId id, int claim_number,
--- a/lab/virtual/pool.cpp
+++ b/lab/virtual/pool.cpp
@@ -96,7 +96,7 @@
     unsent_.push_back(std::move(exchange));
     return outside_.Defer(sidecar_);
   }
-  const model::ConnectionId id = Open(node, address);
+  const model::ConnectionId id = Open(node, address, exchange.attempt);
   Carry(id, connections_.at(id), std::move(exchange));
 }
 
@@ -107,8 +107,8 @@
   connection.until_timer = add_timer_(connection.exchange.until_ms, [this, id] { OutOfTime(id); });
 }
 
-model::ConnectionId Pool::Open(const std::string& node, const std::string& address) {
-  const model::ConnectionId id = outside_.Dial(sidecar_, address);
+model::ConnectionId Pool::Open(const std::string& node, const std::string& address, model::TryId attempt) {
+  const model::ConnectionId id = outside_.Dial(sidecar_, address, attempt);
   Connection& connection = connections_[id];
   connection.node = node;
   connection.address = address;
@@ -121,7 +121,7 @@
 }
 
 void Pool::DialAhead(const std::string& node, const std::string& address) {
-  if (machines_.IsLive(node) && connections_.size() < most_connections_) Open(node, address);
+  if (machines_.IsLive(node) && connections_.size() < most_connections_) Open(node, address, 0);
 }
 
 void Pool::Write(model::ConnectionId id, Connection& connection) {
--- a/lab/virtual/pool.h
+++ b/lab/virtual/pool.h
@@ -77,7 +77,7 @@
 
   void Begin(Exchange exchange);
   void Carry(model::ConnectionId id, Connection& connection, Exchange exchange);
-  model::ConnectionId Open(const std::string& node, const std::string& address);
+  model::ConnectionId Open(const std::string& node, const std::string& address, model::TryId attempt);
   void DialAhead(const std::string& node, const std::string& address);
   void Write(model::ConnectionId id, Connection& connection);
   void Idles(model::ConnectionId id, Connection& connection);
--- a/lab/virtual/recorder.cpp
+++ b/lab/virtual/recorder.cpp
@@ -144,12 +144,14 @@
     out.set_opened(change.opened);
     out.set_by_node(change.by_node);
     out.set_turned_away(change.turned_away);
+    out.set_try_id(change.turned_away ? change.attempt : 0);
   });
 }
 
-void Recorder::DialFailed(std::int64_t at, int sidecar) {
+void Recorder::DialFailed(std::int64_t at, int sidecar, model::TryId attempt) {
   writer_.Put(at, [&](record::Entry& entry) {
     entry.mutable_dial_failed()->set_sidecar(static_cast<std::uint32_t>(sidecar));
+    entry.mutable_dial_failed()->set_try_id(attempt);
   });
 }
 
--- a/lab/virtual/recorder.h
+++ b/lab/virtual/recorder.h
@@ -27,7 +27,7 @@
   void Effect(std::int64_t at, std::uint64_t claim) override;
   void Probed(std::int64_t at, int sidecar, int machine) override;
   void Connection(std::int64_t at, const ConnectionChange& change) override;
-  void DialFailed(std::int64_t at, int sidecar) override;
+  void DialFailed(std::int64_t at, int sidecar, model::TryId attempt) override;
   void MachineChanged(std::int64_t at, int machine, model::MachineState state, double started_ms) override;
   void Warmed(std::int64_t at, int machine, double share) override;
   void Listed(std::int64_t at, const model::ListEntry& entry, std::int64_t revision) override;
--- a/tests/lab/rules/rules_test.cpp
+++ b/tests/lab/rules/rules_test.cpp
@@ -103,6 +103,11 @@
   Story out;
   out.At(0).Sent(1).At(300).Begun(1, 1).Whole(1).At(900).Ends(1, TryEnded::FAILED);
   CHECK(Broken(out.Over(1, ClaimEnded::CANCELLED)) == kNone);
+  const auto dialed = [](double ms) {
+    return Story().At(0).Sent(1).At(ms).DialLost(1).At(510).Ends(1, TryEnded::REFUSED);
+  };
+  CHECK(Broken(dialed(510)) == kNone);  // the answer to a dial that came to nothing
+  CHECK(Broken(dialed(409)) == Rules{"held-back"});
 }
 
 TEST_CASE("a process that was stopped is judged by the time in which it ran") {
--- a/tests/lab/rules/trust_test.cpp
+++ b/tests/lab/rules/trust_test.cpp
@@ -113,6 +113,7 @@
   CHECK(Fault(tried().Sent(2, kSafe, 0, 1, 0, 0)) == "try 2 has no time");
   CHECK(Fault(tried().Ends(2, TryEnded::FAILED)) == "try 2 is unknown");
   CHECK(Fault(tried().Begun(1, 2)) == "try 2 is unknown");
+  CHECK(Fault(tried().DialLost(2)) == "try 2 is unknown");
   CHECK(Fault(tried().Begun(1, 1, 7)) == "machine 7 is unknown");
   CHECK(Fault(tried().Begun(0, 1)) == "a claim without an id");
   CHECK(Fault(tried().Sent(2, kSafe, 0, 1, 1).Begun(1, 1)) ==
--- a/tests/lab/virtual/day_test.cpp
+++ b/tests/lab/virtual/day_test.cpp
@@ -171,6 +171,17 @@
   CHECK(Breaches(run) == "");
 }
 
+TEST_CASE("a dial that comes to nothing is told, and what was refused upon it was not held back") {
+  const auto reload = scenario::Scenario::Read(std::string(BITTERNMUX_SCENARIOS) + "/reload.toml");
+  const Run run = Play(reload, 136);
+  const auto lost = [](const Entry& entry) {
+    return entry.has_dial_failed() && entry.dial_failed().try_id() > 0;
+  };
+  CHECK(run.Count(0, 7.5, lost) == 0);
+  CHECK(run.Count(7.5, 20, lost) > 0);
+  CHECK(Breaches(run) == "");
+}
+
 TEST_CASE("a slow server takes longer") {
   const Run run = Play(Trouble("kind = \"slow\"\nfactor = 6\nlen_s = 4\n"));
   CHECK(run.worth < Play(kSmall).worth);
--- a/tests/support/lab_story.h
+++ b/tests/support/lab_story.h
@@ -100,6 +100,10 @@
     begun.set_machine(machine);
     return *this;
   }
+  Story& DialLost(std::uint64_t id) {
+    Add().mutable_dial_failed()->set_try_id(id);
+    return *this;
+  }
   Story& Whole(std::uint64_t claim) {
     Add().mutable_claim_whole()->set_claim_id(claim);
     return *this;
