Answer at the end of a stop whoever would wait longer than that

JobTable::EndAll answers these with 504, 50 ms before the end: what was sent may have run, so that it is no refusal. Answers that have begun go on as before.

The story "told to stop, it answers before its end whoever would wait longer than that" (a class deadline of 0.3 s, a request that waits 60 s, a node that is silent) ends with its connection cut off without the change to src, and passes with it.

--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -1,6 +1,7 @@
 #include "core/job_table.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "events/catalogue.h"
 
@@ -38,6 +39,18 @@
   ++stats_.left;
 }
 
+void JobTable::EndAll(double now_ms) {
+  std::vector<JobId> waiting;
+  for (const auto& [id, held] : held_) {
+    if (!held.begun) waiting.push_back(id);
+  }
+  for (const JobId id : waiting) {
+    facade_.SubmitterLeft(now_ms, id);
+    Finish(id, {Answer::Kind::kTimedOut, {}, {}, {}, 0, 0});
+  }
+  Tick(now_ms);
+}
+
 bool JobTable::ClaimBegan(double now_ms, const Claim& claim, ClaimEnd begun) {
   const auto found = held_.find(claim.job);
   if (found == held_.end()) return false;
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -81,6 +81,9 @@
   // first.
   JobId Take(double now_ms, Job job, Answerer answerer);
   void SubmitterLeft(double now_ms, JobId id);
+  // The process ends: all that wait for an answer get one now, that their time is over. What was sent may
+  // have run; its claim is given up where the settings allow. Answers that have begun go on.
+  void EndAll(double now_ms);
   // Is a job with this id of its submitter's still without its answer?
   bool IsOpen(const std::string& request_id) const { return open_.count(request_id) > 0; }
   // The claim's last byte is out.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -41,6 +41,7 @@
 constexpr double kPassingShare = 0.125;   // of the memory, for large answers on their way
 constexpr double kRestartWindowMs = 500;  // new connections may come for so long after SIGTERM
 constexpr double kLastAnswersMs = 600;    // beyond the longest deadline; after that nobody waits any more
+constexpr double kWriteOutMs = 50;        // before that, for the answers of what is held still
 constexpr double kIdleEndMs = 300;        // likewise; what idles beside a successor is closed
 constexpr double kListWaitMs = 1500;  // for discovery's list, before a successor goes by the one it remembers
 constexpr double kLookMs = 100;       // between two looks at which nodes are left out
@@ -288,6 +289,8 @@
     if (followed) server_.Leave([this] { io_.stop(); });
     wheel_.Add(NowMs() + (followed ? longest + kIdleEndMs : kRestartWindowMs),
                [this] { server_.Close([this] { io_.stop(); }); });
+    // Whoever waits longer than any class, or asked late on a connection that idled, is told, not cut off.
+    wheel_.Add(NowMs() + longest + kLastAnswersMs - kWriteOutMs, [this] { jobs_.EndAll(NowMs()); });
     wheel_.Add(NowMs() + longest + kLastAnswersMs, [this] { io_.stop(); });
   }
 
--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -433,6 +433,22 @@
   CHECK(bed.program.Exit() == 0);
 }
 
+TEST_CASE("told to stop, it answers before its end whoever would wait longer than that") {
+  Listener discovery, node;
+  auto config = ConfigOf(discovery.address(), 256,
+                         List(41, true, nlohmann::json::array({Machine("s-0", node.address())})));
+  for (auto& service : config["settings"]["services"]) service["promiseMs"] = service["deadlineMs"] = 300.0;
+  Program program(config);
+  Peer held = Dial(program.port());
+  held.Send(Post("id-1", "{}", 60'000));
+  Peer silent = node.Accept();
+  silent.Read();
+  program.Terminate();
+  CHECK(Status(held.Read()) == 504);
+  held.Close();
+  CHECK(program.Exit() == 0);
+}
+
 TEST_CASE("what waits to be accepted when the restart window ends is answered") {
   Bed bed;
   bed.program.port();
