Let ways be cut one way or slowed, and discovery refuse, forget or tell the past

What the lab had: `cut`, `stall_to`, `stall_from`, `no_dial` between sidecars and servers, `discovery_cut` and `discovery_down`; nothing for a way that is only bad, and a discovery that always told the truth.

Ways (lab/model/network, LinkFault): `cut_to`, `cut_from`, `delay`, `drop`, and on sockets only `slow_bytes`, `cut_short`, `double`; each of them, and those that were there, also `between = "discovery"`. Weighed against a relay between two sockets in docs/design/lab.md: that one would make the record late on the way there and early on the way back. A claim is over, and a list told, when its last byte goes to the socket.

Discovery (lab/model/discovery, both modes): `discovery_refuses`, `_ignores`, `_forgets`, `_stale`, `_doubles`, `_reorders`.

And Machines::KnownSince held sidecars to a list that no message could bring them: a trouble says in the record that it hides the list, and told_within counts from its end. A stale view binds a sidecar to nothing that is no longer so.

The new tests were not each seen to fail without their code.

--- a/lab/model/figures.h
+++ b/lab/model/figures.h
@@ -92,10 +92,19 @@
 
 enum class LinkFault {
   kCut,        // both ways: what is sent is lost, and dials never come up; connections reset when it ends
+  kCutTo,      // the same of what sidecars send
+  kCutFrom,    // the same of what is sent to sidecars
   kStallTo,    // what sidecars send is held until it ends
-  kStallFrom,  // what execute nodes send is held until it ends
+  kStallFrom,  // what is sent to sidecars is held until it ends
   kNoDial,     // dials never come up; what stands goes on
+  kDelay,      // each way takes `amount` milliseconds more, and of these a share of `share`, exponentially
+  kDrop,       // this share of the new connections is reset at once
+  // On sockets only, each of what is sent to sidecars:
+  kSlowBytes,  // `amount` bytes a second on each connection
+  kCutShort,   // of this share of the messages `amount` bytes pass, and the connection ends
+  kDouble,     // this share of the messages passes twice
 };
+constexpr bool Cuts(LinkFault fault) { return fault <= LinkFault::kCutFrom; }
 
 // Between some sidecars and some machines, or discovery. Empty lists mean all.
 struct LinkTrouble {
@@ -104,6 +113,8 @@
   std::vector<int> sidecars;
   std::vector<int> machines;
   bool discovery = false;  // the way to discovery, and `machines` counts for nothing
+  double amount = 0;
+  double share = 1;
 };
 
 struct NetworkFigures {
@@ -118,6 +129,25 @@
 
 // ---- Discovery ----
 
+enum class DiscoveryFault {
+  kRefuses,   // fails this share of the calls at once
+  kIgnores,   // leaves this share of the calls without an answer for good
+  kForgets,   // begins anew, at `revision`, with `share` of its list; calls end, and what was left out comes
+              // back when it ends
+  kStale,     // answers what it knew `age_ms` ago
+  kDoubles,   // tells watches everything twice
+  kReorders,  // tells a list's entries in another order each time
+};
+
+struct DiscoveryTrouble {
+  double from_ms = 0, until_ms = 0;
+  DiscoveryFault fault = DiscoveryFault::kRefuses;
+  std::vector<int> sidecars;  // whose calls; none: all
+  double share = 1;
+  double age_ms = 0;
+  std::int64_t revision = 1;
+};
+
 struct DiscoveryFigures {
   double notice_ms = 2000;         // from a drain or a stop that was announced to its being known
   double silent_notice_ms = 8000;  // from a death that nobody announced
@@ -131,6 +161,7 @@
   int history = 256;               // changes kept; a watch from before these gets the whole list
   double told_within_ms = 6000;    // what is published counts as told this much later
   double old_open_ms = 1500;       // after a move, until the old one closes what is open
+  std::vector<DiscoveryTrouble> troubles;
 };
 
 // ---- Clients ----
@@ -233,7 +264,9 @@
   std::vector<int> machines;
   std::vector<int> sidecars;
   std::string detail;
-  bool of_load = false;  // arrivals alone, and nothing that goes wrong
+  bool of_load = false;       // arrivals alone, and nothing that goes wrong
+  bool hides_list = false;    // what discovery has to tell may not come to the sidecars; none named: to any
+  bool sockets_only = false;  // virtual time has no such thing
 };
 
 // ---- Rules and bounds ----
--- a/lab/model/network.h
+++ b/lab/model/network.h
@@ -15,8 +15,18 @@
 
 namespace bitternmux::lab::model {
 
+// How a message to a sidecar passes on a connection.
+struct Passing {
+  double bytes_per_s = 0;  // 0: at once
+  double cut_after = -1;   // so many bytes pass, and the connection ends; below 0: all
+  bool twice = false;
+  bool lost = false;
+};
+
 class Network {
  public:
+  static constexpr int kDiscovery = -1;  // stands for a machine
+
   // `figures` must outlive it.
   Network(const Figures& figures, const Seeds& seeds);
 
@@ -29,21 +39,25 @@
   // them.
   double Local(std::uint64_t key) const;
 
-  // Until when the way is cut, both ways; `now` if it is not.
+  // Until when what the sidecar sends is lost; `now` if it is not.
   double CutUntil(double now, int sidecar, int machine) const;
   // When a dial begun at `now` has its connection, the handshake's round trips included but not the node's
   // work for it; kNever if it never comes up.
   double DialUp(double now, int sidecar, int machine, std::uint64_t key) const;
+  // Is a connection that comes up at `now` reset at once?
+  bool Dropped(double now, int sidecar, int machine, std::uint64_t key) const;
+  // On sockets: how the bytes of a message pass at `now` that are on their way to the sidecar.
+  Passing Passes(double now, int sidecar, int machine, std::uint64_t key) const;
 
  private:
   enum class Way { kThere, kBack };
   double Delay(double one_way, std::uint64_t key) const;
   double OneWay(int sidecar, int machine) const;
-  double Arrives(double now, double delay, Way way, int sidecar, int machine) const;
+  double Arrives(double now, double delay, Way way, int sidecar, int machine, std::uint64_t key) const;
   bool Hits(const LinkTrouble& trouble, int sidecar, int machine) const;
 
   const Figures& figures_;
-  const Use jitter_;
+  const Use jitter_, delays_, drops_, passings_;
 };
 
 }  // namespace bitternmux::lab::model
--- a/lab/model/told_list.h
+++ b/lab/model/told_list.h
@@ -19,13 +19,15 @@
   explicit ToldList(const Discovery& discovery);
 
   // The sidecar hears of this. Gives what is new to it: machines that a whole list leaves out come first, as
-  // gone, and then the listing's entries that are not as they were told before.
+  // gone, and then the listing's entries that are not as they were told before. An old listing lets a sidecar
+  // off and binds it to nothing that is no longer so: whether it is believed or not, neither is a fault.
   std::vector<ListEntry> Hear(const Listing& listing);
   // The whole list as it last had it.
   Listing Known() const;
 
  private:
   void Remember(const ListEntry& entry);
+  bool Binds(const Listing& listing, const ListEntry& entry) const;
 
   const Discovery& discovery_;
   std::int64_t revision_;
--- a/lab/rules/checker.cpp
+++ b/lab/rules/checker.cpp
@@ -115,6 +115,7 @@
   if (!trouble.begins() && open == 0)
     throw Untrusted("trouble '" + trouble.name() + "' ends and never began");
   trouble.begins() ? ++open : --open;
+  if (trouble.hides_list()) machines_.Hidden(now_us_, trouble);
 }
 
 void Checker::Finish() {
--- a/lab/rules/machines.cpp
+++ b/lab/rules/machines.cpp
@@ -36,7 +36,9 @@
 }
 
 Machines::Machines(const record::Header& header, const Sidecars& sidecars, Report report)
-    : rules_(header.rules()), sidecars_(sidecars), report_(std::move(report)) {}
+    : rules_(header.rules()), sidecars_(sidecars), report_(std::move(report)) {
+  deaf_.resize(static_cast<std::size_t>(header.sidecars_size()));
+}
 
 const Machines::Machine& Machines::Find(std::uint32_t machine) const {
   const auto found = machines_.find(machine);
@@ -93,6 +95,19 @@
   Find(entry.machine()).warmed = entry.share();
 }
 
+void Machines::Hidden(std::int64_t at_us, const record::Trouble& entry) {
+  for (std::uint32_t sidecar = 0; sidecar < deaf_.size(); ++sidecar) {
+    const auto& named = entry.on_sidecars();
+    if (!named.empty() && std::find(named.begin(), named.end(), sidecar) == named.end()) continue;
+    Deafness& deaf = deaf_[sidecar];
+    if (entry.begins()) {
+      if (deaf.open++ == 0) deaf.from_us = at_us;
+    } else if (deaf.open > 0 && --deaf.open == 0) {
+      deaf.until_us = at_us;
+    }
+  }
+}
+
 void Machines::Connection(std::int64_t at_us, const record::Connection& entry) {
   sidecars_.Known(entry.sidecar());
   Machine& machine = Find(entry.machine());
@@ -125,7 +140,12 @@
   const std::int64_t listed = machine.listed.*what;
   if (rules_.told_within_us() > 0 && listed >= 0 && sidecars_.StartedUs(sidecar) >= 0) {
     const std::int64_t from = std::max(listed, sidecars_.StartedUs(sidecar));
-    const std::int64_t due = from + rules_.told_within_us() + sidecars_.StoodUs(sidecar, from, at_us);
+    std::int64_t due = from + rules_.told_within_us() + sidecars_.StoodUs(sidecar, from, at_us);
+    const Deafness& deaf = deaf_[sidecar];
+    if (deaf.from_us >= 0 && due > deaf.from_us) {  // else it knew before
+      if (deaf.open > 0) return {since, deemed};
+      due = std::max(due, deaf.until_us + rules_.told_within_us());
+    }
     if (due <= at_us && (since < 0 || due < since)) std::tie(since, deemed) = std::pair(due, true);
   }
   return {since, deemed};
--- a/lab/rules/machines.h
+++ b/lab/rules/machines.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "lab/record/record.pb.h"
 #include "lab/rules/breach.h"
@@ -32,6 +33,8 @@
   void Told(std::int64_t at_us, const record::Told& entry);
   void Listed(std::int64_t at_us, const record::Listed& entry);
   void Warmed(const record::Warmed& entry);
+  // A trouble that keeps discovery's list from some sidecars begins or ends.
+  void Hidden(std::int64_t at_us, const record::Trouble& entry);
   void Connection(std::int64_t at_us, const record::Connection& entry);
 
   // The first byte of a claim for the try `job`.
@@ -51,6 +54,10 @@
     std::uint32_t life = 0;
     bool deemed = false;
   };
+  struct Deafness {  // of a sidecar: nothing that it was not told can count as told meanwhile
+    int open = 0;
+    std::int64_t from_us = -1, until_us = -1;  // the last
+  };
   struct Arrival {
     std::int64_t at_us, work_us;
     std::uint32_t sidecar;
@@ -87,6 +94,7 @@
   const Report report_;
   std::unordered_map<std::uint32_t, Machine> machines_;
   std::unordered_map<std::uint64_t, KnowledgeOfLife> told_;  // by sidecar and machine
+  std::vector<Deafness> deaf_;                               // by sidecar
 };
 
 }  // namespace bitternmux::lab::rules
--- a/lab/stands/discovery_stand.h
+++ b/lab/stands/discovery_stand.h
@@ -56,6 +56,7 @@
   void Carry(const model::DiscoveryAction& action);
   void Heard(std::uint64_t link, const model::DiscoveryAction& action);
   void Break(std::uint64_t link);
+  void EndCut(const model::LinkTrouble& trouble);
   void Open();
   void SetDoors();
   nlohmann::json JsonOf(int sidecar, const model::Listing& listing) const;
--- a/lab/virtual/day.h
+++ b/lab/virtual/day.h
@@ -31,7 +31,8 @@
 
 class Day : private Outside {
  public:
-  // All must outlive it. Throws std::runtime_error if the settings that the figures make cannot be read.
+  // All must outlive it. Throws std::runtime_error if the settings that the figures make cannot be read, or
+  // for a trouble that only sockets can have.
   Day(const model::Figures& figures, std::vector<Observer*> observers);
   ~Day() override;
 
@@ -189,6 +190,7 @@
   double There(Link& link, model::ConnectionId id);
   void Heard(model::ConnectionId id, const model::NodeAction& action);
   void EndCut(const model::LinkTrouble& trouble);
+  void EndDiscoveryCut(const model::LinkTrouble& trouble);
   void AskArrives(int sidecar, model::CallId id);
   void HearList(int sidecar, const model::Listing& listing);
   void StartProcess(int sidecar);
--- a/lab/virtual/recorder.cpp
+++ b/lab/virtual/recorder.cpp
@@ -254,6 +254,7 @@
     out.set_begins(begins);
     out.set_detail(figures.detail);
     out.set_of_load(figures.of_load);
+    out.set_hides_list(figures.hides_list);
     for (const int machine : figures.machines) out.add_machines(static_cast<std::uint32_t>(machine));
     for (const int sidecar : figures.sidecars) out.add_on_sidecars(static_cast<std::uint32_t>(sidecar));
   });
--- a/tests/lab/rules/rules_test.cpp
+++ b/tests/lab/rules/rules_test.cpp
@@ -252,6 +252,16 @@
   CHECK(Broken(sent(listed, 8500)) == kNone);
   CHECK(Broken(sent(listed, 8501)) == Rules{"drained"});
   CHECK(Judge(sent(listed, 8501).Bytes()).breaches[0].detail.find("counts as told") != std::string::npos);
+  // Nobody is held to what was kept from him, until told_within after it can come to him.
+  const auto hidden = [&](double ends_ms, std::uint32_t sidecar) {
+    Story story;
+    story.At(500).Hides(true, sidecar).At(1000).Machine(0, MachineChanged::GONE);
+    return story.Listed(0, MachineChanged::GONE).At(ends_ms).Hides(false, sidecar);
+  };
+  CHECK(Broken(sent(hidden(8600, 0), 8601)) == kNone);
+  CHECK(Broken(sent(hidden(3000, 0), 10500)) == kNone);
+  CHECK(Broken(sent(hidden(3000, 0), 10501)) == Rules{"drained"});
+  CHECK(Broken(sent(hidden(8600, 1), 8601)) == Rules{"drained"});
 }
 
 TEST_CASE("overdriven: the line says who sent the work, and who knew") {
--- a/tests/lab/scenario/scenario_test.cpp
+++ b/tests/lab/scenario/scenario_test.cpp
@@ -63,6 +63,28 @@
   CHECK(FaultOf("[[trouble]").rfind("day.toml:9: no TOML: ", 0) == 0);
 }
 
+TEST_CASE("troubles of the ways and of discovery's word are read, and their faults named") {
+  const std::string trouble = "[[trouble]]\nat_s = 1\nlen_s = 2\n";
+  const Figures figures = Drawn(trouble + "kind = \"cut_to\"\nbetween = \"discovery\"\nsidecars = [0]\n" +
+                                trouble + "kind = \"slow_bytes\"\nmachines = [1]\nbytes_per_s = 100\n" +
+                                trouble + "kind = \"discovery_stale\"\nage_s = 30\n");
+  REQUIRE(figures.network.troubles.size() == 2);
+  CHECK(figures.network.troubles[0].discovery);
+  CHECK(figures.network.troubles[0].sidecars == std::vector<int>{0});
+  CHECK(figures.network.troubles[1].amount == 100);
+  CHECK(figures.network.troubles[1].machines == std::vector<int>{1});
+  CHECK(figures.troubles[0].hides_list);
+  CHECK_FALSE(figures.troubles[0].sockets_only);
+  CHECK(figures.troubles[1].sockets_only);
+  REQUIRE(figures.discovery.troubles.size() == 1);
+  CHECK(figures.discovery.troubles[0].age_ms == 30000);
+  CHECK(FaultOf(trouble + "kind = \"drop\"") == "day.toml:9: trouble.0.share: must be there");
+  CHECK(FaultOf(trouble + "kind = \"delay\"\nms = 5\nbetween = \"clients\"") ==
+        "day.toml:14: trouble.0.between: must be one of servers, discovery");
+  CHECK(FaultOf(trouble + "kind = \"discovery_refuses\"\nshare = 2") ==
+        "day.toml:13: trouble.0.share: must be from 0 to 1");
+}
+
 TEST_CASE("all faults are told at once, by line") {
   try {
     Drawn("worht = 3\n[clients]\nrate = \"x\"\n[rules]\nfall_s = -1");
--- a/tests/lab/stands/loopback_test.cpp
+++ b/tests/lab/stands/loopback_test.cpp
@@ -194,6 +194,31 @@
   CHECK(told.size() == 2);
 }
 
+TEST_CASE("no list reaches a sidecar through a cut, and its requests go on") {
+  const Run run =
+      Play(kSmall + Trouble("kind = \"cut_from\"\nbetween = \"discovery\"\nlen_s = 9\nsidecars = [0]\n") +
+           "[[trouble]]\nat_s = 0.7\nkind = \"drain\"\nmachines = [0]\ndrain_s = 9\n");
+  const auto told = [&](std::uint32_t sidecar) {
+    return run.Count([&](const Entry& e) {
+      return e.has_told() && e.told().sidecar() == sidecar &&
+             e.told().state() == record::MachineChanged::DRAINING;
+    });
+  };
+  CHECK(told(0) == 0);
+  CHECK(told(1) == 1);
+  CHECK(run.breaches == "");
+  CHECK(run.worth > 0.9);
+}
+
+TEST_CASE("answers that are cut short, doubled or slow, and dials that are dropped: no rule is broken") {
+  const std::string kind = GENERATE("cut_short", "double", "slow_bytes", "drop");
+  const std::string key = kind == "slow_bytes" ? "bytes_per_s = 3000" : "share = 0.5";
+  const std::string idle = kind == "drop" ? "[servers.connections]\nidle_s = 0.02\n" : "";  // many dials
+  const Run run = Play(kSmall + idle + Trouble("kind = \"" + kind + "\"\nlen_s = 1.5\n" + key + "\n"));
+  CHECK(run.breaches == "");
+  if (kind == "cut_short") CHECK(run.Claims(ClaimEnded::RESET) > 0);
+}
+
 TEST_CASE("a frozen process is let go and serves again, and one that is starved serves on") {
   const Run run =
       Play(kSmall + Trouble("kind = \"freeze\"\nsidecars = [0]\nlen_s = 1\n") +
--- a/tests/lab/virtual/day_test.cpp
+++ b/tests/lab/virtual/day_test.cpp
@@ -283,6 +283,31 @@
   CHECK(Breaches(moved) == "");
 }
 
+TEST_CASE("discovery that lies or is out of reach: nobody is blamed for what it was not told") {
+  const std::string drains = "[[trouble]]\nat_s = 5\nkind = \"drain\"\nmachines = [0]\ndrain_s = 30\n";
+  const auto told = [](const Run& run) {
+    return run.Count(5, 12, [](const Entry& entry) {
+      return entry.has_told() && entry.told().machine() == 0 && entry.told().state() != MachineChanged::UP;
+    });
+  };
+  const std::string kind = GENERATE("cut_from\"\nbetween = \"discovery\"", "discovery_stale\"\nage_s = 60",
+                                    "drop\"\nshare = 1\nbetween = \"discovery\"");
+  const Run run = Play(Trouble("len_s = 30\nkind = \"" + kind + "\n") + drains);
+  CHECK(told(run) == (kind[0] == 'd' && kind[1] == 'r' ? 3 : 0));  // watches that stand go on
+  CHECK(Breaches(run) == "");
+  const Run empty = Play(Trouble("len_s = 3\nkind = \"discovery_forgets\"\nkeeps = 0\n"));
+  CHECK(empty.Count(4, 6, [](const Entry& entry) {
+    return entry.has_told() && entry.told().state() == MachineChanged::GONE;
+  }) == 18);
+  CHECK(Breaches(empty) == "");
+  CHECK(empty.worth < 0.9);
+}
+
+TEST_CASE("what only sockets can have is turned down in virtual time") {
+  CHECK_THROWS_WITH(Play(Trouble("kind = \"double\"\nname = \"twice\"\nlen_s = 1\nshare = 1\n")),
+                    "trouble 'twice' is there on sockets only: run --mode loopback");
+}
+
 TEST_CASE("connections that servers drop early show as closed by them") {
   const Run run = Play(Trouble("kind = \"short_idle\"\nlen_s = 4\nkeep_ms = 20\n"));
   const auto by_node = [](const Entry& entry) {
--- a/tests/support/lab_story.h
+++ b/tests/support/lab_story.h
@@ -149,6 +149,13 @@
     listed.set_state(state);
     return *this;
   }
+  Story& Hides(bool begins, std::uint32_t sidecar) {
+    auto& trouble = *Add().mutable_trouble();
+    trouble.set_begins(begins);
+    trouble.set_hides_list(true);
+    trouble.add_on_sidecars(sidecar);
+    return *this;
+  }
   Story& Connection(std::uint32_t machine, bool opened) {
     auto& connection = *Add().mutable_connection();
     connection.set_machine(machine);
