Make a decision cost the same in a large tier however many hosts there are

Seen: a request cost 1.0, 5.2, 52 us and 18, 27, 36 allocations with 8, 64, 512 hosts and four instances, and 9.2 us at 512 with 300 instances, where three hosts are ranked. Health::Ready (beliefs.h) asked every host, Impl::Gather (policy.h) filtered what it gave by MaySend and Barred, Reports::Gather had Subset::Cut go over the rest, Walk::Choose copied and sorted, each in vectors of its own, and HostTable::FreeRow went over all rows for each new name.

The own order is kept as such (subset/own_order.h) and gone down until the part is full; the search for another zone, kind or cell jumps over runs that are alike. What is counted over all hosts (most of the fleet ill, any reachable, the share that is looked at) is counted from the hosts that Health watches, those out, in doubt or with an own attempt; these are integers, so nothing rounds otherwise. The ranking is a heap; requests' entries are used again with their memory; free rows are found in one pass a list. The containers are in src/rows.

Each test of the new parts was seen to fail with their code taken out: watching at a send, at a set-aside; membership and the count beside the set; freed rows, the old name; entries renewed, kept; the heap; the jump, the check for unlike. Those of the set of rows and of the ranking stand in the module's tests, which fail without them. All 376 plain tests pass.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -54,15 +54,16 @@
   s.classes.push_back(klass);
   s.reporting = Reporting::kAnswers;
   s.max_attempts = 3;
-  s.balancers = 4;
   s.tick_ms = 1;
   return s;
 }
 
-// Argument: how many hosts there are.
+// Arguments: how many hosts there are, and how many instances decide beside each other.
 void Decide(benchmark::State& state) {
   LastSend sink;
-  Balancer balancer(BenchSettings(), 1, sink);
+  Settings settings = BenchSettings();
+  settings.balancers = static_cast<int>(state.range(1));
+  Balancer balancer(settings, 1, sink);
   std::vector<HostEntry> hosts(static_cast<std::size_t>(state.range(0)));
   for (std::size_t i = 0; i < hosts.size(); ++i) {
     hosts[i].host = "host-" + std::to_string(i);
@@ -94,7 +95,8 @@
       static_cast<double>(allocations - before) / static_cast<double>(state.iterations());
   state.counters["refused"] = static_cast<double>(refused) / static_cast<double>(state.iterations());
 }
-BENCHMARK(Decide)->Arg(8)->Arg(64)->Arg(512);
+// One instance ranks all hosts, four three quarters of them, one of 300 three, or a hundredth of many.
+BENCHMARK(Decide)->ArgsProduct({{8, 64, 512, 4096}, {1, 4, 300}});
 
 }  // namespace
 }  // namespace cartspring
--- a/src/cartspring/beliefs.h
+++ b/src/cartspring/beliefs.h
@@ -12,6 +12,7 @@
 #include "cartspring/carry_over.h"
 #include "cartspring/hosts.h"
 #include "cartspring/time_shape.h"
+#include "rows/row_set.h"
 
 namespace cartspring {
 
@@ -100,7 +101,7 @@
   }
 
   // Only ever slower: hosts that were tried would else look faster than those that were not.
-  double Slower(const Host& host) const { return std::exp(std::max(0.0, SlowLog(host))); }
+  double Slower(const Host& host) const { return host.slow_log > 0 ? std::exp(SlowLog(host)) : 1; }
 
   const Context& ctx_;
   std::vector<Learned> learned_;  // by class
@@ -120,6 +121,7 @@
   void Sent(Host& host, double expected_ms) {
     if (host.doubt > 0 && ctx_.LargeTier()) looks_ = std::max(0.0, looks_ - 1);
     host.expected_ms = expected_ms;
+    watched_.Add(host.row);
     if (host.own == 0) Heard(host);
   }
   void Heard(Host& host) { host.waiting_since = ctx_.now; }
@@ -138,6 +140,7 @@
 
   // The pauses grow and are jittered, so that instances do not come back in step.
   void SetAside(Host& host) {
+    watched_.Add(host.row);
     if (ctx_.now < host.out_until) return;
     const double pause = std::min(
         ctx_.Patience(), kPauseTypical * estimates_.UsualAnswer() * (1 << std::min(host.set_asides, 8)));
@@ -151,30 +154,33 @@
     return host.own > 0 && ctx_.now - host.waiting_since > kSilentAfter * host.expected_ms;
   }
 
-  // `safe`: for a request that may run again.
-  std::vector<int> Ready(const HostTable& hosts, bool safe) const {
-    std::vector<int> ready, all;
-    std::size_t well = 0;
-    for (const int i : hosts.live()) {
-      const Host& host = hosts[i];
-      if (!host.unreached || ctx_.now >= host.out_until) all.push_back(i);
-      if (ctx_.now < host.out_until || Silent(host)) continue;
-      if (host.doubt <= 0) {
-        ++well;
-        ready.push_back(i);
-      } else if (looks_ >= 1 && host.own == 0 && (safe || ctx_.now > host.out_until + ctx_.Patience())) {
-        // Back from being set aside, a host gets one attempt at a time, of a request that may run again if
-        // there are any, until its answers speak for it.
-        ready.push_back(i);
-      }
-    }
-    // If most of the fleet looks ill, the fault is likelier in this view: use all that can be reached.
-    return 2 * well < hosts.live().size() && !all.empty() ? all : ready;
+  // Is a host fit to be sent to now? `safe`: by a request that may run again. If most of the fleet looks ill,
+  // the fault is likelier in this view: use all that can be reached.
+  auto Ready(const HostTable& hosts, bool safe) {
+    watched_.EraseIf([&](int i) { return hosts[i].own == 0 && hosts[i].doubt <= 0 && !Out(hosts[i]); });
+    const std::ptrdiff_t all = std::ssize(hosts.live());
+    const auto ill = watched_.CountIf([&](int i) { return hosts[i].Live() && Ill(hosts[i]); });
+    const auto lost = watched_.CountIf([&](int i) { return hosts[i].Live() && Lost(hosts[i]); });
+    return [this, safe, blind = 2 * (all - ill) < all && lost < all](const Host& host) {
+      if (blind) return !Lost(host);
+      // Back from being set aside, a host gets one attempt at a time, of a request that may run again if
+      // there are any, until its answers speak for it.
+      return !Ill(host) || (looks_ >= 1 && host.own == 0 && !Out(host) &&
+                            (safe || ctx_.now > host.out_until + ctx_.Patience()));
+    };
   }
 
+  // All hosts that are out, in doubt or hold an own attempt; some may no longer do.
+  const RowSet& watched() const { return watched_; }
+
  private:
+  bool Out(const Host& host) const { return ctx_.now < host.out_until; }
+  bool Ill(const Host& host) const { return host.doubt > 0 || Out(host) || Silent(host); }
+  bool Lost(const Host& host) const { return host.unreached && Out(host); }
+
   Context& ctx_;
   const Estimates& estimates_;
+  RowSet watched_;
   double looks_ = kLooksSaved;    // attempts that may go to hosts that were set aside for failing
   double spoilt_ = kSpoiltLeast;  // share of attempts that fail on hosts that nothing is held against
 };
--- a/src/cartspring/hosts.h
+++ b/src/cartspring/hosts.h
@@ -1,15 +1,14 @@
 // The host table: what the list says of each host, and the row in which the steps keep what they know of it.
 //
-// Invariants. A row in use is never given to another host, and none is added while one is free. A started
-// process begins with nothing held against it.
+// Invariants. Rows of hosts that are gone for good are used again, ids that come and go all day must not pile
+// up; one in use never is (rows/named_rows.h). A started process begins with nothing held against it.
 #ifndef CARTSPRING_SRC_CARTSPRING_HOSTS_H_
 #define CARTSPRING_SRC_CARTSPRING_HOSTS_H_
 
-#include <functional>
-#include <unordered_map>
-
 #include "cartspring/check.h"
 #include "cartspring/records.h"
+#include "rows/named_rows.h"
+#include "subset/own_order.h"
 #include "subset/subset.h"
 
 namespace cartspring {
@@ -24,28 +23,30 @@
 
   Host& operator[](int row) { return rows_[row]; }
   const Host& operator[](int row) const { return rows_[row]; }
-  int size() const { return static_cast<int>(rows_.size()); }
-  const std::vector<int>& live() const { return live_; }  // rows, in the own order
+  int size() const { return rows_.size(); }
+  const OwnOrder& live() const { return live_; }  // rows of the live hosts
 
   int RowOf(const std::string& name) const {
-    const auto found = index_.find(name);
-    Check(found != index_.end(), "a host that no list has named");
-    return found->second;
+    const int row = rows_.Find(name);
+    Check(row >= 0, "a host that no list has named");
+    return row;
   }
 
   // A host that a whole list leaves out is gone, though nothing says so by name.
   void Take(const std::vector<HostEntry>& entries, bool whole) {
     for (Host& host : rows_) host.listed = !whole;
+    rows_.Sweep();
     for (const HostEntry& entry : entries) Learn(entry);
-    live_.clear();
+    live_.Clear();
     double weight = 0;
     for (int i = 0; i < size(); ++i) {
-      if (!rows_[i].listed) rows_[i].entry.state = HostState::kGone;
-      if (rows_[i].entry.state != HostState::kLive) continue;
-      live_.push_back(i);
-      weight += rows_[i].entry.weight;
+      HostEntry& entry = rows_[i].entry;
+      if (!rows_[i].listed) entry.state = HostState::kGone;
+      if (entry.state != HostState::kLive) continue;
+      live_.Add(i, rows_[i].place, {entry.zone, entry.kind, entry.cell});
+      weight += entry.weight;
     }
-    std::ranges::sort(live_, {}, [&](int i) { return std::pair(rows_[i].place, i); });
+    live_.Settle();
     mean_weight_ = weight > 0 ? weight / static_cast<double>(live_.size()) : 1;
   }
 
@@ -64,10 +65,9 @@
 
  private:
   void Learn(const HostEntry& entry) {
-    const auto found = index_.find(entry.host);
-    const bool known = found != index_.end();
-    Host& host = rows_[known ? found->second : FreeRow(entry.host)];
-    if (!known || entry.started_ms > host.entry.started_ms) {
+    const int known = rows_.Find(entry.host);
+    Host& host = known >= 0 ? rows_[known] : rows_.Add(entry.host);
+    if (known < 0 || entry.started_ms > host.entry.started_ms) {
       // A new process: what was held against the old one, and its figure, are void.
       host.doubt = kDoubtLeast;
       host.set_asides = 0;
@@ -76,25 +76,15 @@
     }
     host.entry = entry;
     host.listed = true;
+    if (!host.InUse()) rows_.Freed(host.row);
     const double size = ctx_.set.weights_known && entry.weight > 0 ? entry.weight : 1;
     host.place = subset_.PlaceOf(entry.host, size * (entry.zone == ctx_.set.own_zone ? kNear : 1));
   }
 
-  // Rows of hosts that are gone for good are used again: ids that come and go all day must not pile up.
-  int FreeRow(const std::string& name) {
-    const auto unused = std::find_if_not(rows_.begin(), rows_.end(), std::mem_fn(&Host::InUse));
-    const int row = static_cast<int>(unused - rows_.begin());
-    if (unused == rows_.end()) rows_.emplace_back();
-    index_.erase(rows_[row].entry.host);
-    rows_[row] = Host();
-    return index_[name] = row;
-  }
-
   const Context& ctx_;
   Subset subset_;
-  std::vector<Host> rows_;
-  std::unordered_map<std::string, int> index_;  // looked up, never walked
-  std::vector<int> live_;
+  NamedRows<Host> rows_;
+  OwnOrder live_;
   double mean_weight_ = 1;
 };
 
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -13,6 +13,7 @@
 #include "cartspring/attempts.h"
 #include "cartspring/walk.h"
 #include "pace/pace.h"
+#include "rows/spare_map.h"
 
 namespace cartspring {
 
@@ -123,10 +124,10 @@
 
   std::vector<std::string> Avoided(double now) {
     Advance(now);
-    const std::vector<int> ready = health_.Ready(hosts_, /*safe=*/true);
+    const auto ready = health_.Ready(hosts_, /*safe=*/true);
     std::vector<std::string> out;
     for (const int i : hosts_.live()) {
-      if (std::ranges::find(ready, i) == ready.end()) out.push_back(hosts_[i].entry.host);
+      if (!ready(hosts_[i])) out.push_back(hosts_[i].entry.host);
     }
     return out;
   }
@@ -173,17 +174,23 @@
   }
 
   void Gather(RequestId id, Live& live) {
-    std::vector<int> pool = health_.Ready(hosts_, ctx_.ClassOf(live.request).effect == Effect::kSafe);
-    std::erase_if(pool, [&](int i) { return !attempts_.MaySend(live, i) || live.Barred(i); });
-    if (!reports_.Gather(id, live, std::move(pool))) return Decide(id, live);
+    const auto ready = health_.Ready(hosts_, ctx_.ClassOf(live.request).effect == Effect::kSafe);
+    const auto fits = [&](int i) {
+      return ready(hosts_[i]) && attempts_.MaySend(live, i) && !live.Barred(i);
+    };
+    const auto unfit = [&](int i) { return hosts_[i].Live() && !fits(i); };
+    const auto count = [&] {  // what may have run can be bound to a zone or cell
+      return std::ssize(hosts_.live()) - (live.MayHaveRun() ? std::ranges::count_if(hosts_.live(), unfit)
+                                                            : health_.watched().CountIf(unfit, live.barred));
+    };
+    if (!reports_.Gather(id, live, fits, count)) return Decide(id, live);
     sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
   }
 
   void Decide(RequestId id, Live& live) {
     live.gathering = false;
-    std::vector<int> legal = live.sample;
-    std::erase_if(legal, [&](int i) { return !attempts_.MaySend(live, i); });
-    const Ranked kept = walk_.Choose(live, legal);
+    std::erase_if(live.sample, [&](int i) { return !attempts_.MaySend(live, i); });
+    const Ranked kept = walk_.Choose(live);
     if (kept.host == kNoHost) return LookAgain(id, live);
     if (kept.host == kAllFull || !TakenOn(live, kept)) return End(id, live);
     SendTo(id, live, kept);
@@ -205,8 +212,8 @@
     live.gathering = true;
     const double left = std::max(live.half_at, ctx_.now) - ctx_.now;
     live.hold_until = ctx_.now + std::max(ctx_.set.tick_ms, live.looks < kLooksMax ? 0 : left / 4);
-    const bool hope =
-        hosts_.live().empty() || !std::ranges::all_of(hosts_.live(), [&](int i) { return live.Barred(i); });
+    const bool hope = hosts_.live().empty() || live.barred.size() < hosts_.live().size() ||
+                      !std::ranges::all_of(hosts_.live(), [&](int i) { return live.Barred(i); });
     if (!hope || live.hold_until >= live.half_at) return End(id, live);
     sink_.SetTimer(live.hold_until, Token(id, kHoldTimer));
   }
@@ -299,7 +306,7 @@
   Walk walk_{ctx_, hosts_, estimates_, reports_};
   Admission admission_{ctx_, hosts_, estimates_};
   Pace pace_{ctx_.Worths()};
-  std::unordered_map<RequestId, Live> requests_;  // looked up, never walked
+  SpareMap<RequestId, Live> requests_;
 };
 
 }  // namespace cartspring
--- a/src/cartspring/records.h
+++ b/src/cartspring/records.h
@@ -15,6 +15,7 @@
 // HostTable.
 struct Host {
   HostEntry entry;
+  int row = 0;  // its own in the table
   bool listed = true;
   double place = 0;  // in the own order of all hosts, by HostTable
   int held = 0;      // by the event handlers: attempts of requests that are not over, ended ones included
@@ -41,6 +42,8 @@
   double slow_log = 0;  // log of how much slower than its kind it was last seen to be
   double slow_at = 0;
 
+  const std::string& Name() const { return entry.host; }
+  bool Live() const { return entry.state == HostState::kLive; }
   int Working() const { return own - late; }
   bool InUse() const { return entry.state != HostState::kGone || held != 0 || probe_out || !waiters.empty(); }
 };
@@ -81,6 +84,17 @@
   bool MayHaveRun() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
   }
+  void Renew() {  // as if new, but for its memory
+    Live fresh;
+    const auto keep = [](auto& to, auto& from) {
+      to.swap(from);
+      to.clear();
+    };
+    keep(fresh.attempts, attempts);
+    keep(fresh.sample, sample);
+    keep(fresh.barred, barred);
+    *this = std::move(fresh);
+  }
   bool Sampled(int host) const { return std::find(sample.begin(), sample.end(), host) != sample.end(); }
   bool Barred(int host) const { return std::find(barred.begin(), barred.end(), host) != barred.end(); }
 };
@@ -91,6 +105,8 @@
   double tie;
   int host;  // or one of the two below
   double figure;
+
+  bool operator<(const Ranked& other) const { return key != other.key ? key < other.key : tie < other.tie; }
 };
 constexpr int kNoHost = -1, kAllFull = -2;
 
--- a/src/cartspring/reports.h
+++ b/src/cartspring/reports.h
@@ -88,23 +88,22 @@
   // Where only probes report, a small random sample is looked at as the request arrives: at full size an
   // instance's rows are seconds old, and ranking those sends every instance to the same hosts (the paper's
   // oscillation). Elsewhere the first ready ones of the own order are ranked by what answers told. False: no
-  // need to wait.
-  bool Gather(RequestId id, Live& live, std::vector<int> pool) {
+  // need to wait. `fits`: may a row be sent to; `count`: how many hosts may.
+  template <class Fits, class Count>
+  bool Gather(RequestId id, Live& live, const Fits& fits, const Count& count) {
     live.sample.clear();
     live.reports_due = 0;
     live.looked_at = ctx_.now;
     live.considered = 1;
     if (!Probing()) {
-      const double all = std::max<double>(1, pool.size());
-      const auto of = [&](auto field) { return [=, this](int i) { return hosts_[i].entry.*field; }; };
-      Subset::Cut(
-          pool, Subset::SizeFor(hosts_.live().size(), ctx_.set.balancers),
-          [&](int i) { return hosts_.Warmth(hosts_[i]) >= 1 && !Full(hosts_[i]); }, of(&HostEntry::zone),
-          of(&HostEntry::kind), of(&HostEntry::cell));
-      live.considered = std::max(1.0, static_cast<double>(pool.size())) / all;
-      live.sample = std::move(pool);
+      const std::size_t size = Subset::SizeFor(hosts_.live().size(), ctx_.set.balancers);
+      const auto counts = [&](int i) { return hosts_.Warmth(hosts_[i]) >= 1 && !Full(hosts_[i]); };
+      if (!hosts_.live().Pick(size, fits, counts, live.sample) && !std::ranges::all_of(live.sample, counts))
+        live.considered = static_cast<double>(live.sample.size()) / static_cast<double>(count());
       return false;
     }
+    std::vector<int> pool;
+    std::ranges::copy_if(hosts_.live(), std::back_inserter(pool), fits);
     if (ctx_.set.connection_idle_ms > 0) {
       // Part of the sample has a connection open: with many hosts and few requests every send would else
       // pay for a new one. Cold hosts are left out, or they would be drawn more often than their share is cut
--- a/src/cartspring/walk.h
+++ b/src/cartspring/walk.h
@@ -8,6 +8,7 @@
 #define CARTSPRING_SRC_CARTSPRING_WALK_H_
 
 #include "cartspring/reports.h"
+#include "rows/ranking.h"
 
 namespace cartspring {
 
@@ -30,22 +31,20 @@
       : ctx_(ctx), hosts_(hosts), estimates_(estimates), reports_(reports) {}
 
   // Of the hosts that may be sent to. kNoHost: all were passed over for being cold; kAllFull: some were full.
-  Ranked Choose(Live& live, const std::vector<int>& legal) {
-    std::vector<int> candidates = legal;
-    if (reports_.Probing())
-      std::erase_if(candidates, [&](int i) { return !reports_.Reported(hosts_[i], live); });
+  Ranked Choose(Live& live) {
     // Hosts whose probes have not answered are ranked only if none has.
-    if (candidates.empty()) candidates = legal;
+    const auto unknown = [&](int i) { return !reports_.Reported(hosts_[i], live); };
+    if (reports_.Probing() && !std::ranges::all_of(live.sample, unknown)) std::erase_if(live.sample, unknown);
     double known = 0, known_count = 0;
-    for (const int i : candidates) {
+    for (const int i : live.sample) {
       if (hosts_[i].load < 0) continue;
       known += hosts_[i].usual;
       ++known_count;
     }
     const double unreported = known / std::max(1.0, known_count);
-    std::vector<Ranked> ranking;
+    ranking_.Clear();
     bool full = false;
-    for (const int i : candidates) {
+    for (const int i : live.sample) {
       const Host& host = hosts_[i];
       if (reports_.Full(host)) {
         full = true;
@@ -61,18 +60,15 @@
       // What is kept for a cold host goes there first: it warms up by being used, and looks slow until then.
       const double key =
           warmth < 1 ? 0 : estimates_.DueToFigure(live.request.klass, host, figure) + Distance(host, live);
-      ranking.push_back({key, ctx_.random.Unit(), i, figure});
+      ranking_.Add({key, ctx_.random.Unit(), i, figure});
     }
-    if (ranking.empty()) return {0, 0, full ? kAllFull : kNoHost, 0};
-    std::sort(ranking.begin(), ranking.end(), [](const Ranked& a, const Ranked& b) {
-      return a.key != b.key ? a.key < b.key : a.tie < b.tie;
-    });
+    if (ranking_.size() == 0) return {0, 0, full ? kAllFull : kNoHost, 0};
     for (int round = 0; round < kRounds; ++round) {
-      for (const Ranked& ranked : ranking) {
-        if (ctx_.random.Unit() >= kSkip) return ranked;
+      for (std::size_t k = 0; k < ranking_.size(); ++k) {
+        if (ctx_.random.Unit() >= kSkip) return ranking_.At(k);
       }
     }
-    return ranking.front();
+    return ranking_.At(0);
   }
 
  private:
@@ -102,6 +98,7 @@
   const HostTable& hosts_;
   const Estimates& estimates_;
   const Reports& reports_;
+  Ranking<Ranked> ranking_;  // of one call: only its memory lasts
 };
 
 class Admission {
--- /dev/null
+++ b/src/rows/named_rows.h
@@ -0,0 +1,54 @@
+// Rows by index, and the index by name. A row in use is never given to another name, and none is added while
+// one is free. A container without a decision in it.
+//
+// Bound: as many rows as were in use at once.
+#ifndef BITTERNMUX_SRC_ROWS_NAMED_ROWS_H_
+#define BITTERNMUX_SRC_ROWS_NAMED_ROWS_H_
+
+#include <algorithm>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cartspring {
+
+// Row: made by default; `int row`, its index; `std::string Name() const`; `bool InUse() const`.
+template <class Row>
+class NamedRows {
+ public:
+  static constexpr int kNone = -1;
+
+  Row& operator[](int row) { return rows_[static_cast<std::size_t>(row)]; }
+  const Row& operator[](int row) const { return rows_[static_cast<std::size_t>(row)]; }
+  int size() const { return static_cast<int>(rows_.size()); }
+  auto begin() { return rows_.begin(); }
+  auto end() { return rows_.end(); }
+
+  int Find(const std::string& name) const {
+    const auto found = index_.find(name);
+    return found != index_.end() ? found->second : kNone;
+  }
+
+  // The first free row, made anew, for `name`, which has none. Rows that went out of use are found if Freed
+  // told of them, or if it was before the last call of Sweep: all that is added between two costs one pass.
+  Row& Add(const std::string& name) {
+    while (first_free_ < size() && (*this)[first_free_].InUse()) ++first_free_;
+    if (first_free_ == size()) rows_.emplace_back();
+    Row& row = (*this)[first_free_];
+    index_.erase(row.Name());
+    row = Row();
+    row.row = index_[name] = first_free_;
+    return row;
+  }
+  void Sweep() { first_free_ = 0; }
+  void Freed(int row) { first_free_ = std::min(first_free_, row); }
+
+ private:
+  std::vector<Row> rows_;
+  std::unordered_map<std::string, int> index_;  // looked up, never walked
+  int first_free_ = 0;                          // the rows below are in use
+};
+
+}  // namespace cartspring
+
+#endif  // BITTERNMUX_SRC_ROWS_NAMED_ROWS_H_
--- a/src/subset/subset.h
+++ b/src/subset/subset.h
@@ -38,31 +38,9 @@
     return std::min(hosts, static_cast<std::size_t>(std::ceil(std::max(kFew, shared))));
   }
 
-  // Cuts `order`, rows in the own order, behind the first `size` that `counts` holds good, others between
-  // them left in. Where all of these are alike in one of `traits` (functions of a row), the next that is not
-  // comes as well: what takes one kind, zone or cell away must not take all.
-  template <class Counts, class... Traits>
-  static void Cut(std::vector<int>& order, std::size_t size, const Counts& counts, const Traits&... traits) {
-    std::size_t cut = 0, good = 0;
-    for (; cut < order.size() && good < size; ++cut) good += counts(order[cut]);
-    (AddOther(order, cut, counts, traits), ...);
-    order.resize(cut);
-  }
-
  private:
   static constexpr double kFew = 3;
 
-  template <class Counts, class Trait>
-  static void AddOther(std::vector<int>& order, std::size_t& cut, const Counts& counts, const Trait& trait) {
-    const auto first = order.begin(), end = first + static_cast<std::ptrdiff_t>(cut);
-    const auto other = [&](int row) { return counts(row) && trait(row) != trait(*first); };
-    if (cut == 0 || std::any_of(first, end, other)) return;
-    const auto found = std::find_if(end, order.end(), other);
-    if (found == order.end()) return;
-    std::rotate(end, found, found + 1);
-    ++cut;
-  }
-
   static std::uint64_t Mix(std::uint64_t z) {
     z = (z ^ (z >> 33)) * 0xff51afd7ed558ccdu;
     z = (z ^ (z >> 33)) * 0xc4ceb9fe1a85ec53u;
--- a/tests/cartspring/steps_test.cpp
+++ b/tests/cartspring/steps_test.cpp
@@ -78,13 +78,17 @@
     Health health(ctx, estimates);
     HostTable hosts(ctx);
     hosts.Take(TestHosts(20), true);
-    for (int i = 0; i < 8; ++i) hosts[i].doubt = 1;
+    for (int i = 0; i < 8; ++i) {
+      while (hosts[i].doubt <= 0) health.Weigh(hosts[i], /*failed=*/true);
+      hosts[i].out_until = 0;
+    }
     int looks = 0;
     for (int request = 0; request < 500; ++request) {
       health.Earn();
       ctx.now += 60;
-      for (const int row : health.Ready(hosts, /*safe=*/true)) {
-        if (hosts[row].doubt <= 0) continue;
+      const auto ready = health.Ready(hosts, /*safe=*/true);
+      for (const int row : hosts.live()) {
+        if (hosts[row].doubt <= 0 || !ready(hosts[row])) continue;
         ++looks;
         health.Sent(hosts[row], 20);
         break;
@@ -95,5 +99,51 @@
   }
 }
 
+// Which hosts are ready, told from all of them.
+std::vector<int> ReadyByHand(const Context& ctx, const HostTable& hosts, const Health& health) {
+  std::vector<int> ready, all;
+  std::size_t well = 0;
+  for (const int i : hosts.live()) {
+    const bool out = ctx.now < hosts[i].out_until;
+    if (!hosts[i].unreached || !out) all.push_back(i);
+    if (out || health.Silent(hosts[i])) continue;
+    well += hosts[i].doubt <= 0;
+    if (hosts[i].doubt <= 0 || hosts[i].own == 0) ready.push_back(i);
+  }
+  return 2 * well < hosts.live().size() && !all.empty() ? all : ready;
+}
+
+TEST(Steps, WhatIsCountedFromTheWatchedHostsIsWhatAllOfThemTell) {
+  Context ctx{TestSettings(), Random(3)};
+  const Estimates estimates(ctx);
+  Health health(ctx, estimates);
+  HostTable hosts(ctx);
+  int blind = 0;
+  for (int step = 0; step < 20000; ++step) {
+    if (step % 50 == 0) hosts.Take(TestHosts(3 + static_cast<int>(ctx.random.Below(7))), true);
+    ctx.now += 20 * ctx.random.Unit();
+    Host& host = hosts[static_cast<int>(ctx.random.Below(static_cast<std::size_t>(hosts.size())))];
+    if (ctx.random.Below(2) == 0) {
+      health.Sent(host, 10);
+      ++host.own;
+    } else if (host.own > 0) {
+      --host.own;
+      health.Weigh(host, host.unreached = ctx.random.Below(2 + step / 2000 % 4) == 0);
+    } else if (ctx.random.Below(4) == 0) {
+      health.Weigh(host, true);  // a probe had no answer
+    }
+    const auto ready = health.Ready(hosts, /*safe=*/true);
+    std::vector<int> told;
+    std::ranges::copy_if(hosts.live(), std::back_inserter(told), [&](int i) { return ready(hosts[i]); });
+    const std::vector<int> by_hand = ReadyByHand(ctx, hosts, health);
+    ASSERT_EQ(told, by_hand);
+    const auto unfit = [&](int i) { return hosts[i].Live() && (i == host.row || !ready(hosts[i])); };
+    ASSERT_EQ(std::ssize(hosts.live()) - health.watched().CountIf(unfit, {host.row}),
+              std::ssize(by_hand) - std::ranges::count(by_hand, host.row));
+    blind += std::ranges::any_of(told, [&](int i) { return ctx.now < hosts[i].out_until; });
+  }
+  EXPECT_GT(blind, 100);
+}
+
 }  // namespace
 }  // namespace cartspring
--- a/tests/subset/subset_test.cpp
+++ b/tests/subset/subset_test.cpp
@@ -23,8 +23,6 @@
   return rows;
 }
 
-constexpr auto kAll = [](int) { return true; };
-
 TEST_CASE("hosts are in the first places of instances evenly, and a larger one by its size") {
   std::map<int, int> first;
   for (std::uint64_t seed = 0; seed < 4200; ++seed) ++first[OrderOf(seed, UpTo(40), /*large=*/7).front()];
@@ -46,29 +44,6 @@
   }
 }
 
-TEST_CASE("what does not count is passed, and the next in the order takes its place") {
-  std::vector<int> order = {5, 8, 1, 9, 4, 0};
-  Subset::Cut(order, 3, [](int i) { return i != 8 && i != 9; });
-  CHECK(order == std::vector<int>{5, 8, 1, 9, 4});
-  std::vector<int> few = {8, 9};
-  Subset::Cut(few, 3, [](int i) { return i != 8 && i != 9; });
-  CHECK(few == std::vector<int>{8, 9});
-}
-
-TEST_CASE("where all are of one zone the next of another comes as well, if there is one that counts") {
-  const auto zone = [](int i) { return i / 10; };
-  std::vector<int> order = {1, 2, 3, 4, 21, 15};
-  Subset::Cut(
-      order, 3, [](int i) { return i != 21; }, zone);
-  CHECK(order == std::vector<int>{1, 2, 3, 15});
-  order = {1, 12, 3, 14, 21};
-  Subset::Cut(order, 3, kAll, zone);
-  CHECK(order == std::vector<int>{1, 12, 3});
-  order = {1, 2, 3, 4};
-  Subset::Cut(order, 3, kAll, zone);
-  CHECK(order == std::vector<int>{1, 2, 3});
-}
-
 TEST_CASE("a small tier looks at all hosts, and a larger one at less without a step") {
   for (int tier = 1; tier <= 3; ++tier) CHECK(Subset::SizeFor(50, tier) == 50);
   for (int tier = 3; tier < 1000; ++tier) {
