Notice that a submitter has left while its request waits behind bytes or a queue

Seen: a story with the crossing forced (a submitter whose claim is being dialed sends 64 KB ahead and goes) on the program before: "it never was so that its claim is given up". A second one (the program halted for a few ms while a request and the end of its connection queue up): the request reached a node.

Cause: Session::Read paused once 16 KB were buffered behind the open request, and the end of a connection is not seen behind bytes that are left unread (submitter_server.cpp, `yield paused_ = true`). And HasLeft was asked only after a standstill, though a connection may wait for a place as long.

Ruled out: the module (a departure it is told of ends a request in every state, exhaustive tests), and requests on connections that are known (they are read as they come).

Change: of one who sends on and on no more than 16 KB is kept, what follows is read and thrown away, and the connection ends with the last request that was kept; a first request is asked whether its submitter is there. One more look at the socket for each new connection, none for later requests.

--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -138,17 +138,16 @@
         if (error || !TakeBytes()) return Left();
         Process();
         if (state_ == State::kClosed) return;
-        // One who sends on and on without waiting for answers is read no further until one is written.
-        if (buffer_.size() >= kMostReadAhead) {
-          yield paused_ = true;
-        }
+        // Of one who sends on and on without waiting for answers no more is kept. It is read on all the same:
+        // behind bytes that are left unread nobody sees that it goes.
+        overrun_ = overrun_ || buffer_.size() >= kMostReadAhead;
       }
     }
   }
 
   // False: the submitter has closed its side.
   bool TakeBytes() {
-    if (state_ == State::kLingering) return Discard();
+    if (state_ == State::kLingering || overrun_) return Discard();
     error_code error;
     // Most connections idle most of the time: what they keep for the next head is small.
     const std::size_t size = parser_.head_read() ? kReadSize : kHeadReadSize;
@@ -180,6 +179,7 @@
     while (state_ == State::kReading && buffer_.size() > 0) {
       switch (parser_.Parse(buffer_)) {
         case http::Progress::kMore:
+          if (overrun_) return Linger();  // the rest of it was not kept
           MindTime();
           InviteBody();
           CountUnread(buffer_.size() + parser_.message().body.size());
@@ -198,6 +198,7 @@
           parser_.Reset();
       }
     }
+    if (state_ == State::kReading && overrun_) Linger();
   }
 
   void Serve(Asked asked) {
@@ -210,7 +211,7 @@
       keep_alive_ = keep_alive_ && proven_;
       return Write(WriteBadRequest(*bad, keep_alive_));
     }
-    proven_ = true;
+    const bool first = !std::exchange(proven_, true);
     using Ask = limits::Sessions::Ask;
     server_.limits_.Taken(runtime_.now_ms(), id_, job != nullptr ? Ask::kJob : Ask::kProbe);
     server_.Trim();
@@ -218,10 +219,11 @@
     state_ = State::kServing;
     LimitTo(0);
     Job& taken = std::get<Job>(asked);
-    // Guards against what was over before it was read: it may lie here since before a standstill, its
-    // submitter may have gone, and may have asked elsewhere.
-    if (const double unread_ms = runtime_.unread_ms(); unread_ms > 0) {
-      if (HasLeft()) return Close();
+    // Guards against what was over before it was read: it may lie here since before a standstill, or since
+    // before there was a place for its connection. Its submitter may have gone, and may have asked elsewhere.
+    const double unread_ms = runtime_.unread_ms();
+    if ((first || unread_ms > 0) && HasLeft()) return Close();
+    if (unread_ms > 0) {
       taken.patience_ms = std::max(0.0, taken.patience_ms - std::min(unread_ms, SinceLastByteMs()));
     }
     job_ = server_.jobs_.Take(runtime_.now_ms(), std::move(taken),
@@ -355,7 +357,6 @@
     if (buffer_.size() > 0) server_.limits_.Began(runtime_.now_ms(), id_);
     if (server_.closing_ && !server_.leaving_ && buffer_.size() == 0) return CloseWhenIdle();
     Process();  // the next request may have come already
-    if (std::exchange(paused_, false)) Read();
   }
 
   // Closing at once with bytes unread would reset the connection, and the answer could be lost on its way.
@@ -376,8 +377,8 @@
   http::Parser parser_{http::Role::kRequest};
   JobId job_ = 0;
   bool keep_alive_ = true;
-  bool proven_ = false;  // a good request has come
-  bool paused_ = false;
+  bool proven_ = false;   // a good request has come
+  bool overrun_ = false;  // what comes is thrown away, and the connection ends with what was kept
   bool left_ = false;
   bool invited_ = false;     // to send its body
   bool old_form_ = false;    // asked in HTTP/1.0
--- /dev/null
+++ b/tests/net/crossing_stories.cpp
@@ -0,0 +1,83 @@
+// Two events that cross, on real sockets, with the crossing forced: a peer acts at a point that it has seen,
+// or the program is halted while what is to cross queues up.
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "support/peers.h"
+
+namespace bitternmux::peers {
+namespace {
+
+bool Has(const std::string& text, const std::string& part) { return text.find(part) != text.npos; }
+int Status(const std::string& answer) { return std::stoi(answer.substr(9, 3)); }
+const char kUp[] = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+
+// A node whose connections come up when it accepts them: another one fills its queue.
+struct LateNode {
+  Listener listener{/*queue=*/0};
+  Peer filling = Dial(listener.port());
+
+  Peer Accept() {
+    if (!std::exchange(accepted_, true)) listener.Accept();
+    return listener.Accept();
+  }
+
+ private:
+  bool accepted_ = false;
+};
+
+// The program's configuration between such nodes: nothing there ends by time.
+nlohmann::json Patient(const Listener& discovery, const std::vector<const Listener*>& nodes) {
+  auto members = nlohmann::json::array();
+  for (const Listener* node : nodes)
+    members.push_back(Machine("s-" + std::to_string(members.size()), node->address()));
+  auto config = ConfigOf(discovery.address(), 256, List(41, true, members));
+  config["settings"]["bounds"]["dialTimeoutMs"] = 60'000.0;
+  for (auto& service : config["settings"]["services"])
+    service["promiseMs"] = service["deadlineMs"] = 60'000.0;
+  return config;
+}
+
+// Answered once all that came before it on other connections has been read.
+void AwaitTurn(Program& program) {
+  Peer peer = Dial(program.port());
+  peer.Send(kUp);
+  CHECK(Status(peer.Read()) == 200);
+}
+
+}  // namespace
+
+TEST_CASE("a submitter that sends far ahead and goes is noticed while its request waits for a connection") {
+  Listener discovery;
+  LateNode late;
+  Program program(Patient(discovery, {&late.listener}));
+  Peer submitter = Dial(program.port());
+  submitter.Send(Get("id-0", 60'000));
+  AwaitDialTo(late.listener.port());
+  std::string ahead;
+  for (int i = 1; ahead.size() < 64 * 1024; ++i) ahead += Get("id-" + std::to_string(i), 60'000);
+  submitter.Send(ahead);
+  submitter.Close();
+  AwaitThat("its claim is given up", [&] { return !HasConnection(false, late.listener.port(), "02"); });
+  AwaitTurn(program);
+  CHECK_FALSE(HasConnection(false, late.listener.port(), "02"));  // nor is another of its requests sent on
+}
+
+TEST_CASE("a submitter that left before it was let in has nothing sent on") {
+  Bed bed;
+  AwaitTurn(bed.program);
+  for (int round = 0; round < 5; ++round) {
+    bed.program.Halt();  // for far less than a standstill
+    Peer gone = Dial(bed.program.port());
+    gone.Send(Post("gone-" + std::to_string(round)));
+    gone.Close();
+    bed.program.GoOn();
+  }
+  Peer submitter = bed.Submitter();
+  submitter.Send(Post("good"));
+  Peer node = bed.nodes[0].Accept();
+  CHECK(Has(node.Read(), "good"));
+  CHECK_FALSE(bed.nodes[0].Waiting());
+}
+
+}  // namespace bitternmux::peers
--- a/tests/support/peers.h
+++ b/tests/support/peers.h
@@ -12,10 +12,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -122,9 +124,11 @@
   return at;
 }
 
-inline Peer Dial(int port) {
+// `receive_buffer`: bytes that the kernel holds for it, about; 0: as ever.
+inline Peer Dial(int port, int receive_buffer = 0) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in at = Loopback(port);
+  if (receive_buffer > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
   if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
     ::close(fd);
     throw std::runtime_error("connection refused");
@@ -132,18 +136,30 @@
   return Peer(fd);
 }
 
-// Waits until somebody's dial to the port hangs, as the kernel has it.
-inline void AwaitDialTo(int port) {
-  char remote[32];
-  std::snprintf(remote, sizeof remote, " 0100007F:%04X 02 ", static_cast<unsigned>(port));
-  for (int waited = 0; waited < kLimitMs; ++waited) {
-    std::ifstream table("/proc/net/tcp");
-    for (std::string line; std::getline(table, line);) {
-      if (line.find(remote) != line.npos) return;
-    }
+// Has the kernel a connection from (`local`) or to that port in that state? 02: its dial hangs; 04: it has
+// been ended from there, and not all that was written before has arrived.
+inline bool HasConnection(bool local, int port, const char* state) {
+  char end[16];
+  std::snprintf(end, sizeof end, "0100007F:%04X", static_cast<unsigned>(port));
+  std::ifstream table("/proc/net/tcp");
+  for (std::string row, at[4]; std::getline(table, row);) {
+    std::istringstream(row) >> at[0] >> at[1] >> at[2] >> at[3];
+    if (at[local ? 1 : 2] == end && at[3] == state) return true;
+  }
+  return false;
+}
+template <class Condition>
+void AwaitThat(const char* what, Condition condition) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kLimitMs);
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= until)
+      throw std::runtime_error(std::string("it never was so that ") + what);
     ::usleep(1000);
   }
-  throw std::runtime_error("nobody dials");
+}
+// Waits until somebody's dial to the port hangs.
+inline void AwaitDialTo(int port) {
+  AwaitThat("somebody dials", [&] { return HasConnection(/*local=*/false, port, "02"); });
 }
 
 class Listener {
