Pass on every header meant for the end of the way, keys of an application among them

A trial that prints the heads that come shows `Idempotency-Key` with each request of a class that may be repeated within a window, and `Req-Owner` where there are tenants.

Cause: a claim was written anew from five fields, and all else that the submitter had sent was dropped (protocol.cpp, ReadRequest and WriteClaim). The first customer has neither keys nor tenants, so that nothing showed.

Ruled out: method, path and body (unchanged in the trial's print).

Change: all headers go on but those of this hop (RFC 9110, 7.6.1, those that `Connection` names among them) and those that a claim is given anew. The test fails without it: no `req-kind`, `req-owner`, `idempotency-key`.

--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
+#include <vector>
 
 #include "core/facade.h"
 #include "core/flow.h"
@@ -20,7 +22,8 @@
 
 // A job as its submitter gave it. What goes on to the execute node is carried, not read.
 struct Job {
-  std::string request_id, method, target, content_type;
+  std::string request_id, method, target;
+  std::vector<std::pair<std::string, std::string>> headers;  // those that are meant for the end of the way
   std::shared_ptr<const std::string> body;  // null: none; a claim that is written holds it too
   int klass = 0;
   double patience_ms = 0;  // how long the submitter waits, from the job's last byte
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -37,16 +37,6 @@
   });
 }
 
-// Is the word one of the comma-separated ones?
-bool Lists(std::string_view value, std::string_view word) {
-  while (!value.empty()) {
-    const auto comma = value.find(',');
-    if (Lower(Trim(value.substr(0, comma))) == word) return true;
-    value = comma == value.npos ? std::string_view() : value.substr(comma + 1);
-  }
-  return false;
-}
-
 // An absolute target names its host too, which the message does in any case.
 void ToPath(std::string& target) {
   constexpr std::string_view kScheme = "http://";
@@ -60,6 +50,15 @@
 
 bool SameWord(std::string_view one, std::string_view other) { return Lower(one) == Lower(other); }
 
+bool Lists(std::string_view value, std::string_view word) {
+  while (!value.empty()) {
+    const auto comma = value.find(',');
+    if (Lower(Trim(value.substr(0, comma))) == word) return true;
+    value = comma == value.npos ? std::string_view() : value.substr(comma + 1);
+  }
+  return false;
+}
+
 std::optional<std::uint64_t> WholeNumber(std::string_view text) {
   std::uint64_t value = 0;
   if (text.empty() || text[0] < '0' || text[0] > '9') return std::nullopt;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -86,6 +86,9 @@
 // The same but for the case of letters.
 bool SameWord(std::string_view one, std::string_view other);
 
+// Is the word, in lower case, one of the comma-separated ones?
+bool Lists(std::string_view value, std::string_view word);
+
 // A whole number of nothing but digits; none for anything else, or above what fits.
 std::optional<std::uint64_t> WholeNumber(std::string_view text);
 
--- a/src/net/protocol.cpp
+++ b/src/net/protocol.cpp
@@ -36,6 +36,35 @@
   return -1;
 }
 
+// What a message says for this hop alone (RFC 9110, 7.6.1), and what each claim is given anew. All else is
+// for the end of the way, known here or not: an application's key for the effect, its tenant.
+constexpr std::array<std::string_view, 14> kOfThisHop = {"connection",
+                                                         "keep-alive",
+                                                         "proxy-connection",
+                                                         "proxy-authenticate",
+                                                         "proxy-authorization",
+                                                         "te",
+                                                         "trailer",
+                                                         "transfer-encoding",
+                                                         "upgrade",
+                                                         "expect",
+                                                         "host",
+                                                         "content-length",
+                                                         "req-id",
+                                                         "req-deadline-ms"};
+
+std::vector<std::pair<std::string, std::string>> ForTheEnd(
+    std::vector<std::pair<std::string, std::string>> headers) {
+  std::string hops;  // that the submitter names
+  for (const auto& [name, value] : headers) {
+    if (name == "connection") hops.append(hops.empty() ? "" : ",").append(value);
+  }
+  std::erase_if(headers, [&](const auto& header) {
+    return std::ranges::find(kOfThisHop, header.first) != kOfThisHop.end() || http::Lists(hops, header.first);
+  });
+  return headers;
+}
+
 std::string Decimal(double value) {
   std::array<char, 32> buffer;
   const auto end =
@@ -78,7 +107,7 @@
   job.klass = klass;
   job.patience_ms = static_cast<double>(*patience);
   job.work_hint_ms = static_cast<double>(cost_us) / 1000;
-  job.content_type = message.Find("content-type").value_or("");
+  job.headers = ForTheEnd(std::move(message.headers));
   job.method = std::move(message.method);
   job.target = std::move(message.target);
   if (!message.body.empty()) job.body = std::make_shared<const std::string>(std::move(message.body));
@@ -119,7 +148,7 @@
       {"Host", host},
       {"Req-Id", job.request_id},
       {"Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait_ms))))}};
-  if (!job.content_type.empty()) headers.emplace_back("Content-Type", job.content_type);
+  for (const auto& [name, value] : job.headers) headers.emplace_back(name, value);
   return http::WriteRequestHead(job.method, job.target, headers, job.body ? job.body->size() : 0);
 }
 
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -47,6 +47,28 @@
 
 }  // namespace
 
+TEST_CASE("what is meant for the end of the way reaches the node, and what is meant for this hop does not") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  submitter.Send(
+      "POST /space-hold HTTP/1.1\r\nHost: app.svc\r\nReq-Id: id-1\r\nReq-Kind: space-hold\r\n"
+      "Req-Deadline-Ms: 8000\r\nReq-Owner: ferries\r\nIdempotency-Key: 0b47\r\nX-Two: a\r\nX-Two: b\r\n"
+      "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nKeep-Alive: timeout=5\r\n"
+      "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}");
+  Peer node = bed.nodes[0].Accept();
+  const std::string claim = node.Read();
+  for (const char* line :
+       {"Req-Id: id-1", "req-kind: space-hold", "req-owner: ferries", "idempotency-key: 0b47", "x-two: a",
+        "x-two: b", "content-type: application/json"}) {
+    INFO(line << " in " << claim);
+    CHECK(Has(claim, "\r\n" + std::string(line) + "\r\n"));
+  }
+  for (const char* hop : {"x-hop", "\r\nte:", "connection", "keep-alive", "app.svc", "req-id"})
+    CHECK_FALSE(Has(claim, hop));
+  node.Send(Served("ok"));
+  CHECK(Status(submitter.Read()) == 200);
+}
+
 TEST_CASE("a submitter that sends far ahead and goes is noticed while its request waits for a connection") {
   Listener discovery;
   LateNode late;
