Withdraw what was not written whole as its submitter leaves, without cancelling too

Seen: with `mayCancel` off, a story whose submitter leaves while its claim is dialed had the claim written as the connection came up; the same for half of a long request.

Cause: the module orders a cancel only where the settings allow it (policy.h, CancelPending), and nobody else took back what had not begun. Giving that up is no cancel: it never ran, and nothing is told to the node.

Ruled out: requests held for a host or between two attempts (the module forgets them, exhaustive tests).

Change: ClaimRunner::Withdraw, called as a submitter leaves and as all is ended at a stop. A connection that is not up yet is kept for the next claim, one written to in part is closed. The virtual pool does the same.

--- a/lab/virtual/pool.cpp
+++ b/lab/virtual/pool.cpp
@@ -271,6 +271,16 @@
   Close(id);
 }
 
+void Pool::Withdraw(JobId job, int number) {
+  const auto found = out_.find(job);
+  if (found == out_.end() || found->second.first != number) return;
+  Connection& connection = connections_.at(found->second.second);
+  if (connection.stage != Stage::kDialing) return;
+  out_.erase(found);
+  connection.busy = false;  // it is kept for another once it is up
+  wheel_.Cancel(connection.until_timer);
+}
+
 void Pool::Close(model::ConnectionId id) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -34,6 +34,7 @@
   } else {
     facade_.SubmitterLeft(now_ms, id);
     Tick(now_ms);  // gives up the claim, where the settings allow it
+    runner_->Withdraw(id, found->second.claims - 1);
   }
   Release(id);
   ++stats_.left;
@@ -46,6 +47,7 @@
   }
   for (const JobId id : waiting) {
     facade_.SubmitterLeft(now_ms, id);
+    runner_->Withdraw(id, held_.at(id).claims - 1);
     Finish(id, {Answer::Kind::kTimedOut, {}, {}, {}, 0, 0});
   }
   Tick(now_ms);
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -65,6 +65,8 @@
   virtual ~ClaimRunner() = default;
   virtual void Start(const Claim& claim, const Job& job) = 0;
   virtual void GiveUp(JobId job, int number) = 0;
+  // The same, but only if its last byte is not out: then it never ran, and giving it up cancels nothing.
+  virtual void Withdraw(JobId job, int number) = 0;
   virtual void Probe(const std::string& node, const std::string& address) = 0;
 };
 
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -73,6 +73,16 @@
     Close();
   }
 
+  // False: the exchange is written whole, and goes on. A connection that is not up yet is kept for another.
+  bool Withdraw() {
+    if (stage_ == Stage::kWaiting) return false;
+    if (stage_ == Stage::kWriting) return Close(), true;
+    busy_ = false;
+    runtime_.wheel.Cancel(until_timer_);
+    exchange_ = {};
+    return true;
+  }
+
   void Close() {
     if (closed_) return;
     closed_ = true;
@@ -332,6 +342,13 @@
   connection->GiveUp();
 }
 
+void NodePool::Withdraw(JobId job, int number) {
+  const auto found = out_.find(job);
+  if (found == out_.end() || found->second.first != number) return;
+  const Handle connection = found->second.second;
+  if (connection->Withdraw()) out_.erase(job);
+}
+
 void NodePool::Probe(const std::string& node, const std::string& address) {
   const double asked_ms = runtime_.now_ms();
   Exchange exchange;
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -25,6 +25,7 @@
 
   void Start(const Claim& claim, const Job& job) override;
   void GiveUp(JobId job, int number) override;
+  void Withdraw(JobId job, int number) override;
   void Probe(const std::string& node, const std::string& address) override;
   // Forgets the nodes that the list no longer has in service, and closes what idles to them.
   void Prune();
--- a/tests/core/exhaustive_test.cpp
+++ b/tests/core/exhaustive_test.cpp
@@ -112,6 +112,7 @@
     std::erase_if(begun_, [&](const Claim& c) { return c.job == job && c.number == number; });
     book_.GivenUp(job, number);
   }
+  void Withdraw(JobId, int) override {}
   void Probe(const std::string&, const std::string&) override {}
 
   void Ask(const std::string& name) {
--- a/tests/core/retune_test.cpp
+++ b/tests/core/retune_test.cpp
@@ -71,6 +71,7 @@
   struct Runner : ClaimRunner {
     void Start(const Claim& claim, const Job&) override { started.push_back(claim); }
     void GiveUp(JobId, int) override {}
+    void Withdraw(JobId, int) override {}
     void Probe(const std::string&, const std::string&) override {}
     std::vector<Claim> started;
   } runner;
--- a/tests/core/stats_test.cpp
+++ b/tests/core/stats_test.cpp
@@ -19,6 +19,7 @@
     void GiveUp(JobId job, int number) override {
       std::erase_if(out, [&](const Claim& claim) { return claim.job == job && claim.number == number; });
     }
+    void Withdraw(JobId, int) override {}
     void Probe(const std::string&, const std::string&) override {}
     std::vector<Claim> out;
   };
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -85,6 +85,42 @@
   CHECK_FALSE(HasConnection(false, late.listener.port(), "02"));  // nor is another of its requests sent on
 }
 
+TEST_CASE(
+    "what was not written whole is withdrawn as its submitter leaves, though nothing may be cancelled") {
+  Listener discovery;
+  LateNode late;
+  auto config = Patient(discovery, {&late.listener});
+  config["settings"]["bounds"]["mayCancel"] = false;
+  SECTION("its connection is not up yet") {
+    Program program(config);
+    Peer submitter = Dial(program.port());
+    submitter.Send(Post("id-1", "{}", 60'000));
+    AwaitDialTo(late.listener.port());
+    submitter.Close();
+    AwaitTurn(program);
+    Peer node = late.Accept();
+    Peer other = Dial(program.port());
+    other.Send(Post("id-2", "{}", 60'000));
+    AwaitThat("one of them is claimed", [&] { return node.Waiting() || late.listener.Waiting(); });
+    CHECK_FALSE((node.Waiting() && !node.Ended() && Has(node.Read(), "id-1")));
+  }
+  SECTION("half of it is out") {
+    Listener reader;
+    config = Patient(discovery, {&reader});
+    config["settings"]["bounds"]["mayCancel"] = false;
+    config["limits"]["memory_mb"] = 128;
+    Program program(config);
+    Peer submitter = Dial(program.port());
+    const std::string body(16'000'000, 'x');  // more than the kernel takes while nobody reads
+    submitter.Send(Post("id-1", body, 60'000));
+    Peer node = reader.Accept();
+    node.Take(1000);
+    submitter.Close();
+    AwaitTurn(program);
+    CHECK(node.Rest().size() < body.size());
+  }
+}
+
 TEST_CASE("a submitter that left before it was let in has nothing sent on") {
   Bed bed;
   AwaitTurn(bed.program);
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -225,6 +225,7 @@
 struct Runner : ClaimRunner {
   void Start(const Claim& claim, const Job&) override { started.push_back(claim); }
   void GiveUp(JobId job, int number) override { given_up.emplace_back(job, number); }
+  void Withdraw(JobId, int) override {}
   void Probe(const std::string&, const std::string&) override {}
   std::vector<Claim> started;
   std::vector<std::pair<JobId, int>> given_up;
