Hold a repeat to its window up to its last byte, not only when it is decided

Seen: a story with a window of 2 s whose second node lets the connection come up after 2.1 s: the repeat was written to it.

Cause: Attempts::MaySend compared the window with the time of the decision; the dial (250 ms here, no bound where the settings give none), a standstill and a node that reads slowly come after that (attempts.h, node_pool.cpp Dialed and Write).

Ruled out: the start of the window (it is the first attempt's decision, which is before its transmission), and hand-overs (a process never repeats another's attempt).

Change: the module says with each Send by when its last byte has to be out; the pool looks as a connection comes up and before it writes on. It also looks whether the host still has that address, which went by its id alone. An attempt past its window is no longer waited for: WorthAnother asks the same bound.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -28,7 +28,7 @@
 namespace {
 
 struct LastSend : ActionSink {
-  void Send(RequestId id, const std::string& host, double) override {
+  void Send(RequestId id, const std::string& host, double, double) override {
     sent = id;
     at = host;
   }
--- a/examples/embedding.cpp
+++ b/examples/embedding.cpp
@@ -34,7 +34,7 @@
   }
 
   // Actions.
-  void Send(RequestId id, const std::string& host, double /*give_up_ms*/) override {
+  void Send(RequestId id, const std::string& host, double /*give_up_ms*/, double /*out_by_ms*/) override {
     sent.emplace_back(id, host);
   }
   void Cancel(RequestId id, int attempt) override { cancelled.emplace_back(id, attempt); }
--- a/include/cartspring/balancer.h
+++ b/include/cartspring/balancer.h
@@ -113,7 +113,8 @@
 class ActionSink {
  public:
   virtual ~ActionSink() = default;
-  virtual void Send(RequestId id, const std::string& host, double give_up_ms) = 0;
+  // `out_by_ms`: of a repeat, by when its last byte has to be out, or it must not be sent; else infinity.
+  virtual void Send(RequestId id, const std::string& host, double give_up_ms, double out_by_ms) = 0;
   virtual void Cancel(RequestId id, int attempt) = 0;
   virtual void Refuse(RequestId id, double retry_after_ms) = 0;  // final; tells that a retry is harmless
   virtual void Fail(RequestId id) = 0;                           // final; no such promise
--- a/lab/virtual/pool.cpp
+++ b/lab/virtual/pool.cpp
@@ -73,7 +73,7 @@
 void Pool::Probe(const std::string& node, const std::string& address) {
   const double now = outside_.NowMs();
   Exchange exchange;
-  exchange.claim = {0, 0, node, address, now + kProbePatienceMs};
+  exchange.claim = {0, 0, node, address, now + kProbePatienceMs, kAnyTime};
   exchange.probe = true;
   exchange.until_ms = now + kProbePatienceMs;
   exchange.asked_ms = now;
@@ -142,7 +142,8 @@
   wheel_.Cancel(connection.dial_timer);
   const double now = outside_.NowMs();
   choice_.Opened(now, id, connection.node, machines_.KindOf(connection.node), now - connection.dialed_ms);
-  if (connection.busy) return Write(id, connection);
+  if (connection.busy && now <= connection.exchange.claim.out_by_ms) return Write(id, connection);
+  if (connection.busy) return OutOfTime(id);  // a repeat that its node would not drop any more
   machines_.IsLive(connection.node) ? Idles(id, connection) : Close(id);
 }
 
--- a/src/cartspring/attempts.h
+++ b/src/cartspring/attempts.h
@@ -26,17 +26,24 @@
   // The last time at which a batch can still bring the request's end.
   double LastCall(const Live& live) const { return live.end_at - ctx_.set.tick_ms; }
 
+  // By when a further attempt has to be out: from then on its repeat would not be dropped.
+  double RepeatBy(const Live& live) const {
+    const RequestClass& klass = ctx_.ClassOf(live.request);
+    const auto ran = std::ranges::find_if(live.attempts, &Attempt::may_have_run);
+    if (klass.effect == Effect::kSafe || ran == live.attempts.end()) return kNever;
+    return klass.effect == Effect::kKeyed ? ran->sent_at + klass.repeat_window_ms : -kNever;
+  }
+
   bool MaySend(const Live& live, int to) const {
     const Host& host = hosts_[to];
     const RequestClass& klass = ctx_.ClassOf(live.request);
     const Settings& set = ctx_.set;
     if (host.entry.state != HostState::kLive || live.begun) return false;
     if (live.Count() >= set.max_attempts || ctx_.now >= live.request.give_up_ms) return false;
+    if (ctx_.now > RepeatBy(live) - set.tick_ms) return false;
     for (const Attempt& earlier : live.attempts) {
       if (earlier.pending && !set.may_duplicate) return false;
       if (!earlier.may_have_run || klass.effect == Effect::kSafe) continue;
-      if (klass.effect == Effect::kUnsafe) return false;
-      if (ctx_.now - earlier.sent_at > klass.repeat_window_ms - set.tick_ms) return false;
       const HostEntry& first = hosts_[earlier.host].entry;
       if (klass.group == RepeatGroup::kZone && first.zone != host.entry.zone) return false;
       if (klass.group == RepeatGroup::kCell && first.cell != host.entry.cell) return false;
@@ -66,7 +73,7 @@
   bool WorthAnother(const Live& live, Outcome outcome, double typical_ms) {
     if (live.Count() >= ctx_.set.max_attempts) return false;
     if (LastCall(live) - ctx_.now < typical_ms / 2) return false;
-    if (ctx_.ClassOf(live.request).effect == Effect::kUnsafe && !MayRefuse(live)) return false;
+    if (ctx_.now > RepeatBy(live) - ctx_.set.tick_ms) return false;
     if (ProvesNeverRan(outcome)) return true;
     if (tokens_ < 1) return false;
     tokens_ -= 1;
--- a/src/cartspring/context.h
+++ b/src/cartspring/context.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,7 @@
 namespace cartspring {
 
 constexpr double kSettled = 1e-6;  // ms, for comparing times
+constexpr double kNever = std::numeric_limits<double>::infinity();
 // From more instances than this on, an instance's share of the requests that a host may hold is less than
 // one: counts bound nothing, and it sees little of any host.
 constexpr int kSmallTier = 6;
--- a/src/cartspring/policy.h
+++ b/src/cartspring/policy.h
@@ -220,6 +220,7 @@
 
   void SendTo(RequestId id, Live& live, const Ranked& kept) {
     Host& host = hosts_[kept.host];
+    const double repeat_by = attempts_.RepeatBy(live);
     live.attempts.push_back({kept.host, ctx_.now, kept.figure, true, true});
     health_.Sent(host, estimates_.Expected(live.request.klass, host, kept.figure, live.share));
     ++host.held;
@@ -229,7 +230,7 @@
     if (ctx_.LargeTier()) sink_.SetTimer(ctx_.now + admission_.SlowAfter(live), Token(id, kSlowTimer));
     live.barred.push_back(kept.host);
     live.looks = 0;
-    sink_.Send(id, host.entry.host, attempts_.AttemptEnd(live, host.expected_ms));
+    sink_.Send(id, host.entry.host, attempts_.AttemptEnd(live, host.expected_ms), repeat_by);
   }
 
   // It is out no more.
--- a/src/core/facade.cpp
+++ b/src/core/facade.cpp
@@ -30,15 +30,15 @@
   return std::exchange(errands_, {});
 }
 
-void Facade::Send(JobId id, const std::string& host, double give_up_ms) {
-  Decide(id, {Verdict::Kind::kSend, host, give_up_ms, 0});
+void Facade::Send(JobId id, const std::string& host, double give_up_ms, double out_by_ms) {
+  Decide(id, {Verdict::Kind::kSend, host, give_up_ms, 0, out_by_ms});
 }
 
 void Facade::Refuse(JobId id, double retry_after_ms) {
-  Decide(id, {Verdict::Kind::kRefuse, {}, 0, retry_after_ms});
+  Decide(id, {Verdict::Kind::kRefuse, {}, 0, retry_after_ms, 0});
 }
 
-void Facade::Fail(JobId id) { Decide(id, {Verdict::Kind::kFail, {}, 0, 0}); }
+void Facade::Fail(JobId id) { Decide(id, {Verdict::Kind::kFail, {}, 0, 0, 0}); }
 
 void Facade::Decide(JobId id, Verdict verdict) {
   if (id == asked_) {
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -23,6 +23,7 @@
   std::string node;           // kSend: the execute node's id
   double until_ms = 0;        // kSend: when the claim is given up
   double retry_after_ms = 0;  // kRefuse: 0 for no advice
+  double out_by_ms = 0;       // kSend: when its last byte has to be out, or it must not be sent
 };
 
 // What the module wants beyond the job that it was asked about.
@@ -82,7 +83,7 @@
   void WatchBroken(double now_ms) { balancer_.OnDiscoveryRefused(now_ms); }
 
  private:
-  void Send(JobId id, const std::string& host, double give_up_ms) override;
+  void Send(JobId id, const std::string& host, double give_up_ms, double out_by_ms) override;
   void Cancel(JobId id, int attempt) override { errands_.cancels.emplace_back(id, attempt); }
   void Refuse(JobId id, double retry_after_ms) override;
   void Fail(JobId id) override;
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -130,7 +130,9 @@
 void JobTable::Send(double now_ms, JobId id, Held& held, const Verdict& verdict) {
   held.claim_sent_ms = now_ms;
   const double until = verdict.until_ms > 0 ? std::min(verdict.until_ms, held.give_up_ms) : held.give_up_ms;
-  runner_->Start({id, held.claims++, verdict.node, machines_.AddressOf(verdict.node), until}, held.job);
+  runner_->Start(
+      {id, held.claims++, verdict.node, machines_.AddressOf(verdict.node), until, verdict.out_by_ms},
+      held.job);
 }
 
 // The only way to answer: the job leaves the table with its answerer, so there is no second answer to give.
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -4,6 +4,7 @@
 #define BITTERNMUX_SRC_CORE_JOB_TABLE_H_
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,12 +42,16 @@
 };
 using Answerer = std::function<void(Answer)>;
 
+// A time that never comes.
+constexpr double kAnyTime = std::numeric_limits<double>::infinity();
+
 // One attempt of a job on one execute node.
 struct Claim {
   JobId job = 0;
   int number = 0;
   std::string node, address;
   double until_ms = 0;
+  double out_by_ms = kAnyTime;  // when its last byte has to be out, or it must not be sent
 };
 
 // What became of it.
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -132,12 +132,18 @@
     stage_ = Stage::kWriting;
     const double now_ms = runtime_.now_ms();
     pool_.choice_.Opened(now_ms, id_, node_, pool_.machines_.KindOf(node_), now_ms - dialed_ms_);
-    const bool live = pool_.machines_.IsLive(node_);
-    // Guards rule 3: the node may have been told to drain while the dial took its time.
-    if (busy_) return live ? Begin() : Broke(Break::kNoSocket);
-    live ? pool_.Idles(id_) : Close();
+    if (busy_) return MayBegin() ? Begin() : Broke(Break::kNoSocket);
+    IsWanted() ? pool_.Idles(id_) : Close();
   }
 
+  bool IsWanted() const {
+    return pool_.machines_.IsLive(node_) && pool_.machines_.AddressOf(node_) == address_;
+  }
+
+  // Guards rule 3: the node may have been told to drain, or have come back elsewhere, while the claim waited
+  // for its connection. And rule 2: a repeat may come too late for its node to drop it.
+  bool MayBegin() const { return IsWanted() && runtime_.now_ms() <= exchange_.out_by_ms; }
+
   void Begin() {
     stage_ = Stage::kWriting;
     written_ = 0;
@@ -162,7 +168,8 @@
     }
     if (error == asio::error::would_block) {
       socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& e) {
-        if (!self->closed_ && self->busy_ && !e) self->Write();
+        if (self->closed_ || !self->busy_ || e) return;
+        self->runtime_.now_ms() <= self->exchange_.out_by_ms ? self->Write() : self->Broke(Break::kNoSocket);
       });
     } else if (error) {
       // Told later: the job table must not hear of a claim's end from within its start.
@@ -328,8 +335,8 @@
   };
   const double wait_ms = claim.until_ms - runtime_.now_ms();
   Begin(claim.node, claim.address,
-        {WriteClaim(job, claim.address, wait_ms), job.body, claim.until_ms, job.klass, job.work_hint_ms,
-         claim.job, claim.number, ended, [this, claim](ClaimEnd begun) {
+        {WriteClaim(job, claim.address, wait_ms), job.body, claim.until_ms, claim.out_by_ms, job.klass,
+         job.work_hint_ms, claim.job, claim.number, ended, [this, claim](ClaimEnd begun) {
            return jobs_.ClaimBegan(runtime_.now_ms(), claim, std::move(begun));
          }});
 }
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -44,6 +44,7 @@
     std::string head;
     std::shared_ptr<const std::string> body;  // null: none
     double until_ms = 0;
+    double out_by_ms = kAnyTime;
     int klass = limits::Connections::kRepeatable;
     double work_ms = 0;
     JobId job = 0;  // whose claim it is; 0: none's
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -165,7 +165,7 @@
   reply_->append(action).append("\tproxy=").append(instance_);
 }
 
-void ReplyWriter::Send(RequestId id, const std::string& host, double give_up_ms) {
+void ReplyWriter::Send(RequestId id, const std::string& host, double give_up_ms, double /*out_by_ms*/) {
   Begin("PLACE");
   reply_->append("\tcorr=").append(std::to_string(id)).append("\tuntilMs=");
   AppendNumber(give_up_ms, reply_);
--- a/src/simhost/wire.h
+++ b/src/simhost/wire.h
@@ -93,7 +93,7 @@
 class ReplyWriter : public ActionSink {
  public:
   ReplyWriter(std::string instance, std::string* reply) : instance_(std::move(instance)), reply_(reply) {}
-  void Send(RequestId id, const std::string& host, double give_up_ms) override;
+  void Send(RequestId id, const std::string& host, double give_up_ms, double out_by_ms) override;
   void Cancel(RequestId id, int attempt) override;
   void Refuse(RequestId id, double retry_after_ms) override;
   void Fail(RequestId id) override;
--- a/tests/cartspring/fixture.h
+++ b/tests/cartspring/fixture.h
@@ -18,9 +18,10 @@
     RequestId id;
     std::string host;
     double give_up_ms;
+    double out_by_ms;
   };
-  void Send(RequestId id, const std::string& host, double give_up_ms) override {
-    sends.push_back({id, host, give_up_ms});
+  void Send(RequestId id, const std::string& host, double give_up_ms, double out_by_ms) override {
+    sends.push_back({id, host, give_up_ms, out_by_ms});
     Note("send " + std::to_string(id) + " " + host);
   }
   void Cancel(RequestId id, int attempt) override {
--- a/tests/cartspring/fleet.h
+++ b/tests/cartspring/fleet.h
@@ -136,7 +136,7 @@
           balancer(fleet.settings_, static_cast<std::uint64_t>(index) + 7 * fleet.plan_.seed, *this) {
       balancer.OnHostList(fleet.now_, entries, false);
     }
-    void Send(RequestId id, const std::string& host, double until) override {
+    void Send(RequestId id, const std::string& host, double until, double) override {
       fleet_.Send(*this, id, host, until);
     }
     void Cancel(RequestId id, int attempt) override { fleet_.Cancel(*this, id, attempt); }
--- a/tests/cartspring/module_test.cpp
+++ b/tests/cartspring/module_test.cpp
@@ -443,8 +443,8 @@
 
 TEST(BadUse, ACallFromWithinAnActionThrowsAndTheNextOneWorks) {
   struct Meddler : Recorder {
-    void Send(RequestId id, const std::string& host, double give_up_ms) override {
-      Recorder::Send(id, host, give_up_ms);
+    void Send(RequestId id, const std::string& host, double give_up_ms, double out_by_ms) override {
+      Recorder::Send(id, host, give_up_ms, out_by_ms);
       EXPECT_THROW(balancer->OnClientGone(1000, id), std::logic_error);
     }
     Balancer* balancer = nullptr;
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 struct NoSink : cartspring::ActionSink {
-  void Send(cartspring::RequestId, const std::string&, double) override {}
+  void Send(cartspring::RequestId, const std::string&, double, double) override {}
   void Cancel(cartspring::RequestId, int) override {}
   void Refuse(cartspring::RequestId, double) override {}
   void Fail(cartspring::RequestId) override {}
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -138,4 +138,30 @@
   CHECK_FALSE(bed.nodes[0].Waiting());
 }
 
+TEST_CASE("a repeat is not written once its window has passed while its connection came up") {
+  Listener discovery, prompt;
+  LateNode late;
+  auto config = Patient(discovery, {&prompt});
+  auto& hold = config["settings"]["services"][1];
+  hold["effect"] = "guarded";
+  hold["group"] = "all";
+  hold["windowMs"] = 2000.0;
+  Program program(config);
+  Peer submitter = Dial(program.port());
+  submitter.Send(Post("id-1", "{}", 60'000));
+  Peer node = prompt.Accept();
+  node.Read();
+  Peer watch = discovery.Accept();
+  watch.Read();
+  const auto joined = nlohmann::json::array({Machine("s-1", late.listener.address())});
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             Chunk(List(42, false, joined).dump() + "\n"));
+  AwaitTurn(program);
+  node.Reset();  // it may have run
+  AwaitDialTo(late.listener.port());
+  ::usleep(2'100'000);  // the window passes
+  CHECK(late.Accept().Rest().empty());
+  CHECK(Status(submitter.Read()) >= 500);
+}
+
 }  // namespace bitternmux::peers
--- a/tests/simhost/wire_test.cpp
+++ b/tests/simhost/wire_test.cpp
@@ -97,7 +97,7 @@
 TEST(Wire, ActionsAreWritten) {
   std::string reply;
   wire::ReplyWriter writer("proxy-9", &reply);
-  writer.Send(7, "h:1", 8492.25);
+  writer.Send(7, "h:1", 8492.25, 9000);
   writer.Cancel(7, 1);
   writer.Refuse(7, 0);
   writer.Refuse(7, 250);
