Read lists that come indented on a watch, and break a silent watch sooner

Seen: a story whose watch brings a list over several lines: the program before broke the watch at its first line, asked again from the version before, and would do so at each such list for good. By its own clock a watch that fell silent was broken after 4.5 s; with the pause before the next call (up to 1.25 s where the settings give 10 s for asking) that leaves 0.25 s for a dial and an answer of the 6 s after which all counts as told; a dial that hung had the same 4.5 s.

Cause: discovery_watch.cpp, Read (a line ended at each line feed) and kSilenceMs (one time for a dial, the head of an answer and the time between two lines).

Ruled out: the whole list after SIGHUP (read as one text), and a standstill of the process (CatchUp reads first).

Change: a line ends at a line feed outside of brackets; blank lines within a list do not count as heard, so that half a list is broken off. 3 s between two words (a line comes every 2 s by the protocol), 1 s for a connection, 4.5 s for an answer's head as before (discovery handles calls in turn).

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -15,9 +15,33 @@
 constexpr std::size_t kReadSize = 16 * 1024;
 constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
 constexpr std::size_t kNoBound = std::size_t{1} << 62;  // a watch goes on; each line of it is bounded
-// A line comes every 2 s at the least. Guards against a connection that stays open and silent, as it does
-// when the network is cut: without this the list would age unnoticed.
-constexpr double kSilenceMs = 4500;
+// Guard against a connection that stays open and silent, as it does when the network is cut: the list would
+// age unnoticed. By the protocol a line comes every 2 s, and all that a silent watch misses counts as told 6
+// s after its last word: in what is left of these the next call has to be made, and answered.
+constexpr double kSilenceMs = 3000;
+constexpr double kDialMs = 1000;    // for a connection, which takes some round trips
+constexpr double kAnswerMs = 4500;  // for the head of an answer: discovery handles calls in turn
+
+// Finds where the lines of a watch end. A list may come indented over several.
+class LineEnds {
+ public:
+  // Does the line end with this character, the next one of the stream?
+  bool Ends(char c) {
+    if (in_text_) {
+      const bool escaped = std::exchange(escaped_, !escaped_ && c == '\\');
+      in_text_ = c != '\n' && (escaped || c != '"');
+      return c == '\n';  // which no text may hold: it cannot be read
+    }
+    in_text_ = c == '"';
+    if (c == '{' || c == '[') ++depth_;
+    if ((c == '}' || c == ']') && depth_ > 0) --depth_;
+    return c == '\n' && depth_ == 0;
+  }
+
+ private:
+  int depth_ = 0;  // of brackets that are open
+  bool in_text_ = false, escaped_ = false;
+};
 
 }  // namespace
 
@@ -31,7 +55,7 @@
         socket_(runtime_.strand) {}
 
   void Start() {
-    Heard();
+    Expect(kDialMs);
     Run();
   }
 
@@ -61,6 +85,7 @@
       yield socket_.async_connect(EndpointOf(address_),
                                   [self = shared_from_this()](const error_code& e) { self->Run(e); });
       SetNonBlocking();
+      Expect(kAnswerMs);
       while (!closed_) {
         if (std::exchange(ask_, false)) {
           out_ = whole_ ? WriteWholeList(address_) : WriteWatch(address_, watch_.machines_.revision());
@@ -84,7 +109,6 @@
       return false;
     }
     buffer_.Commit(count);
-    Heard();
     Read();
     return !closed_;
   }
@@ -98,9 +122,10 @@
     socket_.non_blocking(true, ignored);
   }
 
-  void Heard() {
+  // More has to come within that time.
+  void Expect(double ms) {
     runtime_.wheel.Cancel(silence_);
-    silence_ = runtime_.wheel.Add(runtime_.now_ms() + kSilenceMs,
+    silence_ = runtime_.wheel.Add(runtime_.now_ms() + ms,
                                   [self = shared_from_this()] { self->Break("nothing heard"); });
   }
 
@@ -110,15 +135,21 @@
     if (!parser_.head_read()) return;
     if (parser_.message().status != 200) return Break("status " + std::to_string(parser_.message().status));
     if (whole_) {
+      Expect(kSilenceMs);
       if (parser_.message().body.size() > kLongestLine) return Break("the list is too long");
       if (progress == http::Progress::kDone) WholeList(parser_.Take().body);
       return;
     }
-    text_ += parser_.TakeBody();
+    const std::string more = parser_.TakeBody();
+    // Blank lines in the middle of a list tell nothing of its rest.
+    if (text_.empty() || more.find_first_not_of(" \t\r\n") != more.npos) Expect(kSilenceMs);
+    const std::size_t scanned = text_.size();
+    text_ += more;
     std::size_t begin = 0;
-    for (auto end = text_.find('\n'); end != text_.npos && !closed_; end = text_.find('\n', begin)) {
-      Line(text_.substr(begin, end - begin));
-      begin = end + 1;
+    for (std::size_t at = scanned; at < text_.size() && !closed_; ++at) {
+      if (!ends_.Ends(text_[at])) continue;
+      Line(text_.substr(begin, at - begin));
+      begin = at + 1;
     }
     text_.erase(0, begin);
     if (closed_) return;
@@ -162,7 +193,8 @@
   std::string out_;
   http::Buffer buffer_;
   http::Parser parser_{http::Role::kResponse, kNoBound};
-  std::string text_;   // the line that is not whole yet
+  std::string text_;  // the line that is not whole yet
+  LineEnds ends_;
   bool told_ = false;  // the request is out, and what is there to read is its answer
   bool answered_ = false;
   bool closed_ = false;
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -138,6 +138,33 @@
   CHECK_FALSE(bed.nodes[0].Waiting());
 }
 
+TEST_CASE("a list that comes indented on a watch is read, and one that stays half breaks the watch") {
+  Bed bed(2);
+  auto [watch, asked] = bed.AcceptWatch();
+  auto members = bed.Members();
+  members[0]["phase"] = "DRAINING";
+  members[1]["locality"] = "a \"{[ \\";  // brackets in a text are none
+  watch.Send(Chunk("\n"));
+  const std::string text =
+      List(42, false, members).dump(2) + "\n\n" + List(43, false, members).dump(1) + "\n";
+  for (std::size_t at = 0; at < text.size(); at += 13) watch.Send(Chunk(text.substr(at, 13)));
+  watch.Send(Chunk("{\"revision\":44,\n"));
+  AwaitThat("half a list is enough", [&] {
+    ::usleep(100'000);
+    try {
+      watch.Send(Chunk("\n"));  // says nothing of the list that it is in the middle of
+    } catch (const std::runtime_error&) {
+    }
+    return watch.Waiting();
+  });
+  auto [again, asked_again] = bed.AcceptWatch();
+  CHECK(Has(asked_again, "since=43 "));
+  Peer submitter = bed.Submitter();
+  submitter.Send(Post("id-1"));
+  CHECK(Has(bed.nodes[1].Accept().Read(), "id-1"));
+  CHECK_FALSE(bed.nodes[0].Waiting());
+}
+
 TEST_CASE("a repeat is not written once its window has passed while its connection came up") {
   Listener discovery, prompt;
   LateNode late;
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -309,6 +309,38 @@
   CHECK(peer.Ends());
 }
 
+TEST_CASE("a watch that stays silent anywhere is broken in time to hear elsewhere what it missed") {
+  // All that it misses counts as told 6 s later; what comes on a new call needs some of these.
+  const auto [told, at_most_ms] = GENERATE(table<std::string, double>(
+      {{"no connection", 1500},
+       {"HTTP/1.1 200 OK\r\nTransfer-Enc", 4700},
+       {"HTTP/1.1 200 OK\r\n\r\n", 3500},
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + peers::Chunk("{\"revision\":"), 3500}}));
+  net::asio::io_context io(1);
+  double now = 1000;
+  TimerWheel wheel(now, 2);
+  net::Runtime runtime{net::asio::make_strand(io), [&] { return now; }, wheel};
+  peers::Listener discovery(/*queue=*/0);
+  const bool up = told != "no connection";
+  const peers::Peer filling = up ? peers::Peer(-1) : peers::Dial(discovery.port());
+  const auto settings = Settings();
+  MachineList machines(settings);
+  int breaks = 0;
+  net::DiscoveryWatch watch(
+      runtime, discovery.address(), machines, [](const MachineUpdate&) {}, [&] { ++breaks; });
+  watch.Watch();
+  peers::Peer peer(-1);
+  if (up) {
+    peer = discovery.Accept();
+    for (bool asked = false; !asked; asked = peer.Waiting()) io.run_one_for(std::chrono::milliseconds(1));
+    peer.Send(told);
+    while (io.poll() > 0) continue;
+  }
+  now += at_most_ms;
+  wheel.Turn(now);
+  CHECK(breaks == 1);
+}
+
 TEST_CASE("a watch that moves keeps the old one until the new address has told its whole list") {
   net::asio::io_context io(1);
   TimerWheel wheel(0, 2);
