Answer all that is held before the platform ends a stopped process

Seen: a story with the settings' deadline at 9 s, a node that says nothing, SIGTERM and, 3.7 s later, SIGKILL, as the platform does it: "the connection ended after: " with no answer. This site's own deadline of 4 s has the same.

Cause: Stop went by the longest deadline of the settings, and the protocol counts it as 3 s where it is longer: EndAll came 0.85 s after the kill at a deadline of 4 s (sidecar.cpp, kLastAnswersMs). And 50 ms were left to write the last answers, 5 ms of processor time for a tenth of a core.

Ruled out: the restart window (0.5 s, as before) and requests that come later (their connections are ended then).

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -41,9 +41,12 @@
 constexpr double kUnreadShare = 0.25;     // of the memory, for bodies of requests, whole or not
 constexpr double kPassingShare = 0.125;   // of the memory, for large answers on their way
 constexpr double kRestartWindowMs = 500;  // new connections may come for so long after SIGTERM
-constexpr double kLastAnswersMs = 600;    // beyond the longest deadline; after that nobody waits any more
-constexpr double kWriteOutMs = 50;        // before that, for the answers of what is held still
-constexpr double kIdleEndMs = 300;        // likewise; what idles beside a successor is closed
+// The platform ends a process that was told to stop 0.7 s after the longest deadline, which it counts as 3 s
+// where it is longer: all is answered by then.
+constexpr double kLongestMs = 3000;
+constexpr double kLastAnswersMs = 600;
+constexpr double kWriteOutMs = 150;   // before that, for the answers of what is held still
+constexpr double kIdleEndMs = 300;    // likewise; what idles beside a successor is closed
 constexpr double kListWaitMs = 1500;  // for discovery's list, before a successor goes by the one it remembers
 constexpr double kLookMs = 100;       // between two looks at which nodes are left out
 constexpr double kLeftOutMs = 500;    // for so long before that is told
@@ -326,6 +329,7 @@
     log_.Write(events::kNodeConnections, {{"believed", pool_.Describe()}});
     double longest = 0;
     for (const auto& klass : settings_.classes) longest = std::max(longest, klass.deadline_ms);
+    longest = std::min(longest, kLongestMs);
     if (followed) server_.Leave([this] { io_.stop(); });
     wheel_.Add(NowMs() + (followed ? longest + kIdleEndMs : kRestartWindowMs),
                [this] { server_.Close([this] { io_.stop(); }); });
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -165,6 +165,19 @@
   CHECK_FALSE(bed.nodes[0].Waiting());
 }
 
+TEST_CASE("told to stop, it answers before the platform ends it, however long its requests may wait") {
+  Bed bed;
+  Peer held = bed.Submitter();
+  held.Send(Post("id-1", "{}", 9000));
+  Peer silent = bed.nodes[0].Accept();
+  silent.Read();
+  bed.program.Terminate();
+  bed.program.AwaitLog("stopping held=1");
+  ::usleep(3'700'000);  // the platform counts longer deadlines as 3 s, and waits 0.7 s more
+  bed.program.Kill();
+  CHECK(Status(held.Read()) == 504);
+}
+
 TEST_CASE("a repeat is not written once its window has passed while its connection came up") {
   Listener discovery, prompt;
   LateNode late;
