End a resting connection in the orderly way: end sending, read on and discard, then close

Seen: a story whose submitter takes its answer slowly (a receive buffer of 4 KB) and sends its next request as the stop closes the connection: 10,239 of 60,000 bytes of the answer arrived.

Cause: Retire looked for bytes and then closed (submitter_server.cpp). Bytes that come behind the close make the kernel answer with a reset, which takes with it what was still to be sent. So did the limit on a first head.

Ruled out: answers that say that they are the last (these lingered already).

Change: Retire ends sending and lingers, 1 s at most, as after a last answer; what it reads then is thrown away and never sent on. The limit for a first head goes the same way, and serves what came in that moment.

--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -63,14 +63,16 @@
     Read();
   }
 
-  // Ends the connection, unless a request has come on it that is not read yet: that one is served first.
+  // Ends the connection, unless a request has come on it that is not read yet: that one is served first. What
+  // comes behind the end is read and thrown away.
   void Retire() {
-    error_code error;
-    if (state_ == State::kReading && socket_.available(error) > 0 && !error) {
-      server_.limits_.Began(runtime_.now_ms(), id_);
-    } else {
-      Close();
-    }
+    if (HasMore()) return;
+    state_ == State::kReading ? Linger() : Close();
+  }
+
+  // The same where its descriptor is needed at once.
+  void MakeRoom() {
+    if (!HasMore()) Close();
   }
 
   // The same when the program stops. One that is being served ends with its answer.
@@ -93,6 +95,13 @@
  private:
   enum class State { kReading, kServing, kPassing, kWriting, kLingering, kClosed };
 
+  bool HasMore() {
+    error_code error;
+    if (state_ != State::kReading || socket_.available(error) == 0 || error) return false;
+    server_.limits_.Began(runtime_.now_ms(), id_);
+    return true;
+  }
+
   bool Begun() const { return parser_.started() || buffer_.size() > 0; }
 
   // Guards the descriptors against connections that say nothing, stop in the middle or never read: what is
@@ -100,8 +109,9 @@
   void LimitTo(double ms) {
     runtime_.wheel.Cancel(limit_);
     limit_ = ms <= 0 ? 0 : runtime_.wheel.Add(runtime_.now_ms() + ms, [self = shared_from_this()] {
+      self->limit_ = 0;
       self->state_ == State::kReading && self->Begun() ? self->TurnAway(408, "the request is not whole")
-                                                       : self->Close();
+                                                       : self->Retire();
     });
   }
 
@@ -463,7 +473,7 @@
   const auto least = limits_.MakeRoom(runtime_.now_ms());
   if (!least) return false;
   SayShort();
-  std::shared_ptr<Session>(sessions_[*least])->Retire();
+  std::shared_ptr<Session>(sessions_[*least])->MakeRoom();
   return true;
 }
 
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -178,6 +178,27 @@
   CHECK(Status(held.Read()) == 504);
 }
 
+TEST_CASE("what a resting submitter sends as its connection ends takes no answer with it") {
+  Bed bed;
+  Peer submitter = Dial(bed.program.port(), 4096);
+  const std::string body(60'000, 'b');
+  submitter.Send(Post("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  node.Send(Served(body));
+  submitter.Take(1);  // the answer is on its way, and most of it cannot arrive yet
+  bed.program.Terminate();
+  bed.program.AwaitLog("stopping");
+  AwaitThat("its connection ends", [&] { return HasConnection(true, bed.program.port(), "04"); });
+  submitter.Send(Post("id-2"));
+  const std::string rest = submitter.Rest();
+  CHECK(rest.size() > body.size());
+  CHECK(rest.ends_with(body));
+  CHECK_FALSE((node.Waiting() && !node.Ended()));  // what is read after the end is not sent on
+  submitter.Close();
+  CHECK(bed.program.Exit() == 0);
+}
+
 TEST_CASE("a repeat is not written once its window has passed while its connection came up") {
   Listener discovery, prompt;
   LateNode late;
@@ -204,4 +225,16 @@
   CHECK(Status(submitter.Read()) >= 500);
 }
 
+TEST_CASE("a first request that comes as its connection's time ends is served") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  AwaitTurn(bed.program);
+  ::usleep(2'400'000);  // of the 2.6 s for the first one
+  bed.program.Halt();
+  ::usleep(400'000);
+  submitter.Send(kUp);
+  bed.program.GoOn();
+  CHECK(Status(submitter.Read()) == 200);
+}
+
 }  // namespace bitternmux::peers
