After a standstill, drop claims whose submitters have gone before they are written

Seen: a story in which the program is halted while a claim is dialed, its connection comes up and its submitter leaves: on the program before, three of three, the claim was written as it was let go.

Cause: news of discovery was read first after a standstill, the ends of submitters' connections were not: which of two sockets is handled first is the kernel's choice (sidecar.cpp, Mind).

Ruled out: requests read after the standstill (Serve looks, a story from before), claims whose time ended meanwhile (the wheel turns first).

Change: Mind asks each session that waits for an answer whether its submitter is there. Nothing outside a standstill.

--- a/src/net/submitter_server.cpp
+++ b/src/net/submitter_server.cpp
@@ -80,6 +80,11 @@
     if (state_ == State::kReading) Retire();
   }
 
+  // The end of its connection may lie unread behind other news.
+  void CatchUp() {
+    if (state_ == State::kServing && HasLeft()) Left();
+  }
+
   void Close() {
     if (state_ == State::kClosed) return;
     const bool passing = std::exchange(state_, State::kClosed) == State::kPassing;
@@ -143,8 +148,8 @@
       for (;;) {
         yield socket_.async_wait(tcp::socket::wait_read,
                                  [self = shared_from_this()](const error_code& e) { self->Read(e); });
-        if (state_ == State::kClosed) return;
         runtime_.mind();
+        if (state_ == State::kClosed) return;
         if (error || !TakeBytes()) return Left();
         Process();
         if (state_ == State::kClosed) return;
@@ -535,6 +540,13 @@
   EndWhenEmpty();
 }
 
+void SubmitterServer::CatchUp() {
+  const std::vector<std::shared_ptr<Session>> sessions = sessions_;
+  for (const auto& session : sessions) {
+    if (session) session->CatchUp();
+  }
+}
+
 void SubmitterServer::Close(std::function<void()> done) {
   closing_ = true;
   leaving_ = false;
--- a/src/net/submitter_server.h
+++ b/src/net/submitter_server.h
@@ -24,6 +24,8 @@
   // No other process listens beside this one any more: takes back what a leaving one arranged.
   void Lead();
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  // Forgets at once the requests whose submitters have gone by now.
+  void CatchUp();
   // No new connections, and the ones that there are end with the answer that they wait for. `done` is called
   // when the last of them has.
   void Close(std::function<void()> done);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -252,11 +252,13 @@
   }
 
   // What discovery told while this process stood still counts before anything else that came meanwhile, and
-  // before what ran out of time.
+  // before what ran out of time. So does that submitters have gone: a claim that waits for its connection
+  // would else be written as that comes up.
   void Mind() {
     if (!still_.Woke(NowMs())) return;
     log_.Write(events::kStoodStill, {{"ms", static_cast<std::int64_t>(still_.lasted_ms())}});
     watch_.CatchUp();
+    server_.CatchUp();
   }
 
   void Turn() {
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -138,6 +138,21 @@
   CHECK_FALSE(bed.nodes[0].Waiting());
 }
 
+TEST_CASE("let go after it stood still, it writes no claim for whoever left while its connection came up") {
+  Listener discovery;
+  LateNode late;
+  Program program(Patient(discovery, {&late.listener}));
+  Peer submitter = Dial(program.port());
+  submitter.Send(Post("id-1", "{}", 60'000));
+  AwaitDialTo(late.listener.port());
+  program.Halt();
+  Peer node = late.Accept();
+  submitter.Close();
+  ::usleep(400'000);  // standing still is what it is about, and takes time
+  program.GoOn();
+  CHECK(node.Rest().empty());
+}
+
 TEST_CASE("a list that comes indented on a watch is read, and one that stays half breaks the watch") {
   Bed bed(2);
   auto [watch, asked] = bed.AcceptWatch();
