Force five more crossings: half a repeat, a moved node, a reset end, signals at once

Two of them fail on the program before (a repeat of which half is out when its window ends is brought to its end; a claim that is dialed goes to its node's old address), and the module's Send had no bound to test.

--- a/tests/cartspring/rules_test.cpp
+++ b/tests/cartspring/rules_test.cpp
@@ -1,6 +1,8 @@
 // The four rules, each case by itself.
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "cartspring/fixture.h"
 
 namespace cartspring {
@@ -165,6 +167,30 @@
   EXPECT_EQ(KeyedHosts(RepeatGroup::kAll, Outcome::kError, 60, 100).size(), 2u);
 }
 
+constexpr double kNoBound = std::numeric_limits<double>::infinity();
+
+TEST(NoEffectTwice, ARepeatSaysByWhenItHasToBeOutAndNothingElseDoes) {
+  for (const int klass : {kSafeClass, kKeyedClass, kUnsafeClass}) {
+    for (const Outcome outcome : {Outcome::kError, Outcome::kNotSent}) {
+      Settings settings = TestSettings();
+      settings.classes[kKeyedClass].group = RepeatGroup::kAll;
+      settings.classes[kKeyedClass].repeat_window_ms = 300;
+      Bed bed(settings);
+      bed.Hosts(TestHosts(4));
+      const RequestId id = bed.Request(klass);
+      const double sent_ms = bed.now;
+      bed.PassTo(sent_ms + 40);
+      bed.End(id, 0, outcome);
+      bed.PassTo(sent_ms + 60);
+      EXPECT_EQ(bed.out.sends.front().out_by_ms, kNoBound);
+      if (klass == kUnsafeClass && outcome == Outcome::kError) continue;  // it has no second attempt
+      ASSERT_EQ(bed.out.sends.size(), 2u);
+      const bool bound = klass == kKeyedClass && outcome == Outcome::kError;
+      EXPECT_EQ(bed.out.sends.back().out_by_ms, bound ? sent_ms + 300 : kNoBound);
+    }
+  }
+}
+
 TEST(NoEffectTwice, AttemptsThatNeverRanBindAKeyedRequestToNothing) {
   const auto hosts = KeyedHosts(RepeatGroup::kCell, Outcome::kConnectFailed, 60, 100);
   EXPECT_EQ(hosts.size(), 4u);
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -240,6 +240,82 @@
   CHECK(Status(submitter.Read()) >= 500);
 }
 
+TEST_CASE("a repeat of which half is out when its window ends is not brought to its end") {
+  Listener discovery, prompt, slow;
+  auto config = Patient(discovery, {&prompt});
+  auto& hold = config["settings"]["services"][1];
+  hold["effect"] = "guarded";
+  hold["group"] = "all";
+  hold["windowMs"] = 4000.0;
+  config["limits"]["memory_mb"] = 128;
+  Program program(config);
+  Peer submitter = Dial(program.port());
+  const std::string body(16'000'000, 'x');  // more than the kernel takes while nobody reads
+  submitter.Send(Post("id-1", body, 60'000));
+  Peer node = prompt.Accept();
+  node.Read();
+  Peer watch = discovery.Accept();
+  watch.Read();
+  const auto joined = nlohmann::json::array({Machine("s-1", slow.address())});
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             Chunk(List(42, false, joined).dump() + "\n"));
+  AwaitTurn(program);
+  node.Reset();  // it may have run
+  Peer other = slow.Accept();
+  other.Take(1000);
+  ::usleep(4'100'000);  // the window ends
+  CHECK(other.Rest().size() < body.size());
+  CHECK(Status(submitter.Read()) >= 500);
+}
+
+TEST_CASE("a claim that is dialed goes to its node's new address where that is told meanwhile") {
+  Listener discovery, moved;
+  LateNode late;
+  Program program(Patient(discovery, {&late.listener}));
+  Peer submitter = Dial(program.port());
+  submitter.Send(Post("id-1", "{}", 60'000));
+  AwaitDialTo(late.listener.port());
+  Peer watch = discovery.Accept();
+  watch.Read();
+  const auto there = nlohmann::json::array({Machine("s-0", moved.address())});
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             Chunk(List(42, false, there).dump() + "\n"));
+  AwaitTurn(program);
+  CHECK(late.Accept().Rest().empty());
+}
+
+TEST_CASE("half an answer that goes on to the end of its connection is none where that is reset") {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  for (const bool reset : {true, false}) {
+    submitter.Send(Post("id-" + std::to_string(reset)));
+    Peer node = bed.nodes[0].Accept();
+    node.Read();
+    node.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+    AwaitTurn(bed.program);  // it has been read
+    reset ? node.Reset() : node.Close();
+    CHECK(Status(submitter.Read()) == (reset ? 502 : 200));
+  }
+}
+
+TEST_CASE("told to stop twice and to read its file in one moment, it answers what it holds and ends") {
+  Bed bed;
+  Peer held = bed.Submitter();
+  held.Send(Post("id-1"));
+  Peer node = bed.nodes[0].Accept();
+  node.Read();
+  bed.program.Halt();
+  bed.program.Terminate();
+  bed.program.HangUp();
+  bed.program.Terminate();
+  bed.program.GoOn();
+  bed.program.AwaitLog("stopping held=1");
+  node.Send(Served("held"));
+  CHECK(held.Read().ends_with("held"));
+  held.Close();
+  CHECK(bed.program.Exit() == 0);
+}
+
 TEST_CASE("a second answer some milliseconds behind the first is nobody's") {
   Bed bed;
   Peer submitter = bed.Submitter();
