Hold no iterator over a call that may take on jobs, and count a split empty line as heard

Found by reading the change once more. SubmitterLeft kept an iterator of the table over Tick, which may answer others, whose next requests are then taken on: a rehash would leave it dangling (job_table.cpp; the plain tests had not met it). And an empty line whose line feed comes in a piece of its own behind blanks did not count as heard (discovery_watch.cpp): whether a list is open is asked now.

--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -32,9 +32,10 @@
   if (found->second.begun) {
     runner_->GiveUp(id, found->second.claims - 1);
   } else {
+    const int last = found->second.claims - 1;
     facade_.SubmitterLeft(now_ms, id);
-    Tick(now_ms);  // gives up the claim, where the settings allow it
-    runner_->Withdraw(id, found->second.claims - 1);
+    Tick(now_ms);  // gives up the claim, where the settings allow it; may take on others
+    runner_->Withdraw(id, last);
   }
   Release(id);
   ++stats_.left;
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -37,6 +37,8 @@
     if ((c == '}' || c == ']') && depth_ > 0) --depth_;
     return c == '\n' && depth_ == 0;
   }
+  // In the middle of a list?
+  bool open() const { return depth_ > 0 || in_text_; }
 
  private:
   int depth_ = 0;  // of brackets that are open
@@ -142,7 +144,7 @@
     }
     const std::string more = parser_.TakeBody();
     // Blank lines in the middle of a list tell nothing of its rest.
-    if (text_.empty() || more.find_first_not_of(" \t\r\n") != more.npos) Expect(kSilenceMs);
+    if (!ends_.open() || more.find_first_not_of(" \t\r\n") != more.npos) Expect(kSilenceMs);
     const std::size_t scanned = text_.size();
     text_ += more;
     std::size_t begin = 0;
