Take back the share of the aims that stood for a claim's work without hints

Cause: with aims of 8 s a ninth of them weighs a dial as a 450th of a request, so that a pause of some ten ms in a loaded process made a new connection look as good as the one that rests.

Change: the constant stands as before.

--- a/src/limits/connections.cpp
+++ b/src/limits/connections.cpp
@@ -16,9 +16,9 @@
 constexpr double kIdleShare = 0.5;    // of the time after which the settings say that idle ones are closed
 constexpr double kLimit = 0.5;        // share closed at an age from which on the node keeps a limit there
 constexpr double kRepeatShare = 0.5;  // of its worth: what a repeat costs a claim that may run again
-constexpr double kDialWorkMs = 4;   // a node's work and time for a new one: of the order of a TLS handshake's
-constexpr double kBusyShare = 0.5;  // of the time; a node at its capacity then serves so much less
-constexpr double kWorkShare = 1.0 / 9;  // of the classes' mean aim: a claim's work until hints tell
+constexpr double kDialWorkMs = 4;     // a node's work and time for a new one: 2.2 to 6 (BRIEF 3.3)
+constexpr double kBusyShare = 0.5;    // of the time; a node at its capacity then serves so much less
+constexpr double kWorkMs = 130;       // a claim's work (BRIEF 4) until hints tell
 constexpr double kMeanWeight = 1.0 / 256;
 constexpr double kDialWeight = 1.0 / 8;
 constexpr double kNeedWeight = 1.0 / 16;
@@ -40,7 +40,10 @@
 }  // namespace
 
 Connections::Connections(const cartspring::Settings& settings)
-    : settings_(settings), fleet_(kFleetMemory), kinds_(settings.kinds.size() + 1, IdleAges(kKindMemory)) {
+    : settings_(settings),
+      fleet_(kFleetMemory),
+      kinds_(settings.kinds.size() + 1, IdleAges(kKindMemory)),
+      mean_work_ms_(kWorkMs) {
   const double idle_ms =
       settings.connection_idle_ms > 0 ? kIdleShare * settings.connection_idle_ms : kForever;
   promised_.fresh = kPromised;
@@ -52,9 +55,8 @@
 void Connections::Retuned() {
   while (kinds_.size() < settings_.kinds.size() + 1) kinds_.emplace_back(kKindMemory);
   const double classes = static_cast<double>(settings_.classes.size());
-  mean_worth_ = haste_ = usual_work_ms_ = 0;
+  mean_worth_ = haste_ = 0;
   for (const auto& klass : settings_.classes) mean_worth_ += klass.worth / classes;
-  for (const auto& klass : settings_.classes) usual_work_ms_ += kWorkShare * klass.aim_ms / classes;
   for (int i = 0; i < static_cast<int>(classes); ++i) haste_ += StakeOf(i).per_ms / classes;
 }
 
@@ -293,8 +295,7 @@
 
 // The settings' price, and what the node cannot do meanwhile.
 double Connections::DialCost() const {
-  return settings_.handshake_price +
-         kBusyShare * kDialWorkMs / (mean_work_ms_ > 0 ? mean_work_ms_ : usual_work_ms_);
+  return settings_.handshake_price + kBusyShare * kDialWorkMs / mean_work_ms_;
 }
 
 double Connections::SafeAge(const AgeView& view, const Stake& stake, double dial_ms) const {
--- a/src/limits/connections.h
+++ b/src/limits/connections.h
@@ -133,8 +133,7 @@
   double serving_ = 1;
   double dial_ms_ = 0;                // of any node; 0: none was dialed yet
   double mean_worth_ = 0;             // of a claim, in the settings' units
-  double mean_work_ms_ = 0;           // of a claim, by hints; 0: none came
-  double usual_work_ms_ = 0;          // of a claim, by the settings
+  double mean_work_ms_ = 0;           // of a claim
   double haste_ = 0;                  // what a millisecond of delay costs a claim
   double rate_ = 0, counted_ms_ = 0;  // claims a millisecond lately, and as of when
 };
