--- a/src/pace/pace.h
+++ b/src/pace/pace.h
@@ -31,7 +31,8 @@
   }
 
   // A request of `klass`, one of the classes, has come: is it taken on? `chance`: uniform, from 0 to below 1.
-  // The classes are shed one after the other, the cheapest first, by their shares of what came lately.
+  // Each class keeps most of an equal share, or it would be starved for a dearer one. What is left is shed
+  // one class after the other, the cheapest first, by their shares of what came lately.
   bool Admits(int klass, double chance) {
     const auto of = static_cast<std::size_t>(klass);
     for (double& asked : asked_) asked *= kKept;
@@ -41,7 +42,8 @@
       all += asked_[i];
       if (worths_[i] > worths_[of] || (worths_[i] == worths_[of] && i < of)) dearer += asked_[i];
     }
-    return chance < (open_ * all - dearer) / asked_[of];
+    const double fair = kFair * open_;
+    return chance < fair + std::max(0.0, (open_ - fair) * all - (1 - fair) * dearer) / asked_[of];
   }
 
   // An answer has come in time, or is known to be late though it has not come.
@@ -55,6 +57,7 @@
   // so that some slow hosts close nothing.
   static constexpr double kUp = 0.1, kDown = 0.8;
   static constexpr double kLeast = 0.03;  // goes on measuring: what is shed teaches nothing
+  static constexpr double kFair = 0.7;    // of what is taken on: shared by all classes alike
   static constexpr double kKept = 0.99;   // of the counts by class, at each request
 
   std::vector<double> worths_;
