--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -45,6 +45,16 @@
   CHECK(Status(peer.Read()) == 200);
 }
 
+// Has discovery tell of that machine; the watch, once that has been read.
+Peer Tell(Program& program, Listener& discovery, const nlohmann::json& machine) {
+  Peer watch = discovery.Accept();
+  watch.Read();
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             Chunk(List(42, false, nlohmann::json::array({machine})).dump() + "\n"));
+  AwaitTurn(program);
+  return watch;
+}
+
 }  // namespace
 
 TEST_CASE("what is meant for the end of the way reaches the node, and what is meant for this hop does not") {
@@ -227,12 +237,7 @@
   submitter.Send(Post("id-1", "{}", 60'000));
   Peer node = prompt.Accept();
   node.Read();
-  Peer watch = discovery.Accept();
-  watch.Read();
-  const auto joined = nlohmann::json::array({Machine("s-1", late.listener.address())});
-  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-             Chunk(List(42, false, joined).dump() + "\n"));
-  AwaitTurn(program);
+  const Peer watch = Tell(program, discovery, Machine("s-1", late.listener.address()));
   node.Reset();  // it may have run
   AwaitDialTo(late.listener.port());
   ::usleep(2'100'000);  // the window passes
@@ -254,12 +259,7 @@
   submitter.Send(Post("id-1", body, 60'000));
   Peer node = prompt.Accept();
   node.Read();
-  Peer watch = discovery.Accept();
-  watch.Read();
-  const auto joined = nlohmann::json::array({Machine("s-1", slow.address())});
-  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-             Chunk(List(42, false, joined).dump() + "\n"));
-  AwaitTurn(program);
+  const Peer watch = Tell(program, discovery, Machine("s-1", slow.address()));
   node.Reset();  // it may have run
   Peer other = slow.Accept();
   other.Take(1000);
@@ -275,12 +275,7 @@
   Peer submitter = Dial(program.port());
   submitter.Send(Post("id-1", "{}", 60'000));
   AwaitDialTo(late.listener.port());
-  Peer watch = discovery.Accept();
-  watch.Read();
-  const auto there = nlohmann::json::array({Machine("s-0", moved.address())});
-  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-             Chunk(List(42, false, there).dump() + "\n"));
-  AwaitTurn(program);
+  const Peer watch = Tell(program, discovery, Machine("s-0", moved.address()));
   CHECK(late.Accept().Rest().empty());
 }
 
