Print, write or check the tables of the page on capacity by one command

Change: bitternmux-lab capacity prints the tables of docs/CAPACITY.md, puts them into it (--write), or names the first line that differs (--check, exit code 1). Without result files named it takes all of docs/capacity/results. Printed, it also names rows without a figure and figures without a row, so that a name that was misspelt does not pass for one that was not measured.

--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -14,6 +14,7 @@
 // Bad arguments, or what a command was to read cannot be read.
 constexpr int kExitUnusable = 2;
 
+void AddCapacity(CLI::App& app, int& code);
 void AddCheck(CLI::App& app, int& code);
 void AddCheckScenario(CLI::App& app, int& code);
 void AddRun(CLI::App& app, int& code);
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -11,6 +11,7 @@
   app.set_version_flag("--version", BITTERNMUX_LAB_VERSION);
   app.require_subcommand(1);
   int code = 0;
+  AddCapacity(app, code);
   AddCheck(app, code);
   AddCheckScenario(app, code);
   AddRun(app, code);
