--- a/lab/capacity/fit.cpp
+++ b/lab/capacity/fit.cpp
@@ -32,6 +32,13 @@
   return f;
 }
 
+// F of what one more term takes off the squares left; 0 if nothing was left, infinite if nothing is now.
+double GainF(double before, double after, std::size_t freedom, double all) {
+  if (before <= kRounding * all) return 0;
+  if (after <= kRounding * all) return std::numeric_limits<double>::infinity();
+  return std::max(0.0, (before - after) / (after / static_cast<double>(freedom)));
+}
+
 using Coefficients = std::array<double, kMostTerms>;
 
 // Least squares of y over 1, u, u^2, as far as `terms`; u is n over the largest n, so that the powers are of
@@ -116,19 +123,21 @@
   for (const Point& point : points) variance += (point.y - mean) * (point.y - mean);
   Coefficients chosen = Solve(points, scale, 2);
   double left = SquaresLeft(points, scale, chosen);
+  if (points.size() >= 3) {
+    fit.f_slope = GainF(variance, left, points.size() - 2, all);
+    fit.f_slope_critical = CriticalF(points.size() - 2);
+    fit.rises = fit.f_slope > fit.f_slope_critical;
+  }
   if (fit.spreads.size() >= 3 && points.size() >= 4) {
     fit.shown = true;
     const std::size_t freedom = points.size() - 3;
     fit.f_critical = CriticalF(freedom);
     const Coefficients curve = Solve(points, scale, 3);
     const double curve_left = SquaresLeft(points, scale, curve);
-    if (left > kRounding * all) {
-      fit.f_square = curve_left > kRounding * all
-                         ? std::max(0.0, (left - curve_left) / (curve_left / static_cast<double>(freedom)))
-                         : std::numeric_limits<double>::infinity();
-    }
+    fit.f_square = GainF(left, curve_left, freedom, all);
     if (fit.f_square > fit.f_critical) {
       fit.curve = true;
+      fit.rises = true;
       chosen = curve;
       left = curve_left;
     }
--- a/lab/capacity/fit.h
+++ b/lab/capacity/fit.h
@@ -3,7 +3,8 @@
 // Two forms are tried over all plays: the line y = a + b n, and the curve y = a + b n + c n^2. The line
 // stands unless the square's part is told from chance at 1 in 100 (F test with 1 and plays - 3 degrees of
 // freedom); with under three distinct n, or under four plays, there is nothing to tell it by, and the fit
-// says that the line is not shown to be one. No I/O; the cost grows with the plays alone.
+// says that the line is not shown to be one. Whether the figure moves with n at all is told likewise, and a
+// slope that is not told from chance is kept and called so. No I/O; the cost grows with the plays alone.
 #ifndef BITTERNMUX_LAB_CAPACITY_FIT_H_
 #define BITTERNMUX_LAB_CAPACITY_FIT_H_
 
@@ -42,6 +43,9 @@
   double r_squared = 0;         // share of the variance that the fit explains; 1 if there is none
   double f_square = 0;          // F of the square's part; infinite if the curve is exact; 0 unless `shown`
   double f_critical = 0;        // above which it is told from chance; 0 unless `shown`
+  bool rises = false;           // a part that grows with n is told from chance; else the slope is noise's
+  double f_slope = 0;           // F of the line against a constant; infinite if the line is exact
+  double f_slope_critical = 0;  // with 1 and plays - 2 degrees of freedom; 0 with under three plays
   double largest = 0;           // the largest n measured
   std::vector<Spread> spreads;  // by n
 
--- a/lab/capacity/page.cpp
+++ b/lab/capacity/page.cpp
@@ -15,6 +15,7 @@
 const std::string kBegin = "<!-- table: ";
 const std::string kBeginEnds = " -->";
 const std::string kEnd = "<!-- end -->";
+const std::string kNoise = "the slope is not told from chance";
 constexpr std::size_t kCommitLength = 12;
 
 // Plain decimals with so many significant digits.
@@ -93,6 +94,10 @@
   text += ", from " + Number(fit.intercept) + "; residual " + Number(fit.residual) + ", " +
           Number(fit.residual_share * 100) + "%; R² " + Number(fit.r_squared);
   if (!fit.shown) return text + "; too few plays to show a line";
+  if (!fit.rises) {
+    return text + "; " + kNoise + " (F " + Number(fit.f_slope) + ", not over " +
+           Number(fit.f_slope_critical) + ")";
+  }
   return text + "; " + (fit.curve ? "a curve" : "a line") + " (F of the square " + Number(fit.f_square) +
          (fit.curve ? " over " : ", not over ") + Number(fit.f_critical) + ")";
 }
@@ -106,7 +111,8 @@
   } else if (row.way == Way::kProduct) {
     text = TermsText(row.product, " × ");
     if (row.factor != 1) text += " × " + Exact(row.factor);
-    if (!row.per.empty()) text += " / (" + TermsText(row.per, " × ") + ")";
+    if (!row.per.empty())
+      text += " / " + (row.per.size() > 1 ? "(" + TermsText(row.per, " × ") + ")" : TermText(row.per[0]));
   } else if (row.way == Way::kSum) {
     text = TermsText(row.product, " + ");
     if (row.factor != 1) text = "(" + text + ") × " + Exact(row.factor);
@@ -215,12 +221,13 @@
       table += Line({name, row.unit, one.now.missing, "", "", LineText(rows, row), "", MechanismText(row)});
       continue;
     }
+    const bool noise = one.now.fit && one.now.fit->shown && !one.now.fit->rises;
     const std::string from = one.crosses     ? Number(*one.crosses) + " times the size"
                              : one.now.grows ? "not up to " + Number(kFurthestGrowth) + " times"
                                              : "nothing measured makes it grow";
-    table +=
-        Line({name, row.unit, GrownText(rows, row, results, 1), GrownText(rows, row, results, 2),
-              GrownText(rows, row, results, kFurthestGrowth), LineText(rows, row), from, MechanismText(row)});
+    table += Line({name, row.unit, GrownText(rows, row, results, 1), GrownText(rows, row, results, 2),
+                   GrownText(rows, row, results, kFurthestGrowth), LineText(rows, row),
+                   from + (noise ? "; " + kNoise : ""), MechanismText(row)});
   }
   return table;
 }
--- a/tests/lab/capacity/fit_test.cpp
+++ b/tests/lab/capacity/fit_test.cpp
@@ -60,11 +60,24 @@
   CHECK(constant.residual == 0);
   CHECK_FALSE(constant.curve);
   CHECK(constant.r_squared == 1);
+  CHECK_FALSE(constant.rises);
   const Fit through_zero = FitOf({{80, 0.8}, {315, 3.15}, {630, 6.3}});
   CHECK(through_zero.intercept == 0);
   CHECK(through_zero.residual == 0);
 }
 
+TEST_CASE("a slope that noise made is kept and told as that") {
+  // A slope of 0.0001 moves the figure by 0.055 from 80 to 630, where the noise is 0.2 each way.
+  const Fit noise = FitOf(Noisy(3, 0.0001, 0, 0.4));
+  CHECK(noise.slope == Approx(0.0001));
+  CHECK_FALSE(noise.rises);
+  CHECK(noise.f_slope < noise.f_slope_critical);
+  CHECK(noise.f_slope_critical == 9.33);  // with 12 degrees, the nearest below 14
+  CHECK(FitOf(Noisy(3, 0.02, 0, 0.4)).rises);
+  CHECK(FitOf(Noisy(3, 0, 0.0001, 0.4)).rises);
+  CHECK(FitOf(Noisy(3, 0.02, 0, 0)).rises);
+}
+
 TEST_CASE("two sizes, or three plays, show no line to be one") {
   const Fit two = FitOf({{80, 1}, {80, 1.2}, {160, 2}, {160, 2.2}});
   CHECK_FALSE(two.shown);
--- a/tests/lab/capacity/page_test.cpp
+++ b/tests/lab/capacity/page_test.cpp
@@ -98,6 +98,18 @@
   CHECK(Holds(tables.at("results"), "| 1 | `bitternmux-lab scale` | 0123456789ab | 8 | 2 | `one.json` |\n"));
 }
 
+TEST_CASE("a slope that noise made is called so, with the figure and as the fleet grows") {
+  Results results = Plays(0.0101, 0.0101);
+  for (const double size : {160.0, 630.0}) {
+    for (const double core : {0.01, 0.0102}) {
+      results.plays.push_back({0, "scale", {{"size", size}}, results.plays.size(), {{"core", core}}});
+    }
+  }
+  const auto tables = Tables(ThreeRows(), results);
+  CHECK(Holds(tables.at("sidecar"), "; the slope is not told from chance (F 0, not over 21.2) |"));
+  CHECK(Holds(tables.at("growth"), "| not up to 10 times; the slope is not told from chance |"));
+}
+
 TEST_CASE("over the line is bold, and under it is not") {
   CHECK(Holds(Tables(ThreeRows(), Plays(0.02, 0.02)).at("sidecar"), "**2 %**"));
   CHECK_FALSE(Holds(Tables(ThreeRows(), Plays(0.018, 0.018)).at("sidecar"), "**"));
