Add bitternmux-lab depth, a chain of sidecars and servers

Seen: nothing measured what a call costs at the end of a chain of hops, each of which may try three times, or what a chain adds to a call's time.

Change: lab/depth plays a chain of k hops in virtual time, with the program's own job table, facade, module and machine list, and on sockets, with k built programs.

--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -16,6 +16,7 @@
 
 void AddCheck(CLI::App& app, int& code);
 void AddCheckScenario(CLI::App& app, int& code);
+void AddDepth(CLI::App& app, int& code);
 void AddRun(CLI::App& app, int& code);
 void AddLoad(CLI::App& app, int& code);
 void AddReport(CLI::App& app, int& code);
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -13,6 +13,7 @@
   int code = 0;
   AddCheck(app, code);
   AddCheckScenario(app, code);
+  AddDepth(app, code);
   AddRun(app, code);
   AddLoad(app, code);
   AddSweep(app, code);
