Refuse a failing hop beyond the chain, and give no added time where none was served

Seen: such a hop made a play of which nothing failed, without a word; and a play of which no call was served gave an added time below 0.

Change: the argument is an error that names its key; the figure is left out.

Tested: the argument by hand, exit code 2; the cases of tests/lab/depth.

--- a/lab/apps/depth.cpp
+++ b/lab/apps/depth.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <memory>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -40,6 +41,12 @@
 }
 
 int RunDepth(const Arguments& arguments) {
+  for (const int hops : arguments.wanted.hops) {
+    if (arguments.wanted.failing_hop > hops) {
+      throw std::invalid_argument("--failing-hop: " + std::to_string(arguments.wanted.failing_hop) +
+                                  " is beyond the end of a chain of " + std::to_string(hops));
+    }
+  }
   // Opened first: nothing is to be played for nothing.
   std::ofstream file;
   if (!arguments.json.empty()) {
--- a/lab/depth/socket_chain.cpp
+++ b/lab/depth/socket_chain.cpp
@@ -474,6 +474,7 @@
   for (const auto& [name, part] : {std::pair{"p50", 0.5}, {"p99", 0.99}}) {
     const std::string text = name;
     figures["straight_" + text + "_ms"] = time(straight, part);
+    if (through.tally.Count(load::Outcome::kServed) == 0) continue;
     figures["served_" + text + "_ms"] = time(through, part);
     figures["added_" + text + "_ms"] = time(through, part) - time(straight, part);
   }
