--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -14,6 +14,7 @@
   AddCapacity(app, code);
   AddCheck(app, code);
   AddCheckScenario(app, code);
+  AddDepth(app, code);
   AddRun(app, code);
   AddLoad(app, code);
   AddSweep(app, code);
