Drop a second answer where a node's answers are told apart, and rest only where they are not

Change: limits/duplicate_answers, a decider, keeps the digests of the last answers on a connection and learns for each node, and for the fleet, whether its answers are ever alike. After 254 that are not (rule of succession: the next one is at one in 256 at the most) the next claim is written at once, and what comes for it and is alike to an answer of the 6 ms before it was begun is dropped. One alike answer, or a claim that ends unanswered behind a dropped one, makes the node rest for 508, then twice as many, 4064 at the most; from the drop on until it is settled the node rests. Suspects are fixed as the claim is begun, not by when something is read: a process that was held up may read a copy late. Errors, refusals, answers to probes and answers that are passed on are rested for as ever. Take gives the youngest idle connection that has rested, where they have to.

Tested: the decider's transitions and bounds, random events against a model; on sockets a copy in each millisecond from 0 to 8 behind the answer with the next claim out, the answer before the last one again, and answers truly alike.

--- a/src/limits/connections.cpp
+++ b/src/limits/connections.cpp
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include "limits/duplicate_answers.h"
+
 namespace bitternmux::limits {
 namespace {
 
@@ -147,8 +149,8 @@
 
 // ---- What to do ----
 
-Connections::Id Connections::Take(double now_ms, const std::string& name, int kind, int klass,
-                                  double work_ms) {
+Connections::Id Connections::Take(double now_ms, const std::string& name, int kind, int klass, double work_ms,
+                                  bool rests) {
   Node& node = NodeOf(name, kind);
   const AgeView view = ViewOf(&node, kind);
   const double safe_ms = SafeAge(view, StakeOf(klass), DialMs(&node));
@@ -180,6 +182,11 @@
       return take(at);
     }
   }
+  if (rests) {
+    for (std::size_t at = node.idle.size(); at-- > 0 && age(at) < safe_ms;) {
+      if (age(at) >= kRestMs || links_.at(node.idle[at]).claim == 0) return take(at);
+    }
+  }
   const std::size_t youngest = node.idle.size() - 1;
   return age(youngest) < safe_ms ? take(youngest) : 0;
 }
--- a/src/limits/connections.h
+++ b/src/limits/connections.h
@@ -7,7 +7,8 @@
 // handshake, and may be dropped, too. So the decider learns how likely a connection of each age is to be
 // dropped (IdleAges: of each node, on that of its kind of machine, on that of the fleet, on what the settings
 // promise) and weighs by class: a connection is taken where the loss to be expected costs no more than a new
-// one would. The youngest goes first. All amounts are in units of what the mean claim is worth.
+// one would. The youngest goes first, and where the node's connections have to rest after an answer
+// (limits/duplicate_answers) the youngest that has. All amounts are in units of what the mean claim is worth.
 //
 // Bounds: a row of about 0.8 KB for each node that `Serving` named or that was asked for since, another for
 // each kind of machine, and an entry for each open connection. Calls cost O(log nodes + ages); `Retire`,
@@ -40,10 +41,6 @@
   };
 
   // The settings must outlive it, and have a class.
-  // By the protocol a second copy of an answer may come some milliseconds behind the first: 0.9 to 3.9 ms
-  // were seen (docs/review-of-parts.md). A connection that has been answered is not written to for that long.
-  static constexpr double kRestMs = 6;
-
   explicit Connections(const cartspring::Settings& settings);
   // The settings have changed: what claims are worth is reckoned anew, what was learned stays.
   void Retuned();
@@ -68,8 +65,9 @@
   // ---- What to do ----
 
   // The idle connection that is to carry a claim, which then idles no longer; 0: a new one is to be dialed.
-  // `work_ms`: what the claim will cost the node, 0 if that is not known.
-  Id Take(double now_ms, const std::string& node, int kind, int klass, double work_ms);
+  // `work_ms`: what the claim will cost the node, 0 if that is not known. `rests`: nothing is written to a
+  // connection of the node until `kRestMs` after an answer, so that those that have rested go first.
+  Id Take(double now_ms, const std::string& node, int kind, int klass, double work_ms, bool rests = false);
   // Those that have idled for too long to be of use, which are to be closed and idle no longer.
   std::vector<Id> Retire(double now_ms);
   // The one that has idled longest, for when room is needed; 0 if none idles.
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/coroutine.hpp>
+#include <optional>
 
 #include "http/parser.h"
 #include "net/protocol.h"
@@ -57,12 +58,13 @@
     const auto self = shared_from_this();
     until_timer_ = runtime_.wheel.Add(exchange_.until_ms, [self] { self->Broke(Break::kOutOfTime); });
     if (stage_ == Stage::kDialing) return;
-    const double rest_ms = limits::Connections::kRestMs - (runtime_.now_ms() - ended_ms_);
-    if (rest_ms <= 0) return Begin();
-    // Guards against the answer before, written a second time: nothing tells it from this request's.
+    const bool tells_apart = exchange_.job != 0 && pool_.alike_.TellsApart(node_);
+    const double until_ms = recent_.RestsUntilMs(tells_apart);
+    if (runtime_.now_ms() >= until_ms) return Begin();
+    // Guards against an earlier answer, written a second time, that nothing would tell from this request's.
     stage_ = Stage::kWriting;
     resting_ = true;
-    rest_timer_ = runtime_.wheel.Add(runtime_.now_ms() + rest_ms, [self] {
+    rest_timer_ = runtime_.wheel.Add(until_ms, [self] {
       if (!self->Quiet()) return self->Again();
       self->resting_ = false;
       self->MayBegin() ? self->Begin() : self->Broke(Break::kNoSocket);
@@ -160,6 +162,7 @@
     answered_ = false;
     begun_ms_ = runtime_.now_ms();
     pool_.choice_.Begun(id_);
+    recent_.Begun(begun_ms_);
     Write();
   }
 
@@ -202,13 +205,18 @@
       if (!failure) buffer_.Commit(count);
       answered_ = answered_ || !failure;
     }
-    if (failure == asio::error::eof && stage_ == Stage::kWaiting && parser_.EndsWhole()) return Whole();
+    if (failure == asio::error::eof && stage_ == Stage::kWaiting && parser_.EndsWhole())
+      return Whole(std::nullopt);
     // Guards against what was left behind on the connection: what comes before a request is written whole is
     // no answer to it.
     if (failure || stage_ != Stage::kWaiting) return Broke(Break::kConnection);
-    const http::Progress progress = parser_.Parse(buffer_);
-    if (progress == http::Progress::kBad) return Broke(Break::kConnection);
-    progress == http::Progress::kDone ? Whole() : Passes();
+    while (true) {
+      const http::Progress progress = parser_.Parse(buffer_);
+      if (progress == http::Progress::kBad) return Broke(Break::kConnection);
+      if (progress == http::Progress::kMore) return Passes();
+      const auto digest = DigestOfAnswer();
+      if (!DropsDuplicate(digest)) return Whole(digest);
+    }
   }
 
   // The answer, or more of it, is there and not whole.
@@ -257,7 +265,32 @@
     });
   }
 
-  void Whole() {
+  // Of the answer that is whole. None for what may truly be alike from one request to the next: a probe's,
+  // and anything but a request served; nor for what was passed on and is not held.
+  using Digest = std::optional<std::uint64_t>;
+  Digest DigestOfAnswer() const {
+    const http::Message& message = parser_.message();
+    if (exchange_.job == 0 || message.status != 200 || flow_) return std::nullopt;
+    limits::Digest digest;
+    for (const auto& [name, value] : message.headers) digest.Add(name).Add(value);
+    return digest.Add(message.body).value();
+  }
+
+  // Guards against an earlier answer that comes again: the request waits on for its own.
+  bool DropsDuplicate(const Digest& digest) {
+    const bool doubted = recent_.dropped();
+    if (!digest || !recent_.IsDuplicate(*digest)) return false;
+    if (!doubted) pool_.alike_.Doubt(node_);
+    parser_.Reset();
+    answered_ = buffer_.size() > 0;
+    return true;
+  }
+
+  // The request has its own answer.
+  void Whole(const Digest& digest) {
+    if (recent_.dropped()) pool_.alike_.Settle(node_, /*answered=*/true);
+    const auto alike = recent_.Answered(runtime_.now_ms(), digest);
+    if (alike) pool_.alike_.Seen(node_, *alike);
     const bool reusable =
         parser_.message().keep_alive && buffer_.size() == 0 && pool_.machines_.IsLive(node_);
     if (flow_) {
@@ -298,12 +331,12 @@
   }
 
   void Tell(bool broke) {
+    if (recent_.dropped()) pool_.alike_.Settle(node_, /*answered=*/false);
     pool_.choice_.Ended(runtime_.now_ms(), id_, {answered_, broke, runtime_.now_ms() - begun_ms_});
   }
 
   void End(ClaimEnd end, bool reusable) {
     busy_ = false;
-    ended_ms_ = runtime_.now_ms();
     runtime_.wheel.Cancel(until_timer_);
     const Ended ended = std::move(exchange_.ended);
     buffer_.Trim(kReadSize);
@@ -326,13 +359,13 @@
   Exchange exchange_;
   std::size_t written_ = 0;
   double dialed_ms_ = 0, begun_ms_ = 0;
-  double ended_ms_ = -limits::Connections::kRestMs;  // when it was last answered
-  std::shared_ptr<Flow> flow_;                       // of an answer that is passed on as it comes
-  bool paused_ = false;                              // nothing is read until the flow has room
-  bool answered_ = false;                            // at least one byte came back
+  std::shared_ptr<Flow> flow_;  // of an answer that is passed on as it comes
+  bool paused_ = false;         // nothing is read until the flow has room
+  bool answered_ = false;       // at least one byte came back
   bool busy_ = false;
   bool resting_ = false;  // it carries an exchange that is not begun yet
   bool closed_ = false;
+  limits::RecentAnswers recent_;
   http::Buffer buffer_;
   http::Parser parser_{http::Role::kResponse};
   TimerWheel::Id until_timer_ = 0, dial_timer_ = 0, rest_timer_ = 0;
@@ -396,8 +429,9 @@
 
 void NodePool::Begin(const std::string& node, const std::string& address, Exchange exchange) {
   const int kind = machines_.KindOf(node);
+  const bool rests = exchange.job == 0 || !alike_.TellsApart(node);
   while (const ConnectionId id =
-             choice_.Take(runtime_.now_ms(), node, kind, exchange.klass, exchange.work_ms)) {
+             choice_.Take(runtime_.now_ms(), node, kind, exchange.klass, exchange.work_ms, rests)) {
     const Handle connection = connections_.at(id);
     if (connection->address() == address && connection->Quiet()) {
       return Carry(connection, std::move(exchange));
@@ -458,6 +492,7 @@
 }
 
 void NodePool::Prune() {
+  alike_.Serving(machines_.Live());
   for (const ConnectionId id : choice_.Serving(machines_.Live())) connections_.at(id)->Close();
 }
 
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -1,5 +1,6 @@
 // The execute nodes' side: the connections to them, and the claims that are out on these. Which connection
-// carries a claim, and how long one is kept, is decided in limits/connections.
+// carries a claim, and how long one is kept, is decided in limits/connections; which answer is none, since it
+// came before, in limits/duplicate_answers.
 #ifndef BITTERNMUX_SRC_NET_NODE_POOL_H_
 #define BITTERNMUX_SRC_NET_NODE_POOL_H_
 
@@ -12,6 +13,7 @@
 #include "core/job_table.h"
 #include "core/machine_list.h"
 #include "limits/connections.h"
+#include "limits/duplicate_answers.h"
 #include "net/runtime.h"
 
 namespace bitternmux::net {
@@ -31,8 +33,8 @@
   void Prune();
   // The settings that it goes by have changed.
   void Retuned() { choice_.Retuned(); }
-  // For people, as limits::Connections says it.
-  std::string Describe() const { return choice_.Describe(); }
+  // For people, as the deciders say it.
+  std::string Describe() const { return choice_.Describe() + alike_.Describe(); }
 
  private:
   class Connection;
@@ -71,6 +73,7 @@
   const std::size_t most_connections_, most_passing_;
   std::size_t flows_ = 0;  // answers that are passed on now
   limits::Connections choice_;
+  limits::AnswersAlike alike_;
   ConnectionId last_id_ = 0;
   std::unordered_map<ConnectionId, Handle> connections_;
   std::unordered_map<JobId, std::pair<int, Handle>> out_;  // the claim that is out for a job
--- a/tests/limits/connections_test.cpp
+++ b/tests/limits/connections_test.cpp
@@ -7,6 +7,8 @@
 #include <random>
 #include <set>
 
+#include "limits/duplicate_answers.h"
+
 namespace bitternmux::limits {
 namespace {
 
@@ -135,6 +137,44 @@
   CHECK(day.choice.Oldest() == 0);
 }
 
+TEST_CASE("where connections have to rest, the youngest that has goes first, and none that is unsafe") {
+  Day day;
+  const auto used = [&](double pause_ms) {
+    const auto id = day.Dial("s-1", 0);
+    day.choice.Begun(id);
+    day.Answer(id);
+    day.now_ms += pause_ms;
+    return id;
+  };
+  const auto take = [&](bool rests) { return day.choice.Take(day.now_ms, "s-1", 0, kBinding, 0, rests); };
+  SECTION("by their ages") {
+    const auto first = used(10), second = used(2), third = used(kRestMs - 1);
+    CHECK(take(/*rests=*/true) == second);
+    CHECK(take(/*rests=*/true) == first);
+    CHECK(take(/*rests=*/true) == third);  // which rests then
+    CHECK(take(/*rests=*/true) == 0);
+  }
+  SECTION("where they need not rest") {
+    used(10);
+    CHECK(take(/*rests=*/false) == used(1));
+  }
+  SECTION("one that was dialed ahead has nothing to rest for") {
+    used(10);
+    const auto ahead = day.Dial("s-1", 0);
+    day.choice.Idles(day.now_ms, ahead);
+    CHECK(take(/*rests=*/true) == ahead);
+  }
+  SECTION("above the safe age") {
+    day.limit_ms = 100;
+    day.Ask(300);
+    REQUIRE(day.Safe() < 130);
+    used(200);
+    const auto young = used(1);
+    CHECK(take(/*rests=*/true) == young);
+    CHECK(take(/*rests=*/true) == 0);
+  }
+}
+
 TEST_CASE("a node's limit is learned, whatever way it drops connections, and few binding claims are lost") {
   const auto [way, most] =
       GENERATE(table<Way, int>({{Way::kResets, 4}, {Way::kForgets, 4}, {Way::kCloses, 0}}));
@@ -283,7 +323,7 @@
         case 0:
         case 1: {
           const double safe_ms = choice.SafeAgeMs(node, 0, kBinding);
-          auto id = choice.Take(now_ms, node, 0, klass, upto(100));
+          auto id = choice.Take(now_ms, node, 0, klass, upto(100), /*rests=*/upto(2) == 0);
           if (id != 0) {
             REQUIRE(idle.count(id) == 1);
             if (klass == kBinding) REQUIRE(now_ms - idle[id] < safe_ms);
--- a/tests/net/crossing_stories.cpp
+++ b/tests/net/crossing_stories.cpp
@@ -2,6 +2,7 @@
 // or the program is halted while what is to cross queues up.
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <list>
 
 #include "support/peers.h"
 
@@ -359,4 +360,132 @@
   CHECK(Status(submitter.Read()) == 200);
 }
 
+namespace {
+
+using Clock = std::chrono::steady_clock;
+double MsSince(Clock::time_point from) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - from).count();
+}
+
+constexpr double kWellInTimeMs = 5.5;  // of the 6 in which an answer may come again
+
+// One submitter's requests to one node, one after the other, each answered otherwise.
+struct Exchanges {
+  Bed bed;
+  Peer submitter = bed.Submitter();
+  std::list<Peer> links;  // of the node
+  int asked = 0;
+
+  std::string Body(int of) const { return "answer " + std::to_string(of); }
+  void Ask(int patience_ms = 8000) {
+    submitter.Send(Post("id-" + std::to_string(++asked), "{}", patience_ms));
+  }
+  Peer& Claimed() {
+    Peer* out = nullptr;
+    AwaitThat("a claim comes", [&] {
+      if (bed.nodes[0].Waiting()) links.push_back(bed.nodes[0].Accept());
+      for (Peer& link : links) out = link.Waiting() && !link.Ended() ? &link : out;
+      return out != nullptr;
+    });
+    out->Read();
+    return *out;
+  }
+  // The node answers, the submitter has read it and asked again; since when.
+  Clock::time_point AnswerAndAsk(Peer& node, const std::string& body, int patience_ms = 8000) {
+    const auto sent = Clock::now();
+    node.Send(Served(body));
+    REQUIRE(submitter.Read().ends_with(body));
+    Ask(patience_ms);
+    return sent;
+  }
+  // Until the node's answers are told apart, and to spare.
+  void Learn() {
+    for (int i = 0; i < 280; ++i) {
+      Ask();
+      Claimed().Send(Served(Body(asked)));
+      REQUIRE(submitter.Read().ends_with(Body(asked)));
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a second answer in any millisecond behind the first is nobody's where its node's are told apart") {
+  Exchanges day;
+  day.Learn();
+  for (int behind_ms = 0; behind_ms <= 8; ++behind_ms) {
+    bool forced = false;
+    for (int i = 0; i < 500 && !forced; ++i) {
+      day.Ask();
+      Peer& node = day.Claimed();
+      const auto sent = day.AnswerAndAsk(node, day.Body(day.asked));
+      Peer& next = day.Claimed();
+      forced = &next == &node && MsSince(sent) < kWellInTimeMs;
+      if (forced) {
+        while (MsSince(sent) < behind_ms) ::usleep(100);
+        node.Send(Served(day.Body(day.asked - 1)));
+        ::usleep(1000);  // which is read before the request's own, or with it
+      }
+      next.Send(Served(day.Body(day.asked)));
+      const std::string read = day.submitter.Read();
+      INFO(behind_ms << " ms: " << read);
+      REQUIRE(read.ends_with(day.Body(day.asked)));
+    }
+    INFO(behind_ms << " ms");
+    CHECK(forced);
+  }
+}
+
+TEST_CASE("the answer before the last one, written again, is nobody's") {
+  Exchanges day;
+  day.Learn();
+  bool forced = false;
+  for (int i = 0; i < 1000 && !forced; ++i) {
+    day.Ask();
+    Peer& first = day.Claimed();
+    const auto sent = day.AnswerAndAsk(first, day.Body(day.asked));
+    Peer& second = day.Claimed();
+    day.AnswerAndAsk(second, day.Body(day.asked));
+    Peer& third = day.Claimed();
+    forced = &third == &first && &second == &first && MsSince(sent) < kWellInTimeMs;
+    if (forced) first.Send(Served(day.Body(day.asked - 2)) + Served(day.Body(day.asked - 1)));
+    third.Send(Served(day.Body(day.asked)));
+    REQUIRE(day.submitter.Read().ends_with(day.Body(day.asked)));
+  }
+  CHECK(forced);
+}
+
+TEST_CASE("answers that are truly alike are all served, but for one where they never were before") {
+  Exchanges day;
+  SECTION("they always are") {
+    for (int i = 0; i < 300; ++i) {
+      day.Ask();
+      day.Claimed().Send(Served("the same"));
+      REQUIRE(day.submitter.Read().ends_with("the same"));
+    }
+  }
+  SECTION("they begin to be") {
+    day.Learn();
+    bool forced = false;
+    for (int i = 0; i < 500 && !forced; ++i) {
+      day.Ask();
+      Peer& node = day.Claimed();
+      const auto sent = day.AnswerAndAsk(node, day.Body(day.asked), 700);
+      Peer& next = day.Claimed();
+      forced = &next == &node && MsSince(sent) < kWellInTimeMs;
+      next.Send(Served(day.Body(forced ? day.asked - 1 : day.asked)));
+      CHECK(Status(day.submitter.Read()) == (forced ? 504 : 200));
+    }
+    CHECK(forced);
+    for (const Peer& link : day.links)
+      CHECK_FALSE((link.Waiting() && !link.Ended()));  // it is not sent again
+    CHECK_FALSE(day.bed.nodes[0].Waiting());
+    for (int i = 0; i < 20; ++i) {
+      day.Ask();
+      day.Claimed().Send(Served("the same"));
+      REQUIRE(day.submitter.Read().ends_with("the same"));
+    }
+  }
+}
+
 }  // namespace bitternmux::peers
