Let a node go by the fleet after two answers of its own, and use the measurement's clients in turn

Change: AnswersAlike::kOwnProof from 8 to 2. Weighed: 0 is quicker to learn, and would lose a claim to a node whose answers are always alike. The clients are used in turn.

Tested: the decider's 13 cases, the one on nodes that go by the fleet failing without the own proof; the five crossing stories on second answers.

--- a/bench/added_time.cpp
+++ b/bench/added_time.cpp
@@ -154,8 +154,8 @@
         for (; next_ms <= now_ms; next_ms += 1000 / options_.rate) waiting_.push_back(next_ms);
       }
       while (!idle_.empty() && (options_.rate <= 0 || !waiting_.empty())) {
-        End* client = idle_.back();
-        idle_.pop_back();
+        End* client = idle_.front();
+        idle_.pop_front();
         double due_ms = NowMs();
         if (options_.rate > 0) {
           due_ms = waiting_.front();
@@ -350,7 +350,8 @@
   const int epoll_ = ::epoll_create1(EPOLL_CLOEXEC);
   std::vector<std::unique_ptr<End>> ends_;
   std::vector<int> ports_;
-  std::vector<End*> idle_, watches_;
+  std::deque<End*> idle_;  // used in turn: the sidecar ends connections that never ask
+  std::vector<End*> watches_;
   std::deque<double> waiting_;  // when calls were due that no client was free for
   std::vector<double> took_ms_;
   std::string folder_;
--- a/src/limits/duplicate_answers.h
+++ b/src/limits/duplicate_answers.h
@@ -55,7 +55,7 @@
 // Of each node, and of the fleet, whether its answers are told apart.
 class AnswersAlike {
  public:
-  static constexpr unsigned kProof = 254, kOwnProof = 8, kMostProof = 16 * kProof;
+  static constexpr unsigned kProof = 254, kOwnProof = 2, kMostProof = 16 * kProof;
 
   // An answer of the node was alike to an earlier one, or to none.
   void Seen(const std::string& node, bool alike);
