Add a scale run: real and hollow sidecars beside hundreds of quote servers

Seen: nothing in the lab says what a sidecar or discovery costs as the number of servers grows.

Change: `bitternmux-lab scale` (lab/scale) plays a size on loopback.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run; .ci/run does all that a change has to pass.
-.PHONY: build test demo lint ci run
+.PHONY: build test demo scale lint ci run
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -21,6 +21,13 @@
 	build-demo/bitternmux-lab run lab/scenarios/demo.toml --mode loopback --phases --record build-demo/demo.record
 	build-demo/bitternmux-lab check build-demo/demo.record
 
+# What a sidecar and discovery cost at 80 to 630 servers.
+scale:
+	.ci/install
+	cmake -B build-demo -DCMAKE_BUILD_TYPE=Release -DCARTSPRING_LAB=ON
+	cmake --build build-demo -j$$(nproc) --target bitternmux bitternmux_lab
+	build-demo/bitternmux-lab scale lab/scenarios/scale.toml --json build-demo/scale.json
+
 lint:
 	clang-format --dry-run --Werror $$(git ls-files '*.h' '*.cpp')
 
--- a/lab/apps/commands.h
+++ b/lab/apps/commands.h
@@ -18,6 +18,7 @@
 void AddCheckScenario(CLI::App& app, int& code);
 void AddRun(CLI::App& app, int& code);
 void AddLoad(CLI::App& app, int& code);
+void AddScale(CLI::App& app, int& code);
 void AddReport(CLI::App& app, int& code);
 void AddSweep(CLI::App& app, int& code);
 void AddStand(CLI::App& app, int& code);
--- a/lab/apps/main.cpp
+++ b/lab/apps/main.cpp
@@ -16,6 +16,7 @@
   AddRun(app, code);
   AddLoad(app, code);
   AddSweep(app, code);
+  AddScale(app, code);
   AddReport(app, code);
   AddStand(app, code);
   AddUp(app, code);
