Play a void scale play again, and open the connections that a step of it asks for

Seen: the machine stood still for over a second now and then while others built on it, so that one phase made a run of several sizes void.

Change: a play that was late by its own doing is told and played again with the same plan, three times in all (`tries`); a run is void if one was each time. Hollow sidecars do not make up for calls that a late turn missed.

--- a/lab/scale/hollow_sidecar.cpp
+++ b/lab/scale/hollow_sidecar.cpp
@@ -82,7 +82,8 @@
   }
 
   void Call() {
-    call_due_ms_ += call_every_ms_;
+    // What a late turn missed is not made up for: it would come all at once.
+    call_due_ms_ = std::max(call_due_ms_, NowMs() - call_every_ms_) + call_every_ms_;
     char id[24];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(config_.seed << 20 | ++calls_));
     Job job;
--- a/lab/scale/quote_servers.cpp
+++ b/lab/scale/quote_servers.cpp
@@ -1,6 +1,8 @@
 #include "lab/scale/quote_servers.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <memory>
 #include <numeric>
 #include <sstream>
@@ -28,7 +30,11 @@
 class QuoteServers::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(QuoteServers& servers, std::size_t server, tcp::socket socket)
-      : counts_(servers.counts_), server_(server), socket_(std::move(socket)) {
+      : counts_(servers.counts_),
+        hold_ms_(servers.hold_ms_),
+        server_(server),
+        socket_(std::move(socket)),
+        hold_(socket_.get_executor()) {
     ++counts_.opened;
     ++counts_.open[server_];
   }
@@ -54,6 +60,15 @@
     out_ = http::WriteResponse(
         200, {}, "server " + std::to_string(server_) + " request " + std::string(id.value_or("-")) + "\n",
         true);
+    const int hold_ms = id ? hold_ms_.load() : 0;
+    if (hold_ms == 0) return Write();
+    hold_.expires_after(std::chrono::milliseconds(hold_ms));
+    hold_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) self->Write();
+    });
+  }
+
+  void Write() {
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
                         if (!error) self->Read();
@@ -61,8 +76,10 @@
   }
 
   ServerCounts& counts_;
+  const std::atomic<int>& hold_ms_;
   const std::size_t server_;
   tcp::socket socket_;
+  asio::steady_timer hold_;
   http::Buffer in_;
   http::Parser parser_{http::Role::kRequest};
   std::string out_;
--- a/lab/scale/quote_servers.h
+++ b/lab/scale/quote_servers.h
@@ -3,6 +3,7 @@
 #ifndef BITTERNMUX_LAB_SCALE_QUOTE_SERVERS_H_
 #define BITTERNMUX_LAB_SCALE_QUOTE_SERVERS_H_
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <list>
@@ -26,6 +27,8 @@
 
   std::vector<std::string> Addresses() const;
   ServerCounts Count();
+  // Answers to requests wait so long from now on; probes are answered at once. 0: none waits.
+  void Hold(int ms) { hold_ms_ = ms; }
   StandThread& thread() { return thread_; }
 
  private:
@@ -33,6 +36,7 @@
   void Accept(std::size_t server);
 
   ServerCounts counts_;
+  std::atomic<int> hold_ms_{0};
   StandThread thread_;
   std::vector<boost::asio::ip::tcp::acceptor> acceptors_;
 };
--- a/lab/scale/scenario.cpp
+++ b/lab/scale/scenario.cpp
@@ -74,6 +74,7 @@
       {"sockets", WholeNumber(out.sockets, 64, 10000)},
       {"hollow_turn_ms", WholeNumber(out.hollow_turn_ms, 1, 1000)},
       {"hollow_calls_per_s", Number(out.hollow_calls_per_s, 0, 50)},
+      {"tries", WholeNumber(out.tries, 1, 10)},
       {"slack_ms", Number(out.slack_ms, 1, 10000)},
       {"idle_s", Number(out.idle_s, 0, 600)},
       {"load_s", Number(out.load_s, 0, 600)},
--- a/lab/scale/scenario.h
+++ b/lab/scale/scenario.h
@@ -19,6 +19,7 @@
   int memory_mb = 64, sockets = 1024;          // of a real sidecar
   int hollow_turn_ms = 20;                     // between two turns of a hollow sidecar's wheel
   double hollow_calls_per_s = 0;               // of each
+  int tries = 3;                               // of a play that was void
   double slack_ms = 250;  // a stand-in's timer that was later than this makes the play void
 
   double idle_s = 4, load_s = 2, changes_s = 3;
