--- /dev/null
+++ b/tests/cartspring/allocations_test.cpp
@@ -0,0 +1,81 @@
+// A decision allocates nothing once the tables are warm, whatever the number of names, in a tier that is as
+// large as the list. A program of its own, since it counts all allocations of its process.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <new>
+#include <string>
+#include <vector>
+
+#include "cartspring/balancer.h"
+
+namespace {
+
+std::size_t allocations = 0;
+
+}  // namespace
+
+// Not inlined: g++ 12 takes the pair for one that does not match where it sees through both.
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  ++allocations;
+  if (void* memory = std::malloc(size)) return memory;
+  throw std::bad_alloc();
+}
+[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
+namespace cartspring {
+namespace {
+
+struct LastSend : ActionSink {
+  void Send(RequestId, const std::string&, double, double) override { ++sent; }
+  void Cancel(RequestId, int) override {}
+  void Refuse(RequestId, double) override {}
+  void Fail(RequestId) override {}
+  void Probe(const std::string&) override {}
+  void Subscribe() override {}
+  void SetTimer(double, std::uint64_t) override {}
+  void Log(const std::string&) override {}
+
+  int sent = 0;
+};
+
+// Of one request that is sent and served, in the mean of many, once all rows are as large as they get.
+double AllocationsADecision(int names) {
+  constexpr int kWarm = 5000, kCounted = 2000;
+  Settings settings;
+  RequestClass klass;
+  klass.aim_ms = 300;
+  klass.deadline_ms = 1300;
+  settings.classes.push_back(klass);
+  settings.max_attempts = 3;
+  settings.tick_ms = 1;
+  settings.balancers = names;
+  LastSend sink;
+  Balancer balancer(settings, 1, sink);
+  std::vector<HostEntry> hosts(static_cast<std::size_t>(names));
+  for (std::size_t i = 0; i < hosts.size(); ++i) hosts[i].host = "host-" + std::to_string(i);
+  double now = 1000;
+  balancer.OnHostList(now, hosts, false);
+  std::size_t before = 0;
+  for (int i = 0; i < kWarm + kCounted; ++i) {
+    if (i == kWarm) before = allocations;
+    now += 20;
+    Request request;
+    request.id = static_cast<RequestId>(i + 1);
+    request.give_up_ms = now + 1300;
+    balancer.OnRequest(now, request);
+    balancer.OnOutcome(now + 5, request.id, 0, Outcome::kServed, true, 5, nullptr);
+  }
+  EXPECT_EQ(sink.sent, kWarm + kCounted);
+  return static_cast<double>(allocations - before) / kCounted;
+}
+
+TEST(Allocations, ADecisionTakesNoneWhateverTheNumberOfNames) {
+  EXPECT_EQ(AllocationsADecision(8), 0);
+  EXPECT_EQ(AllocationsADecision(630), 0);
+  EXPECT_GT(allocations, 630U);  // they are counted: the list alone takes as many
+}
+
+}  // namespace
+}  // namespace cartspring
