Write a scale run's result after each play

Seen: a play of a later size that could not be played to its end (exit 2) would take the figures of the earlier ones with it.

Change: the file is written anew after each play.

Tested: built, and one short play of size 80 gave its file.

--- a/lab/apps/scale.cpp
+++ b/lab/apps/scale.cpp
@@ -53,10 +53,8 @@
   if (!arguments.sizes.empty()) scenario.sizes = arguments.sizes;
   if (arguments.seed) scenario.seed = *arguments.seed;
   // Opened first: a run is not to be played for nothing.
-  std::ofstream file;
-  if (!arguments.json.empty()) {
-    file.open(arguments.json);
-    if (!file) throw std::invalid_argument("--json: cannot write '" + arguments.json + "'");
+  if (!arguments.json.empty() && !std::ofstream(arguments.json)) {
+    throw std::invalid_argument("--json: cannot write '" + arguments.json + "'");
   }
   nlohmann::ordered_json result = {{"format", 1},
                                    {"command", CommandOf(arguments, scenario)},
@@ -83,9 +81,10 @@
         result["void"] = "size " + std::to_string(size) + ", seed " + std::to_string(plan.seed) + ": " +
                          played.void_reason;
       }
+      // After each play: what stops a later one must not take the earlier ones with it.
+      if (!arguments.json.empty()) std::ofstream(arguments.json) << result.dump(1) << "\n";
     }
   }
-  if (file.is_open()) file << result.dump(1) << std::endl;
   if (result["void"].is_null()) return 0;
   std::cout << "void: " << result["void"].get<std::string>() << "\n";
   return kExitVoid;
