Tell each length of a burst once in a scale run

Seen: at 80 names a tenth of a zone is one server, so that the point of one entry was measured twice into the same figures and told 372 bytes where a line has 186.

Change: each length once. No case of tests/lab/scale covers a whole play; it is left.

--- a/lab/scale/play.cpp
+++ b/lab/scale/play.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <numeric>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -249,7 +250,7 @@
   // One line that tells of so many: a server, a tenth of a zone, a zone, all.
   void Entries() {
     const int zone = plan_.size / static_cast<int>(plan_.zones.size());
-    for (const int entries : {1, std::max(1, zone / 10), zone, plan_.size}) {
+    for (const int entries : std::set<int>{1, std::max(1, zone / 10), std::max(1, zone), plan_.size}) {
       std::vector<int> servers;
       for (int i = 0; i < plan_.size && static_cast<int>(servers.size()) < entries; ++i) {
         // A zone's servers are every so many; all of them take every zone's.
