--- a/bench/added_time.cpp
+++ b/bench/added_time.cpp
@@ -195,7 +195,8 @@
     auto members = nlohmann::json::array();
     for (std::size_t i = 0; i < ports_.size(); ++i) {
       auto one = nlohmann::json::parse(
-          R"({"locality": "porto", "flavor": "novo", "cell": 0, "size": 1.0, "up_since_ms": 0, "phase": "SERVING"})");
+          R"({"locality": "porto", "flavor": "novo", "cell": 0, "size": 1.0, "up_since_ms": 0,)"
+          R"( "phase": "SERVING"})");
       one["id"] = "s-" + std::to_string(i);
       one["host_port"] = "127.0.0.1:" + std::to_string(ports_[i]);
       members.push_back(one);
--- a/src/standstill/standstill.h
+++ b/src/standstill/standstill.h
@@ -17,7 +17,7 @@
 
   explicit Standstill(double now_ms) : looked_ms_(now_ms) {}
 
-  // To be called at least every 50 ms or so, and before anything is decided by what has come. True if the process
+  // To be called at least every 50 ms or so, and before anything is decided by what has come. True if it
   // has stood still since the call before: then what is to be known first has to be read first.
   bool Woke(double now_ms) {
     const double before_ms = std::exchange(looked_ms_, now_ms);
--- a/tests/lab/apps/capacity_test.cpp
+++ b/tests/lab/apps/capacity_test.cpp
@@ -60,7 +60,8 @@
 };
 
 std::string Result(const std::string& voided, const std::string& figure) {
-  return R"({"format": 1, "command": "bitternmux-lab scale", "commit": "abc", "machine": {"cores": 8}, "void": )" +
+  return R"({"format": 1, "command": "bitternmux-lab scale", "commit": "abc", "machine": {"cores": 8},)"
+         R"( "void": )" +
          voided + R"(, "plays": [{"part": "scale", "at": {"size": 80}, "seed": 1, "figures": {")" + figure +
          R"(": 1}}]})";
 }
