--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	.ci/install
 	cmake -B build-demo -DCMAKE_BUILD_TYPE=Release -DCARTSPRING_LAB=ON
 	cmake --build build-demo -j$$(nproc) --target bitternmux bitternmux_lab
-	build-demo/bitternmux-lab scale lab/scenarios/scale.toml --json build-demo/scale.json \
+	build-demo/bitternmux-lab scale lab/scale/scale.toml --json build-demo/scale.json \
 	    --commit $$(git rev-parse --short HEAD)
 
 lint:
