--- a/tests/lab/scale/scale_test.cpp
+++ b/tests/lab/scale/scale_test.cpp
@@ -109,7 +109,7 @@
 }
 
 TEST_CASE("a scenario's faulty key is named") {
-  const std::string path = std::string(BITTERNMUX_SCENARIOS) + "/scale.toml";
+  const std::string path = std::string(BITTERNMUX_SCENARIOS) + "/../scale/scale.toml";
   CHECK_NOTHROW(ReadScenario(path));
   const auto faulty =
       std::filesystem::temp_directory_path() /
