--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,8 +5,9 @@
 # that points up does not find its header.
 function(bitternmux_package name root)
   cmake_parse_arguments(ARG "" "" "SOURCES;USES;LIBRARIES" ${ARGN})
-  set(target ${root}_${name})
-  set(view ${CMAKE_BINARY_DIR}/view/${root}/${name})
+  string(REPLACE "/" "_" flat ${name})
+  set(target ${root}_${flat})
+  set(view ${CMAKE_BINARY_DIR}/view/${root}/${flat})
   if(root STREQUAL "src")
     set(inside ${view}/${name})
   else()
--- /dev/null
+++ b/src/fleet/transport/link.h
@@ -0,0 +1,112 @@
+// Links between the fleet's programs: TCP connections that carry frames of the internal protocol.
+//
+// All handlers run on the io_context's one thread. A peer behind a cut says nothing, so that each connection
+// has a user timeout for what it does not acknowledge, and each dial a time within which it has to come up.
+#ifndef BITTERNMUX_SRC_FLEET_TRANSPORT_LINK_H_
+#define BITTERNMUX_SRC_FLEET_TRANSPORT_LINK_H_
+
+#include <boost/asio.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fleet/messages/codec.h"
+#include "fleet/messages/messages.h"
+
+namespace bitternmux::fleet {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// The endpoint of an ip:port. Throws boost::system::system_error or std::invalid_argument.
+tcp::endpoint EndpointFromText(const std::string& address);
+
+// The port of an ip:port replaced.
+std::string WithPort(const std::string& address, std::uint16_t port);
+
+// One connection.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using Received = std::function<void(const std::shared_ptr<Link>&, Message)>;
+  using Closed = std::function<void(const std::shared_ptr<Link>&)>;
+
+  Link(tcp::socket socket, Received received, Closed closed);
+
+  void Start();
+  void Send(const Message& message) { SendFrame(std::make_shared<const std::string>(EncodeFrame(message))); }
+  // The same frame may be sent on several links. A peer that does not take kMaxQueuedBytes loses its link.
+  void SendFrame(std::shared_ptr<const std::string> frame);
+  // Without a call of `closed`.
+  void Close();
+  bool open() const { return open_; }
+
+ private:
+  void Read();
+  void TakeFrames();
+  void Write();
+  void Fail();
+
+  tcp::socket socket_;
+  Received received_;
+  Closed closed_;
+  bool open_ = true;
+  std::string in_;
+  std::array<char, 16 * 1024> piece_;
+  std::deque<std::shared_ptr<const std::string>> queue_;
+  std::size_t queued_bytes_ = 0;
+  bool writing_ = false;
+};
+
+// Accepts links at an address.
+class LinkListener {
+ public:
+  // Throws boost::system::system_error if it cannot listen.
+  LinkListener(asio::io_context& io, const tcp::endpoint& at, std::function<void(tcp::socket)> accepted);
+
+ private:
+  void Accept();
+
+  tcp::acceptor acceptor_;
+  std::function<void(tcp::socket)> accepted_;
+  asio::steady_timer pause_;
+};
+
+// Keeps a link to one address: dials, and dials again when it breaks.
+class Dialer : public std::enable_shared_from_this<Dialer> {
+ public:
+  struct Handlers {
+    std::function<void(const std::shared_ptr<Link>&)> connected;
+    Link::Received received;
+    std::function<void()> lost;    // the link has broken; it is dialed again
+    std::function<void()> failed;  // a dial has; may be null
+  };
+
+  Dialer(asio::io_context& io, std::string address, Handlers handlers);
+
+  void Start();
+  void Stop();
+  // Null while there is none.
+  const std::shared_ptr<Link>& link() const { return link_; }
+  const std::string& address() const { return address_; }
+
+ private:
+  void Dial();
+  void Connected(const ErrorCode& error);
+  void Retry();
+
+  asio::io_context& io_;
+  const std::string address_;
+  Handlers handlers_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::shared_ptr<Link> link_;
+  std::uint64_t attempt_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace bitternmux::fleet
+
+#endif  // BITTERNMUX_SRC_FLEET_TRANSPORT_LINK_H_
--- /dev/null
+++ b/src/router/front.cpp
@@ -0,0 +1,287 @@
+#include "router/front.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "fleet/transport/link.h"
+#include "http/buffer.h"
+
+namespace bitternmux::router {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+constexpr std::size_t kIdleBufferBytes = 16 * 1024;
+constexpr int kUserTimeoutMs = 8000;
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr auto kLinger = std::chrono::milliseconds(500);
+constexpr std::size_t kMostAhead = 64 * 1024;  // of the requests behind the one that is served
+
+std::chrono::microseconds Span(double ms) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(ms * 1000));
+}
+
+}  // namespace
+
+class Front::Session : public std::enable_shared_from_this<Session>, public Responder {
+ public:
+  Session(Front& front, tcp::socket socket)
+      : front_(front),
+        socket_(std::move(socket)),
+        timer_(front.io_),
+        parser_(http::Role::kRequest, front.limits_.max_body_bytes) {}
+
+  void Start() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket_.set_option(UserTimeout(kUserTimeoutMs), ignored);
+    LimitTo(front_.limits_.idle_timeout_ms);
+    Read();
+  }
+
+  void CloseIfIdle() {
+    error_code error;
+    if (state_ == State::kReading && !parser_.started() && buffer_.size() == 0 &&
+        socket_.available(error) == 0)
+      Close();
+  }
+
+  // ---- Responder ----
+
+  void Respond(int status, const http::Headers& headers, std::string_view body) override {
+    if (state_ != State::kServing) return;
+    DecideKeepAlive();
+    out_ += http::WriteResponse(status, headers, body, keep_alive_);
+    Finish();
+  }
+  void BeginStream(int status, const http::Headers& headers) override {
+    if (state_ != State::kServing) return;
+    DecideKeepAlive();
+    out_ += http::WriteResponseHead(status, headers, http::Framing::kChunks, 0, keep_alive_);
+  }
+  void Piece(std::string_view bytes) override {
+    if (state_ != State::kServing || bytes.empty()) return;
+    out_.append(http::ChunkHead(bytes.size())).append(bytes).append(http::kChunkEnd);
+    Write();
+  }
+  void EndStream() override {
+    if (state_ != State::kServing) return;
+    out_ += http::kLastChunk;
+    Finish();
+  }
+  void BreakOff() override {
+    if (state_ != State::kServing) return;
+    request_.reset();
+    keep_alive_ = false;
+    state_ = State::kFinishing;
+    broken_ = true;
+    if (!writing_) Written();
+  }
+  std::size_t Unsent() const override { return out_.size() + flying_.size(); }
+
+ private:
+  enum class State { kReading, kServing, kFinishing, kLingering, kClosed };
+
+  void LimitTo(double ms) {
+    timer_.expires_after(Span(ms));
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error && self->state_ != State::kServing) self->TimeIsUp();
+    });
+  }
+
+  void TimeIsUp() {
+    if (state_ == State::kReading && parser_.started()) return Turn(408, "the request is not whole in time");
+    Close();
+  }
+
+  void DecideKeepAlive() { keep_alive_ = keep_alive_ && !front_.closing_; }
+
+  void Read() {
+    if (reading_ || state_ == State::kClosed || buffer_.size() > kMostAhead + parser_.length()) return;
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(buffer_.Prepare(kReadBytes), kReadBytes),
+                            [self = shared_from_this()](const error_code& error, std::size_t size) {
+                              self->reading_ = false;
+                              self->Took(error, size);
+                            });
+  }
+
+  void Took(const error_code& error, std::size_t size) {
+    if (state_ == State::kClosed) return;
+    if (error) return Left();
+    buffer_.Commit(size);
+    if (state_ == State::kLingering) buffer_.Consume(buffer_.size());
+    if (state_ == State::kReading) Process();
+    Read();
+  }
+
+  void Left() {
+    const auto request = std::exchange(request_, nullptr);
+    Close();
+    if (request) request->ClientLeft();
+  }
+
+  void Process() {
+    const bool began = parser_.started();
+    switch (parser_.Parse(buffer_)) {
+      case http::Progress::kMore:
+        if (!began && parser_.started()) LimitTo(front_.limits_.header_timeout_ms);
+        if (parser_.head_read()) LimitTo(front_.limits_.idle_timeout_ms);
+        return;
+      case http::Progress::kBad:
+        return Turn(parser_.error(), "the request cannot be read");
+      case http::Progress::kDone:
+        break;
+    }
+    timer_.cancel();
+    state_ = State::kServing;
+    keep_alive_ = parser_.message().keep_alive;
+    http::Message message = parser_.Take();
+    parser_.Reset();
+    const auto request = front_.take_(std::move(message), shared_from_this());
+    if (state_ == State::kServing) request_ = request;
+  }
+
+  void Turn(int status, std::string_view why) {
+    state_ = State::kServing;
+    keep_alive_ = false;
+    Respond(status, {{"Content-Type", "text/plain"}}, why);
+  }
+
+  void Finish() {
+    request_.reset();
+    state_ = State::kFinishing;
+    Write();
+  }
+
+  void Write() {
+    if (writing_ || out_.empty() || state_ == State::kClosed) return;
+    writing_ = true;
+    flying_.swap(out_);
+    out_.clear();
+    // Most often all of it goes at once, and no wake-up is due.
+    error_code error;
+    socket_.non_blocking(true, error);
+    const std::size_t sent = socket_.write_some(asio::buffer(flying_), error);
+    if (!error && sent == flying_.size()) {
+      writing_ = false;
+      flying_.clear();
+      if (state_ == State::kFinishing) {
+        asio::post(front_.io_, [self = shared_from_this()] {
+          if (!self->writing_) self->Written();
+        });
+      }
+      return;
+    }
+    if (error && error != asio::error::would_block) {
+      asio::post(front_.io_, [self = shared_from_this()] { self->Left(); });
+      return;
+    }
+    asio::async_write(socket_, asio::buffer(flying_) + (error ? 0 : sent),
+                      [self = shared_from_this()](const error_code& failure, std::size_t) {
+                        self->writing_ = false;
+                        self->flying_.clear();
+                        if (self->state_ == State::kClosed) return;
+                        failure ? self->Left() : self->Written();
+                      });
+  }
+
+  void Written() {
+    if (state_ == State::kClosed) return;
+    if (!out_.empty()) return Write();
+    if (state_ == State::kServing) {
+      if (request_) request_->ClientTook();
+      return;
+    }
+    if (state_ != State::kFinishing) return;
+    if (broken_) return Close();
+    if (!keep_alive_) return Linger();
+    state_ = State::kReading;
+    buffer_.Trim(kIdleBufferBytes);
+    if (flying_.capacity() > kIdleBufferBytes) std::string().swap(flying_);
+    LimitTo(front_.limits_.idle_timeout_ms);
+    if (buffer_.size() > 0) Process();
+    Read();
+  }
+
+  // Closing at once with bytes unread would reset the connection, and the answer could be lost on its way.
+  void Linger() {
+    state_ = State::kLingering;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(kLinger);
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) self->Close();
+    });
+    Read();
+  }
+
+  void Close() {
+    if (state_ == State::kClosed) return;
+    state_ = State::kClosed;
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    front_.sessions_.erase(shared_from_this());
+  }
+
+  Front& front_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  State state_ = State::kReading;
+  http::Buffer buffer_;
+  http::Parser parser_;
+  std::shared_ptr<OpenRequest> request_;
+  std::string out_, flying_;
+  bool keep_alive_ = true, reading_ = false, writing_ = false, broken_ = false;
+};
+
+Front::Front(asio::io_context& io, Take take) : io_(io), take_(std::move(take)), acceptor_(io), pause_(io) {}
+
+Front::~Front() = default;
+
+void Front::Listen(const std::string& address) {
+  const tcp::endpoint at = fleet::EndpointFromText(address);
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  Accept();
+}
+
+void Front::Accept() {
+  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      const auto session = std::make_shared<Session>(*this, std::move(socket));
+      sessions_.insert(session);
+      session->Start();
+      return Accept();
+    }
+    pause_.expires_after(kAcceptPause);  // no descriptors left: trying at once would only spin
+    pause_.async_wait([this](const error_code& aborted) {
+      if (!aborted) Accept();
+    });
+  });
+}
+
+void Front::CloseIdle() {
+  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) session->CloseIfIdle();
+}
+
+void Front::StopListening() {
+  error_code ignored;
+  pause_.cancel();
+  acceptor_.close(ignored);
+}
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/quota_ledger.cpp
@@ -0,0 +1,124 @@
+#include "router/quota_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bitternmux::router {
+namespace {
+
+constexpr double kUseMemoryMs = 4000;    // over which a tenant's use is averaged
+constexpr double kReserveMs = 250;       // of that use is kept in reserve
+constexpr double kRefillShare = 0.5;     // of the reserve below which more is asked for
+constexpr double kAllowanceShare = 0.5;  // of the slack that stands for what is used without a grantor
+
+}  // namespace
+
+void QuotaLedger::Fade(double now_ms, Row& row) {
+  const double passed = std::max(0.0, now_ms - row.used_ms);
+  row.used_per_ms *= std::exp(-passed / kUseMemoryMs);
+  row.used_ms = now_ms;
+}
+
+void QuotaLedger::Use(double now_ms, Row& row, double cost) {
+  Fade(now_ms, row);
+  row.used_per_ms += cost / kUseMemoryMs;
+}
+
+void QuotaLedger::Request(double now_ms, const std::string& tenant, Row& row, double need) {
+  if (row.asked) return;
+  Fade(now_ms, row);
+  fleet::QuotaRequest request;
+  request.id = ++last_id_;
+  request.tenant = tenant;
+  request.need = need;
+  request.reserve = kReserveMs * row.used_per_ms;
+  row.asked = request.id;
+  row.asked_ms = now_ms;
+  requests_.push_back(std::move(request));
+}
+
+QuotaAnswer QuotaLedger::Ask(double now_ms, std::uint64_t request, const fleet::Tenant& tenant, double cost) {
+  if (tenant.rate_per_s <= 0) return QuotaAnswer::kAdmitted;
+  Row& row = rows_[tenant.name];
+  if (row.waiting.empty() && row.balance >= cost) {
+    row.balance -= cost;
+    Use(now_ms, row, cost);
+    if (row.balance < kRefillShare * kReserveMs * row.used_per_ms && now_ms >= row.refused_until_ms) {
+      Request(now_ms, tenant.name, row, 0);
+    }
+    return QuotaAnswer::kAdmitted;
+  }
+  if (row.waiting.size() >= kMaxWaiting) return QuotaAnswer::kRefused;
+  row.waiting.push_back({request, cost, now_ms});
+  ++waiting_count_;
+  Request(now_ms, tenant.name, row, cost - row.balance);
+  return QuotaAnswer::kWait;
+}
+
+void QuotaLedger::GiveBack(const std::string& tenant, double cost) {
+  const auto found = rows_.find(tenant);
+  if (found != rows_.end()) found->second.balance += cost;
+}
+
+void QuotaLedger::Serve(double now_ms, Row& row) {
+  while (!row.waiting.empty() && row.balance >= row.waiting.front().cost) {
+    const Waiting served = row.waiting.front();
+    row.waiting.pop_front();
+    --waiting_count_;
+    row.balance -= served.cost;
+    Use(now_ms, row, served.cost);
+    verdicts_.push_back({served.request, true, 0});
+  }
+}
+
+void QuotaLedger::Granted(double now_ms, const fleet::QuotaGrant& grant) {
+  const auto found = rows_.find(grant.tenant);
+  if (found == rows_.end()) return;
+  Row& row = found->second;
+  row.balance += grant.tokens;
+  if (row.asked != grant.id) return Serve(now_ms, row);
+  row.asked.reset();
+  if (grant.tokens <= 0 && grant.retry_ms > 0) {
+    row.refused_until_ms = now_ms + grant.retry_ms;
+    // Only the first was asked for; those behind it may be smaller, and are asked for in their turn.
+    if (!row.waiting.empty()) {
+      const Waiting refused = row.waiting.front();
+      row.waiting.pop_front();
+      --waiting_count_;
+      verdicts_.push_back({refused.request, false, grant.retry_ms});
+    }
+  }
+  Serve(now_ms, row);
+  if (!row.waiting.empty()) Request(now_ms, grant.tenant, row, row.waiting.front().cost - row.balance);
+}
+
+bool QuotaLedger::UseAllowance(double now_ms, Row& row, double cost) {
+  Fade(now_ms, row);
+  const double base = kAllowanceShare * options_.slack / routers_;
+  const double passed = row.allowance_ms == 0 ? options_.window_ms : now_ms - row.allowance_ms;
+  row.allowance_ms = now_ms;
+  row.allowance = std::min(base, row.allowance + passed * (row.used_per_ms + base / options_.window_ms));
+  if (row.allowance < cost) return false;
+  row.allowance -= cost;
+  return true;
+}
+
+void QuotaLedger::Tick(double now_ms) {
+  for (auto& [tenant, row] : rows_) {
+    if (row.asked && now_ms - row.asked_ms > kGrantPatienceMs) row.asked.reset();
+    while (!row.waiting.empty() && now_ms - row.waiting.front().since_ms > kGrantPatienceMs) {
+      const Waiting late = row.waiting.front();
+      row.waiting.pop_front();
+      --waiting_count_;
+      verdicts_.push_back({late.request, UseAllowance(now_ms, row, late.cost), kGrantPatienceMs});
+    }
+    if (!row.waiting.empty()) Request(now_ms, tenant, row, row.waiting.front().cost - row.balance);
+  }
+}
+
+std::vector<fleet::QuotaRequest> QuotaLedger::TakeRequests() { return std::exchange(requests_, {}); }
+
+std::vector<QuotaVerdict> QuotaLedger::TakeVerdicts() { return std::exchange(verdicts_, {}); }
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/quota_ledger.h
@@ -0,0 +1,93 @@
+// This router's share of the tenants' quotas: a decider.
+//
+// Tokens are leased from the grantor (quota_grantor.h). A request that finds enough of them is admitted at
+// once; else it waits for a grant, and more is asked for ahead where a tenant uses much. A grantor that does
+// not answer within kGrantPatienceMs is taken for gone: until one answers, a tenant may use here what it has
+// used here on average, which the last grantor allowed, and a small allowance that all routers' slack covers.
+//
+// Bounds: a row for each tenant with a limit that has sent a request; kMaxWaiting waiting requests each.
+#ifndef BITTERNMUX_SRC_ROUTER_QUOTA_LEDGER_H_
+#define BITTERNMUX_SRC_ROUTER_QUOTA_LEDGER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/configuration/configuration.h"
+#include "fleet/messages/messages.h"
+
+namespace bitternmux::router {
+
+constexpr double kGrantPatienceMs = 200;
+constexpr std::size_t kMaxWaiting = 256;
+
+enum class QuotaAnswer { kAdmitted, kRefused, kWait };
+
+struct QuotaVerdict {
+  std::uint64_t request = 0;
+  bool admitted = false;
+  double retry_ms = 0;
+};
+
+class QuotaLedger {
+ public:
+  struct Options {
+    double slack = 0;  // tokens that all routers together may use beyond the limits in a window
+    double window_ms = 1;
+  };
+
+  explicit QuotaLedger(const Options& options) : options_(options) {}
+
+  void SetRouters(std::size_t count) { routers_ = count > 0 ? static_cast<double>(count) : 1; }
+  // A request of the tenant that costs so much. kWait: its verdict comes from TakeVerdicts.
+  QuotaAnswer Ask(double now_ms, std::uint64_t request, const fleet::Tenant& tenant, double cost);
+  // It never ran: what it cost is there again.
+  void GiveBack(const std::string& tenant, double cost);
+  void Granted(double now_ms, const fleet::QuotaGrant& grant);
+  // Ends the waiting of requests whose grantor does not answer.
+  void Tick(double now_ms);
+
+  // What is to be asked of the grantor.
+  std::vector<fleet::QuotaRequest> TakeRequests();
+  std::vector<QuotaVerdict> TakeVerdicts();
+  bool waiting() const { return waiting_count_ > 0; }
+
+ private:
+  struct Waiting {
+    std::uint64_t request;
+    double cost;
+    double since_ms;
+  };
+  struct Row {
+    double balance = 0;
+    double used_per_ms = 0;  // fading mean
+    double used_ms = 0;      // when it was brought up to date
+    double allowance = 0;    // for when no grantor answers
+    double allowance_ms = 0;
+    std::deque<Waiting> waiting;
+    std::optional<std::uint64_t> asked;  // the request to the grantor that is out
+    double asked_ms = 0;
+    double refused_until_ms = 0;  // the grantor has said so
+  };
+
+  void Use(double now_ms, Row& row, double cost);
+  void Fade(double now_ms, Row& row);
+  void Request(double now_ms, const std::string& tenant, Row& row, double need);
+  void Serve(double now_ms, Row& row);
+  bool UseAllowance(double now_ms, Row& row, double cost);
+
+  const Options options_;
+  double routers_ = 1;
+  std::uint64_t last_id_ = 0;
+  std::size_t waiting_count_ = 0;
+  std::map<std::string, Row> rows_;
+  std::vector<fleet::QuotaRequest> requests_;
+  std::vector<QuotaVerdict> verdicts_;
+};
+
+}  // namespace bitternmux::router
+
+#endif  // BITTERNMUX_SRC_ROUTER_QUOTA_LEDGER_H_
--- /dev/null
+++ b/src/router/request_flow.h
@@ -0,0 +1,125 @@
+// The life of one request: from its last byte to its one final answer.
+//
+//   quota -> choice of a server -> attempt -> (another attempt) -> answer
+//
+// What never ran is told from what may have run by one flag, which the first byte of an attempt sets and only
+// a server's own word (X-Not-Executed, 421) takes back: without it a request that must not run twice is
+// neither sent again nor answered with one of the statuses that promise it never will run.
+#ifndef BITTERNMUX_SRC_ROUTER_REQUEST_FLOW_H_
+#define BITTERNMUX_SRC_ROUTER_REQUEST_FLOW_H_
+
+#include <boost/asio.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "events/event.h"
+#include "router/event_stream.h"
+#include "router/front.h"
+#include "router/prompt.h"
+#include "router/quota_ledger.h"
+#include "router/retry_budget.h"
+#include "router/route_table.h"
+#include "router/server_choice.h"
+#include "router/upstream.h"
+
+namespace bitternmux::router {
+
+// What all requests of a router share.
+struct RouterState {
+  boost::asio::io_context& io;
+  EventSink& events;
+  Upstream upstream;
+  ServerChoice choice;
+  QuotaLedger quota;
+  RetryBudget budget;
+  std::shared_ptr<const RouteTable> table;  // null: no configuration is known yet
+  bool refusing = false;                    // the process ends soon: nothing new is begun
+  std::uint64_t last_request = 0;
+  std::unordered_map<std::uint64_t, std::weak_ptr<class RequestFlow>> waiting_for_quota;
+  std::function<void()> quota_changed;  // requests or verdicts are to be taken from the ledger
+  std::mt19937 random;
+};
+
+class RequestFlow : public OpenRequest,
+                    public AttemptHandler,
+                    public std::enable_shared_from_this<RequestFlow> {
+ public:
+  // Answers the request, maybe before it returns.
+  static std::shared_ptr<RequestFlow> Begin(RouterState& state, http::Message message,
+                                            const std::shared_ptr<Responder>& responder);
+
+  RequestFlow(RouterState& state, http::Message message, const std::shared_ptr<Responder>& responder);
+
+  void ClientLeft() override;
+  void ClientTook() override;
+  void OnHead(const http::Message& head) override;
+  void OnBody(std::string bytes) override;
+  void OnEnd(AttemptEnd end) override;
+  void QuotaDecided(bool admitted, double retry_ms);
+
+ private:
+  enum class Phase { kBegun, kWaitsForQuota, kSent, kOver };
+  enum class Answer { kUnknown, kStream, kBuffered, kNotRun, kMisdirected };
+
+  void Admit();
+  bool FindTenant();
+  void Charge();
+  void Dispatch();
+  void SendTo(const ServerChoice::Chosen& chosen);
+  std::string HeadFor(const ServerChoice::Chosen& chosen) const;
+  int PriorityLevel() const;
+  void NotRun();
+  void Failed(bool reached);
+  bool MayRepeat(double now_ms);
+  void StreamBroke();
+  void AttemptOver(ServerOutcome outcome);
+  void PassHead(const http::Message& head);
+  void PassAnswer();
+  void Refuse(double retry_ms);
+  void Answer_(int status, std::string_view why);
+  void TimeIsUp();
+  void Over();
+  double Left(double now_ms) const { return until_ms_ - now_ms; }
+
+  RouterState& state_;
+  const std::shared_ptr<const RouteTable> table_;
+  http::Message message_;
+  const std::weak_ptr<Responder> responder_;
+  const std::uint64_t number_;
+  const double began_ms_;
+  boost::asio::steady_timer timer_;
+  Phase phase_ = Phase::kBegun;
+
+  std::string request_id_;
+  std::shared_ptr<const std::string> body_;
+  const fleet::Route* route_ = nullptr;
+  const fleet::Tenant* tenant_ = nullptr;
+  std::string service_;
+  std::optional<Prompt> prompt_;
+  double cost_ = 0;
+  bool charged_ = false;
+  double until_ms_ = 0;
+
+  std::shared_ptr<Upstream::Connection> attempt_;
+  std::optional<ServerChoice::Chosen> chosen_;
+  std::vector<std::string> excluded_;
+  int sends_ = 0, runs_ = 0;
+  bool may_have_run_ = false;
+  bool attempt_begun_ = false;
+
+  Answer answer_ = Answer::kUnknown;
+  http::Message head_;
+  std::string buffered_;
+  EventStream events_;
+  bool passing_ = false;  // a stream's head has gone to the client
+};
+
+double SteadyNowMs();
+
+}  // namespace bitternmux::router
+
+#endif  // BITTERNMUX_SRC_ROUTER_REQUEST_FLOW_H_
--- /dev/null
+++ b/src/router/retry_budget.cpp
@@ -0,0 +1,36 @@
+#include "router/retry_budget.h"
+
+#include <cmath>
+
+namespace bitternmux::router {
+
+// A bucket holds a part of the window; one more than the window has is kept, so that what is counted is never
+// less than a whole window.
+RetryBudget::Bucket& RetryBudget::BucketAt(double now_ms, Window& window) const {
+  const double width_ms = limits_.window_ms / static_cast<double>(kBuckets - 1);
+  const auto number = static_cast<std::int64_t>(std::floor(now_ms / width_ms));
+  Bucket& bucket = window[static_cast<std::size_t>(number) % kBuckets];
+  if (bucket.number != number) bucket = {number, 0, 0};
+  return bucket;
+}
+
+void RetryBudget::Count(double now_ms, const std::string& service) {
+  BucketAt(now_ms, windows_[service]).requests += 1;
+}
+
+bool RetryBudget::Spend(double now_ms, const std::string& service) {
+  Window& window = windows_[service];
+  Bucket& current = BucketAt(now_ms, window);
+  double requests = 0, repeats = 0;
+  for (const Bucket& bucket : window) {
+    if (bucket.number < 0 || current.number - bucket.number >= static_cast<std::int64_t>(kBuckets)) continue;
+    requests += bucket.requests;
+    repeats += bucket.repeats;
+  }
+  const double allowed = kCaution * (limits_.ratio * requests + limits_.slack / routers_);
+  if (repeats + 1 > allowed) return false;
+  current.repeats += 1;
+  return true;
+}
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/router.cpp
@@ -0,0 +1,170 @@
+#include "router/router.h"
+
+#include <chrono>
+#include <random>
+
+#include "events/fleet_catalogue.h"
+
+namespace bitternmux::router {
+namespace asio = boost::asio;
+namespace {
+
+constexpr auto kTickEvery = std::chrono::milliseconds(200);
+constexpr auto kQuotaTickEvery = std::chrono::milliseconds(50);
+constexpr double kNoticedMs = 2600;       // by when the platform sends no more clients here
+constexpr double kRefuseBeforeMs = 1500;  // before the end of its grace nothing new is begun
+constexpr double kEndBeforeMs = 300;
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+}  // namespace
+
+Router::Router(asio::io_context& io, fleet::NodeSettings settings, EventSink& events)
+    : io_(io),
+      settings_(std::move(settings)),
+      events_(events),
+      state_{io,
+             events,
+             Upstream(io),
+             ServerChoice(ChoiceOptions(), settings_.zone, RandomNumber()),
+             QuotaLedger({settings_.quota_slack, settings_.quota_window_s * 1000}),
+             RetryBudget(
+                 {settings_.retry_budget_ratio, settings_.budget_slack, settings_.budget_window_s * 1000}),
+             nullptr,
+             false,
+             0,
+             {},
+             [this] { QuotaChanged(); },
+             std::mt19937(static_cast<std::mt19937::result_type>(RandomNumber()))},
+      front_(io,
+             [this](http::Message message, const std::shared_ptr<Responder>& responder) {
+               return RequestFlow::Begin(state_, std::move(message), responder);
+             }),
+      readiness_(io,
+                 [this](const http::Message& message, const std::shared_ptr<Responder>& responder) {
+                   const int status = message.target != "/readyz" ? 404 : ready_ ? 200 : 503;
+                   responder->Respond(status, {}, "");
+                   return std::shared_ptr<OpenRequest>();
+                 }),
+      tick_(io),
+      quota_tick_(io) {
+  // Until the fleet has said how many there are: no fewer than a fleet has.
+  state_.quota.SetRouters(8);
+  state_.budget.SetRouters(8);
+}
+
+void Router::Start() {
+  front_.Listen(settings_.front);
+  readiness_.Listen(settings_.readiness);
+  fleet::Dialer::Handlers handlers;
+  handlers.connected = [this](const LinkPointer& link) {
+    link->Send(fleet::Hello{fleet::PeerRole::kRouter, settings_.node_name, {}, 0});
+    link->Send(follower_.Ask(settings_.node_name));
+  };
+  handlers.received = [this](const LinkPointer& link, const fleet::Message& message) {
+    FromAgent(link, message);
+  };
+  handlers.lost = [] {};
+  const std::string address = "127.0.0.1:" + std::to_string(settings_.first_internal_port);
+  agent_ = std::make_shared<fleet::Dialer>(io_, address, std::move(handlers));
+  agent_->Start();
+  Tick();
+}
+
+void Router::FromAgent(const LinkPointer& link, const fleet::Message& message) {
+  if (const auto* entry = std::get_if<fleet::FeedEntry>(&message)) return Take(link, *entry);
+  if (const auto* beat = std::get_if<fleet::FeedBeat>(&message)) {
+    was_fresh_ = was_fresh_ || beat->fresh;
+    return CheckReady();
+  }
+  if (const auto* grant = std::get_if<fleet::QuotaGrant>(&message)) {
+    state_.quota.Granted(SteadyNowMs(), *grant);
+    QuotaChanged();
+  }
+}
+
+void Router::Take(const LinkPointer& link, const fleet::FeedEntry& entry) {
+  const fleet::FeedFollower::Applied applied = follower_.Apply(entry);
+  if (applied.configuration) UseConfiguration();
+  if (applied.servers) {
+    state_.choice.Update(SteadyNowMs(), follower_.state().servers);
+    const auto& servers = follower_.state().servers;
+    state_.upstream.Prune([&](const std::string& id) { return servers.contains(id); });
+  }
+  if (applied.gap) link->Send(follower_.Ask(settings_.node_name));
+  CheckReady();
+}
+
+void Router::UseConfiguration() {
+  try {
+    fleet::Configuration configuration = fleet::ReadConfiguration(follower_.state().configuration);
+    front_.Use(configuration.limits);
+    state_.table = std::make_shared<const RouteTable>(std::move(configuration));
+    events_.Write(fleet_events::kConfigurationInForce, {{"version", state_.table->version()}});
+  } catch (const fleet::ConfigurationError& error) {
+    events_.Write(fleet_events::kConfigurationUnreadable, {{"why", error.what()}});
+  }
+}
+
+void Router::CheckReady() {
+  const bool listed = follower_.state().list_position != fleet::ListPosition{};
+  const bool ready = stopping_since_ms_ == 0 && state_.table != nullptr && listed && was_fresh_;
+  if (ready != ready_) events_.Write(fleet_events::kReadinessChanged, {{"ready", ready}});
+  ready_ = ready;
+}
+
+// ---- Quota ----
+
+void Router::QuotaChanged() {
+  for (const fleet::QuotaRequest& request : state_.quota.TakeRequests()) {
+    if (agent_->link()) agent_->link()->Send(request);
+  }
+  for (const QuotaVerdict& verdict : state_.quota.TakeVerdicts()) {
+    const auto found = state_.waiting_for_quota.find(verdict.request);
+    if (found == state_.waiting_for_quota.end()) continue;
+    const auto flow = found->second.lock();
+    state_.waiting_for_quota.erase(found);
+    if (flow) flow->QuotaDecided(verdict.admitted, verdict.retry_ms);
+  }
+  if (quota_ticking_ || !state_.quota.waiting()) return;
+  quota_ticking_ = true;
+  quota_tick_.expires_after(kQuotaTickEvery);
+  quota_tick_.async_wait([this](const boost::system::error_code& error) {
+    quota_ticking_ = false;
+    if (error) return;
+    state_.quota.Tick(SteadyNowMs());
+    QuotaChanged();
+  });
+}
+
+// ---- Stopping ----
+
+void Router::Stop() {
+  if (stopping_since_ms_ > 0) return;
+  stopping_since_ms_ = SteadyNowMs();
+  front_.BeginClosing();
+  CheckReady();
+}
+
+void Router::Tick() {
+  const double now_ms = SteadyNowMs();
+  if (stopping_since_ms_ > 0) Stopping(now_ms);
+  tick_.expires_after(kTickEvery);
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Tick();
+  });
+}
+
+void Router::Stopping(double now_ms) {
+  const double passed = now_ms - stopping_since_ms_;
+  const double grace_ms = settings_.grace_s * 1000;
+  if (passed > grace_ms - kRefuseBeforeMs) state_.refusing = true;
+  if (passed < kNoticedMs) return;
+  front_.CloseIdle();
+  if (front_.sessions() == 0 || passed > grace_ms - kEndBeforeMs) io_.stop();
+}
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/server_choice.cpp
@@ -0,0 +1,175 @@
+#include "router/server_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bitternmux::router {
+namespace {
+
+constexpr double kPrefillTokensPerMs = 50;  // a usual server's
+constexpr double kRequestMs = 9;            // by which one more request in work delays a first event
+constexpr double kOtherZoneMs = 6;          // what another zone counts for: its way and its price
+constexpr double kWaitingMs = 60;           // by which one more waiting request does
+constexpr double kReportLifeMs = 4000;      // over which the others' share of a report fades
+constexpr double kAsideFirstMs = 400, kAsideMostMs = 8000;
+constexpr double kMisdirectedMs = 5000;  // another server has its address: the list will say so soon
+constexpr double kBusyShare = 1.25;      // of a server's slots, from which on it is busy
+
+}  // namespace
+
+ServerChoice::ServerChoice(ChoiceOptions options, std::string own_zone, std::uint64_t seed)
+    : options_(options),
+      own_zone_(std::move(own_zone)),
+      random_(static_cast<std::mt19937::result_type>(seed)) {}
+
+void ServerChoice::Update(double, const fleet::ServerMap& listed) {
+  std::erase_if(servers_, [&](const auto& entry) {
+    const bool gone = !listed.contains(entry.first);
+    if (gone) kept_.Forget(entry.first);
+    return gone;
+  });
+  services_.clear();
+  for (const auto& [id, entry] : listed) {
+    Server& server = servers_[id];
+    server.entry = entry;
+    if (server.slots <= 0) server.slots = entry.slots;
+    services_[entry.service].push_back(&server);
+  }
+}
+
+bool ServerChoice::Serves(const std::string& id, const std::string& address) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && !found->second.entry.draining && found->second.entry.address == address;
+}
+
+// What a report said of the others' requests fades to the mean: it is old on arrival, and a server that
+// nothing is sent to brings no newer one.
+double ServerChoice::Queue(const Server& server, double unreported, double now_ms) const {
+  if (server.others < 0) return unreported + server.own;
+  const double kept = std::exp(-(now_ms - server.reported_ms) / kReportLifeMs);
+  return unreported + kept * (server.others - unreported) + server.own;
+}
+
+// Of the leading parts of the prompt, the tokens that the server is believed to keep.
+double ServerChoice::SavedTokens(const Server& server, const std::vector<Server*>& of_service,
+                                 const Prompt& prompt, double now_ms) const {
+  double saved = 0;
+  for (const PromptPart& part : prompt.parts) {
+    if (!kept_.Keeps(now_ms, server.entry.id, part.chain)) {
+      const std::uint64_t own = PrefixIndex::HomeWeight(part.chain, server.entry.id);
+      const bool home = std::ranges::none_of(of_service, [&](const Server* other) {
+        return !other->entry.draining && PrefixIndex::HomeWeight(part.chain, other->entry.id) > own;
+      });
+      if (!home) return saved;
+    }
+    saved += part.tokens;
+  }
+  return saved;
+}
+
+ServerChoice::Answer ServerChoice::Choose(double now_ms, const ServerAsk& ask) {
+  const auto found = services_.find(ask.service);
+  if (found == services_.end()) return {std::nullopt, Nothing::kNoServer};
+  const std::vector<Server*>& of_service = found->second;
+  double known = 0, known_count = 0;
+  for (const Server* server : of_service) {
+    if (server->others < 0) continue;
+    known += server->others;
+    ++known_count;
+  }
+  const double unreported = known_count > 0 ? known / known_count : 0;
+  const auto fits = [&](const Server* server) {
+    return !server->entry.draining && std::ranges::find(ask.excluded, server->entry.id) == ask.excluded.end();
+  };
+  const bool all_aside = std::ranges::none_of(
+      of_service, [&](const Server* server) { return fits(server) && now_ms >= server->aside_until_ms; });
+  std::vector<Ranked> ranking;
+  bool busy = false;
+  for (const Server* server : of_service) {
+    if (!fits(server) || (!all_aside && now_ms < server->aside_until_ms)) continue;
+    const double queue = Queue(*server, unreported, now_ms);
+    if (server->slots > 0 && queue >= kBusyShare * server->slots) {
+      busy = true;
+      continue;
+    }
+    double key = (queue + 1) * kRequestMs;
+    if (server->slots > 0 && queue >= server->slots) key += (queue - server->slots + 1) * kWaitingMs;
+    if (server->entry.zone != own_zone_) key += kOtherZoneMs;
+    double uncached = 0;
+    if (ask.prompt != nullptr) {
+      uncached = std::max(0.0, ask.prompt->tokens_in - SavedTokens(*server, of_service, *ask.prompt, now_ms));
+      key += (uncached + server->prefill_tokens) / kPrefillTokensPerMs;
+    }
+    ranking.push_back({server, key, Unit(), queue, uncached});
+  }
+  if (ranking.empty()) return {std::nullopt, busy ? Nothing::kAllBusy : Nothing::kNoServer};
+  std::ranges::sort(ranking, [](const Ranked& one, const Ranked& other) {
+    return one.key != other.key ? one.key < other.key : one.tie < other.tie;
+  });
+  const Ranked* kept = &ranking.front();
+  for (int round = 0, chosen = 0; round < options_.rounds && chosen == 0; ++round) {
+    for (const Ranked& candidate : ranking) {
+      if (Unit() < std::min(1.0, options_.skip_per_request * candidate.queue)) continue;
+      kept = &candidate;
+      chosen = 1;
+      break;
+    }
+  }
+  return {Chosen{kept->server->entry.id, kept->server->entry.address, kept->uncached_tokens}, Nothing::kNone};
+}
+
+void ServerChoice::Sent(double now_ms, const std::string& id, const Chosen& chosen, const Prompt* prompt) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  ++found->second.own;
+  found->second.prefill_tokens += chosen.uncached_tokens;
+  if (prompt != nullptr) kept_.Sent(now_ms, id, *prompt);
+}
+
+void ServerChoice::Begun(const std::string& id, double uncached_tokens) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  found->second.prefill_tokens = std::max(0.0, found->second.prefill_tokens - uncached_tokens);
+}
+
+void ServerChoice::Ended(double now_ms, const std::string& id, bool begun, double uncached_tokens,
+                         ServerOutcome outcome) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  server.own = std::max(0, server.own - 1);
+  if (!begun) server.prefill_tokens = std::max(0.0, server.prefill_tokens - uncached_tokens);
+  const auto aside = [&](double least_ms) {
+    server.failures = std::min(server.failures + 1, 10);
+    const double pause = std::min(kAsideMostMs, kAsideFirstMs * std::exp2(server.failures - 1));
+    server.aside_until_ms = now_ms + std::max(least_ms, pause * (0.5 + Unit()));
+  };
+  switch (outcome) {
+    case ServerOutcome::kAnswered:
+      server.failures = 0;
+      server.aside_until_ms = 0;
+      return;
+    case ServerOutcome::kMisdirected:
+      return aside(kMisdirectedMs);
+    case ServerOutcome::kFailed:
+    case ServerOutcome::kUnreachable:
+      kept_.Forget(id);
+      return aside(0);
+    case ServerOutcome::kRejected:
+      server.aside_until_ms = std::max(server.aside_until_ms, now_ms + kAsideFirstMs * (0.25 + 0.5 * Unit()));
+      return;
+    case ServerOutcome::kLeft:
+      return;
+  }
+}
+
+void ServerChoice::Reported(double now_ms, const std::string& id, const LoadReport& report) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  server.others = std::max(0.0, report.running + report.waiting - server.own);
+  server.reported_ms = now_ms;
+  if (report.slots > 0) server.slots = report.slots;
+}
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/server_choice.h
@@ -0,0 +1,114 @@
+// Which server of a service gets a request: a decider, the project's design on the router's ordinary path.
+//
+// After Klein et al., as the system's page gives it: ready servers are ranked by their last reported load,
+// ties in random order; the walk passes over each with probability cN, capped at 1, where N is the estimate
+// of its present queue; a request that is passed over moves on at once; if all are passed over the walk
+// restarts, kRounds times at the most, and then takes the first.
+//
+// The figure is what the server reports to be in work and waiting, at the time of its last answer, less what
+// of it was this router's own then, plus what this router has there now. A server that has not reported
+// counts as the mean of those that have. A failure leaves the figure unchanged. For ranking the figure is
+// turned into a time: of servers of models the parts of the prompt that one keeps shorten it
+// (prefix_index.h), another zone lengthens it.
+//
+// A server that fails is set aside for a time that doubles with each failure and ends with an answer; if all
+// are set aside, none is. A draining one gets nothing new.
+//
+// Bounds: a row for each server of the list. Not thread-safe. Times are in milliseconds on one clock.
+#ifndef BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
+#define BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/feed/feed.h"
+#include "router/prefix_index.h"
+#include "router/prompt.h"
+
+namespace bitternmux::router {
+
+// What is free in the design, as the project's defaults.
+struct ChoiceOptions {
+  double skip_per_request = 0.004;  // c
+  int rounds = 4;                   // walks before the first is taken unskipped
+};
+
+// What a server tells of its load with an answer.
+struct LoadReport {
+  double running = 0, waiting = 0, slots = 0;
+};
+
+struct ServerAsk {
+  std::string service;
+  const Prompt* prompt = nullptr;     // null: not for a model
+  std::vector<std::string> excluded;  // servers that this request was sent to
+  bool repeatable = false;
+};
+
+enum class ServerOutcome { kAnswered, kRejected, kFailed, kMisdirected, kUnreachable, kLeft };
+
+class ServerChoice {
+ public:
+  ServerChoice(ChoiceOptions options, std::string own_zone, std::uint64_t seed);
+
+  // The list has changed.
+  void Update(double now_ms, const fleet::ServerMap& servers);
+
+  struct Chosen {
+    std::string id, address;
+    double uncached_tokens = 0;  // to be prefilled, as far as is known
+  };
+  enum class Nothing { kNone, kNoServer, kAllBusy };
+  struct Answer {
+    std::optional<Chosen> chosen;
+    Nothing why = Nothing::kNone;
+  };
+  Answer Choose(double now_ms, const ServerAsk& ask);
+
+  // What becomes of a request that was chosen a server for. Servers that are gone are passed over.
+  void Sent(double now_ms, const std::string& id, const Chosen& chosen, const Prompt* prompt);
+  void Begun(const std::string& id, double uncached_tokens);  // its first event has come
+  void Ended(double now_ms, const std::string& id, bool begun, double uncached_tokens, ServerOutcome outcome);
+  void Reported(double now_ms, const std::string& id, const LoadReport& report);
+
+  // Is it listed and not draining, at that address?
+  bool Serves(const std::string& id, const std::string& address) const;
+  std::size_t known() const { return servers_.size(); }
+
+ private:
+  struct Server {
+    fleet::ServerEntry entry;
+    double others = -1;  // of the last report, what was not this router's; below 0: never reported
+    double reported_ms = 0;
+    double slots = 0;
+    int own = 0;                // requests of this router there now
+    double prefill_tokens = 0;  // of those of them that have not begun
+    int failures = 0;           // since its last answer
+    double aside_until_ms = 0;
+  };
+  struct Ranked {
+    const Server* server;
+    double key, tie, queue, uncached_tokens;
+  };
+
+  double Queue(const Server& server, double unreported, double now_ms) const;
+  double SavedTokens(const Server& server, const std::vector<Server*>& of_service, const Prompt& prompt,
+                     double now_ms) const;
+  double Unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  const ChoiceOptions options_;
+  const std::string own_zone_;
+  std::mt19937 random_;
+  std::map<std::string, Server> servers_;  // by id
+  std::unordered_map<std::string, std::vector<Server*>> services_;
+  PrefixIndex kept_;
+};
+
+}  // namespace bitternmux::router
+
+#endif  // BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
--- /dev/null
+++ b/src/router/upstream.cpp
@@ -0,0 +1,271 @@
+#include "router/upstream.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "fleet/transport/link.h"
+#include "http/buffer.h"
+
+namespace bitternmux::router {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4 * 1024;
+constexpr auto kDialTimeout = std::chrono::milliseconds(700);
+constexpr int kUserTimeoutMs = 3000;   // of bytes that a server does not acknowledge
+constexpr double kUntoldIdleMs = 700;  // for which a connection is used again if its server tells no time
+constexpr double kIdleMarginMs = 400;  // before the time that its server tells
+constexpr std::size_t kMostIdle = 24;  // connections to one server
+
+double NowMs() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count();
+}
+
+// How long the server keeps an idle connection, by its answer; none if it does not tell.
+std::optional<double> KeepAliveMs(const http::Message& message) {
+  const auto value = message.Find("keep-alive");
+  if (!value) return std::nullopt;
+  const auto at = value->find("timeout=");
+  if (at == std::string_view::npos) return std::nullopt;
+  std::string_view digits = value->substr(at + 8);
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  const auto seconds = http::WholeNumber(digits);
+  if (!seconds) return std::nullopt;
+  return static_cast<double>(*seconds) * 1000;
+}
+
+}  // namespace
+
+class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Upstream& pool, std::string server, std::string address)
+      : pool_(pool),
+        server_(std::move(server)),
+        address_(std::move(address)),
+        socket_(pool.io_),
+        timer_(pool.io_) {}
+
+  const std::string& server() const { return server_; }
+  const std::string& address() const { return address_; }
+  bool Usable() const { return state_ == State::kIdle && NowMs() - idle_since_ms_ < idle_most_ms_; }
+
+  void Carry(AttemptRequest request, std::shared_ptr<AttemptHandler> handler) {
+    request_ = std::move(request);
+    handler_ = std::move(handler);
+    parser_.Reset();
+    surplus_ = false;
+    head_told_ = false;
+    if (state_ == State::kNew) return Dial();
+    state_ = State::kBusy;
+    Write();
+  }
+
+  void Cancel() {
+    handler_.reset();
+    Close();
+  }
+
+  void Pause(bool paused) {
+    if (paused_ == paused) return;
+    paused_ = paused;
+    if (!paused_ && state_ == State::kBusy && !reading_) Read();
+  }
+
+  void Close() {
+    if (state_ == State::kClosed) return;
+    state_ = State::kClosed;
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    pool_.Gone(this);
+  }
+
+ private:
+  enum class State { kNew, kDialing, kBusy, kIdle, kClosed };
+
+  void Dial() {
+    state_ = State::kDialing;
+    ++pool_.dialed_;
+    const auto self = shared_from_this();
+    socket_.async_connect(fleet::EndpointFromText(address_), [self](const error_code& error) {
+      self->timer_.cancel();
+      if (self->state_ != State::kDialing) return;
+      error ? self->End(AttemptEnd::kUnreachable) : self->Connected();
+    });
+    timer_.expires_after(kDialTimeout);
+    timer_.async_wait([self](const error_code& error) {
+      if (!error && self->state_ == State::kDialing) self->End(AttemptEnd::kUnreachable);
+    });
+  }
+
+  void Connected() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket_.set_option(UserTimeout(kUserTimeoutMs), ignored);
+    state_ = State::kBusy;
+    Write();
+    Read();
+  }
+
+  void Write() {
+    std::array<asio::const_buffer, 2> bytes = {asio::buffer(request_.head)};
+    if (request_.body) bytes[1] = asio::buffer(*request_.body);
+    asio::async_write(
+        socket_, bytes,
+        [self = shared_from_this(), body = request_.body](const error_code& error, std::size_t) {
+          if (error && self->state_ == State::kBusy) self->End(AttemptEnd::kBroken);
+        });
+  }
+
+  void Read() {
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(buffer_.Prepare(kReadBytes), kReadBytes),
+                            [self = shared_from_this()](const error_code& error, std::size_t size) {
+                              self->reading_ = false;
+                              self->Took(error, size);
+                            });
+  }
+
+  void Took(const error_code& error, std::size_t size) {
+    if (state_ == State::kClosed) return;
+    if (state_ == State::kIdle) return Close();  // its end, or what nobody asked for
+    if (error) {
+      const bool whole = error == asio::error::eof && !surplus_ && head_told_ && parser_.EndsWhole();
+      return End(whole ? AttemptEnd::kComplete : AttemptEnd::kBroken);
+    }
+    buffer_.Commit(size);
+    Parse();
+    if ((state_ == State::kBusy && !paused_) || state_ == State::kIdle) {
+      if (!reading_) Read();
+    }
+  }
+
+  void Parse() {
+    while (state_ == State::kBusy) {
+      const http::Progress progress = parser_.Parse(buffer_);
+      if (progress == http::Progress::kBad) return End(AttemptEnd::kBroken);
+      if (parser_.head_read() && !head_told_ && !surplus_ && !TellHead()) return;
+      if (head_told_ && !parser_.message().body.empty()) handler_->OnBody(parser_.TakeBody());
+      if (state_ != State::kBusy) return;  // the handler has given it up
+      if (surplus_) parser_.TakeBody();
+      if (progress == http::Progress::kMore) return;
+      if (!surplus_) return Whole();
+      parser_.Reset();
+      surplus_ = false;
+    }
+  }
+
+  // False: the attempt is over.
+  bool TellHead() {
+    const auto id = parser_.message().Find("x-request-id");
+    if (!id) {
+      End(AttemptEnd::kBroken);
+      return false;
+    }
+    if (*id != request_.request_id) {
+      surplus_ = true;
+      return true;
+    }
+    head_told_ = true;
+    idle_most_ms_ =
+        std::max(0.0, KeepAliveMs(parser_.message()).value_or(kUntoldIdleMs + kIdleMarginMs) - kIdleMarginMs);
+    const auto self = shared_from_this();
+    handler_->OnHead(parser_.message());
+    return state_ == State::kBusy;
+  }
+
+  void Whole() {
+    const bool reusable = parser_.message().keep_alive && buffer_.size() == 0 && idle_most_ms_ > 0;
+    const auto handler = std::exchange(handler_, nullptr);
+    request_ = {};
+    paused_ = false;
+    if (reusable) {
+      state_ = State::kIdle;
+      idle_since_ms_ = NowMs();
+      pool_.Idle(shared_from_this());
+    } else {
+      Close();
+    }
+    handler->OnEnd(AttemptEnd::kComplete);
+  }
+
+  void End(AttemptEnd end) {
+    const auto handler = std::exchange(handler_, nullptr);
+    Close();
+    if (!handler) return;
+    asio::post(pool_.io_, [handler, end] { handler->OnEnd(end); });
+  }
+
+  Upstream& pool_;
+  const std::string server_, address_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  State state_ = State::kNew;
+  AttemptRequest request_;
+  std::shared_ptr<AttemptHandler> handler_;
+  http::Buffer buffer_;
+  http::Parser parser_{http::Role::kResponse};
+  bool surplus_ = false, head_told_ = false, paused_ = false, reading_ = false;
+  double idle_since_ms_ = 0, idle_most_ms_ = 0;
+};
+
+Upstream::~Upstream() {
+  const auto pools = std::exchange(idle_, {});
+  for (const auto& [server, pool] : pools) CloseAll(pool);
+}
+
+std::shared_ptr<Upstream::Connection> Upstream::Begin(AttemptRequest request,
+                                                      std::shared_ptr<AttemptHandler> handler) {
+  Pool& pool = idle_[request.server];
+  std::shared_ptr<Connection> connection;
+  while (!pool.empty() && !connection) {
+    const auto candidate = pool.back();
+    pool.pop_back();
+    if (candidate->Usable() && candidate->address() == request.address) {
+      connection = candidate;
+    } else {
+      candidate->Close();
+    }
+  }
+  if (!connection) connection = std::make_shared<Connection>(*this, request.server, request.address);
+  connection->Carry(std::move(request), std::move(handler));
+  return connection;
+}
+
+void Upstream::Cancel(const std::shared_ptr<Connection>& connection) { connection->Cancel(); }
+
+void Upstream::Pause(const std::shared_ptr<Connection>& connection, bool paused) {
+  connection->Pause(paused);
+}
+
+void Upstream::CloseAll(const Pool& pool) {
+  const Pool copy = pool;
+  for (const auto& connection : copy) connection->Close();
+}
+
+void Upstream::Idle(const std::shared_ptr<Connection>& connection) {
+  Pool& pool = idle_[connection->server()];
+  if (pool.size() >= kMostIdle) {
+    const auto oldest = pool.front();
+    oldest->Close();
+  }
+  idle_[connection->server()].push_back(connection);
+}
+
+void Upstream::Gone(Connection* connection) {
+  const auto found = idle_.find(connection->server());
+  if (found == idle_.end()) return;
+  std::erase_if(found->second, [&](const auto& idle) { return idle.get() == connection; });
+}
+
+}  // namespace bitternmux::router
