--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -50,23 +50,37 @@
   return unreported + kept * (server.others - unreported) + server.own;
 }
 
-// Of the leading parts of the prompt, the tokens that the server is believed to keep.
-double ServerChoice::SavedTokens(const Server& server, const std::vector<Server*>& of_service,
-                                 const Prompt& prompt, double now_ms) const {
-  double saved = 0;
-  for (const PromptPart& part : prompt.parts) {
-    if (!kept_.Keeps(now_ms, server.entry.id, part.chain)) {
-      const std::uint64_t own = PrefixIndex::HomeWeight(part.chain, server.entry.id);
-      const bool home = std::ranges::none_of(of_service, [&](const Server* other) {
-        return !other->entry.draining && PrefixIndex::HomeWeight(part.chain, other->entry.id) > own;
-      });
-      if (!home) return saved;
-    }
-    saved += part.tokens;
+// Of the leading parts of the prompt, the tokens that the server is believed to keep. The last part is the request's
+// own and is passed over; the one before it is its session's, and the session's home keeps all up to there.
+double ServerChoice::SavedTokens(const Server& server, const std::string& home, const Prompt& prompt,
+                                 double now_ms) const {
+  double saved = 0, tokens = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    const PromptPart& part = prompt.parts[i];
+    tokens += part.tokens;
+    const bool of_session = i + 2 == prompt.parts.size();
+    if ((of_session && server.entry.id == home) || kept_.Keeps(now_ms, server.entry.id, part.chain)) saved = tokens;
   }
   return saved;
 }
 
+// The server that all routers take for the home of the prompt's session; empty: it has none.
+std::string ServerChoice::HomeOf(const std::vector<Server*>& of_service, const Prompt& prompt, double now_ms) const {
+  if (prompt.parts.size() < 2) return {};
+  const std::uint64_t chain = prompt.parts[prompt.parts.size() - 2].chain;
+  std::string home;
+  std::uint64_t best = 0;
+  for (const Server* server : of_service) {
+    if (server->entry.draining || now_ms < server->aside_until_ms) continue;
+    const std::uint64_t weight = PrefixIndex::HomeWeight(chain, server->entry.id);
+    if (home.empty() || weight > best) {
+      home = server->entry.id;
+      best = weight;
+    }
+  }
+  return home;
+}
+
 ServerChoice::Answer ServerChoice::Choose(double now_ms, const ServerAsk& ask) {
   const auto found = services_.find(ask.service);
   if (found == services_.end()) return {std::nullopt, Nothing::kNoServer};
@@ -83,6 +97,7 @@
   };
   const bool all_aside = std::ranges::none_of(
       of_service, [&](const Server* server) { return fits(server) && now_ms >= server->aside_until_ms; });
+  const std::string home = ask.prompt != nullptr ? HomeOf(of_service, *ask.prompt, now_ms) : std::string();
   std::vector<Ranked> ranking;
   bool busy = false;
   for (const Server* server : of_service) {
@@ -97,7 +112,7 @@
     if (server->entry.zone != own_zone_) key += kOtherZoneMs;
     double uncached = 0;
     if (ask.prompt != nullptr) {
-      uncached = std::max(0.0, ask.prompt->tokens_in - SavedTokens(*server, of_service, *ask.prompt, now_ms));
+      uncached = std::max(0.0, ask.prompt->tokens_in - SavedTokens(*server, home, *ask.prompt, now_ms));
       key += (uncached + server->prefill_tokens) / kPrefillTokensPerMs;
     }
     ranking.push_back({server, key, Unit(), queue, uncached});
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -97,8 +97,8 @@
   };
 
   double Queue(const Server& server, double unreported, double now_ms) const;
-  double SavedTokens(const Server& server, const std::vector<Server*>& of_service, const Prompt& prompt,
-                     double now_ms) const;
+  double SavedTokens(const Server& server, const std::string& home, const Prompt& prompt, double now_ms) const;
+  std::string HomeOf(const std::vector<Server*>& of_service, const Prompt& prompt, double now_ms) const;
   double Unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
   const ChoiceOptions options_;
