Answer a control machine that is not known yet on the link it asked on

Cause: answers went only on links that a machine had dialed itself, to members and seeds, so that a fourth and fifth machine, or one in a lost machine's place, never joined. Ruled out: the change of members, which the simulation plays. Test: the story of a control machine that is lost for good.

--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -155,8 +155,8 @@
   for (std::size_t i = 0; i < kControls; ++i) StartControl(i, true);
   StartAgent();
   StartRouter();
-  for (auto& control : controls_) {
-    if (!control->Says("process.started")) return false;
+  for (std::size_t i = 0; i < kControls; ++i) {
+    if (!controls_[i]->Says("process.started")) return false;
   }
   // Until then there is nobody to take it.
   if (!controls_[0]->Says("role=owner")) return false;
--- a/lab/fleet/fleet_stand.h
+++ b/lab/fleet/fleet_stand.h
@@ -36,7 +36,8 @@
 
 class FleetStand {
  public:
-  static constexpr std::size_t kControls = 3;
+  static constexpr std::size_t kControls = 3;  // that the fleet starts with
+  static constexpr std::size_t kSpares = 1;    // that may be started later
   static constexpr const char* kHost = "desk.example";
 
   // Servers of the service "model" and of the service "sheets".
@@ -57,6 +58,7 @@
   Reply Get(const std::string& path, std::size_t control = 0);
   // The control machine that answers for the configuration; kControls if none does.
   std::size_t Owner();
+  std::string ControlAddress(std::size_t i) const;
 
   Reply Ask(const ClientRequest& request);
   std::string front() const { return front_; }
@@ -90,7 +92,6 @@
   std::string WriteSettings(const std::string& name, const std::string& text);
   std::string EdgeSettings();
   std::string ControlSettings(std::size_t i, bool bootstrap);
-  std::string ControlAddress(std::size_t i) const;
   Reply Operate(const std::string& method, const std::string& address, const std::string& path,
                 const std::string& body, std::uint64_t if_match);
 
@@ -102,7 +103,7 @@
   std::map<std::string, std::unique_ptr<Server>> servers_;
   std::map<std::string, int> runs_;
   std::unique_ptr<ScriptedServer> platform_;
-  std::array<std::unique_ptr<Process>, kControls> controls_;
+  std::array<std::unique_ptr<Process>, kControls + kSpares> controls_;
   std::unique_ptr<Process> router_, agent_;
 };
 
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -187,8 +187,9 @@
         link->Send(fleet::ListReading{
             list_role_.newest(), fleet::MakeServersChange({}, {}, newest_servers_, list_role_.newest())});
     };
-    handlers.received = [this](const LinkPointer& link, fleet::Message message) {
-      Received(link, std::move(message));
+    // Answers of a machine that has no link of its own to this one yet come back on this link.
+    handlers.received = [this, address = member.internal](const LinkPointer&, const fleet::Message& message) {
+      FromControl(address, message);
     };
     handlers.lost = [] {};
     const auto dialer = std::make_shared<fleet::Dialer>(io_, member.internal, std::move(handlers));
@@ -199,7 +200,11 @@
 
 void ControlNode::SendTo(const std::string& address, const fleet::Message& message) {
   const auto found = peers_.find(address);
-  if (found != peers_.end() && found->second->link()) found->second->link()->Send(message);
+  if (found != peers_.end() && found->second->link()) return found->second->link()->Send(message);
+  // One that is not known yet, as it has just come: it is answered where it asked.
+  for (const auto& [key, from] : control_links_) {
+    if (from == address) return accepted_.at(key)->Send(message);
+  }
 }
 
 void ControlNode::Accepted(fleet::tcp::socket socket) {
@@ -230,11 +235,13 @@
   }
   if (auto* request = std::get_if<fleet::QuotaRequest>(&message)) return AskQuota(link, std::move(*request));
   const auto from = control_links_.find(link.get());
-  if (from == control_links_.end()) return;
+  if (from != control_links_.end()) FromControl(from->second, message);
+}
+
+void ControlNode::FromControl(const std::string& address, const fleet::Message& message) {
   if (const auto* grant = std::get_if<fleet::QuotaGrant>(&message)) return GrantQuota(*grant);
-  if (const auto* reading = std::get_if<fleet::ListReading>(&message))
-    return TakeReading(from->second, *reading);
-  replica_->Receive(NowMs(), from->second, message);
+  if (const auto* reading = std::get_if<fleet::ListReading>(&message)) return TakeReading(*reading);
+  replica_->Receive(NowMs(), address, message);
   Drain();
 }
 
@@ -433,7 +440,7 @@
   Publish(publisher_.SetServers(position, newest_servers_));
 }
 
-void ControlNode::TakeReading(const std::string&, const fleet::ListReading& reading) {
+void ControlNode::TakeReading(const fleet::ListReading& reading) {
   if (!list_role_.Hear(NowMs(), reading.position)) return;
   if (reading.change) {
     newest_servers_.clear();
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -53,6 +53,7 @@
   void Drain();
   void Accepted(fleet::tcp::socket socket);
   void Received(const LinkPointer& link, fleet::Message message);
+  void FromControl(const std::string& address, const fleet::Message& message);
   void Lost(const LinkPointer& link);
   void TendPeers();
   void SendTo(const std::string& address, const fleet::Message& message);
@@ -72,7 +73,7 @@
   void PublishCommitted();
   void PublishFleet();
   void Beat();
-  void TakeReading(const std::string& from, const fleet::ListReading& reading);
+  void TakeReading(const fleet::ListReading& reading);
   void ListRead(std::optional<fleet::ServerMap> servers, const std::string& why);
   void TendList();
   std::size_t Rank() const;
--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -225,6 +225,20 @@
           FleetStand::Configuration(6));
   }
 
+  SECTION("a control machine for good: an empty one at another address takes its place") {
+    constexpr std::size_t kNew = FleetStand::kControls;
+    fleet.KillControl(2);
+    fleet.StartControl(kNew, false);
+    CHECK(fleet.control(kNew).Says("role=follower"));
+    CHECK(fleet.control(kNew).Says("replica.members"));
+    // It counts now: with it the fleet bears the loss of another one.
+    const std::size_t owner = fleet.Owner();
+    REQUIRE(owner < FleetStand::kControls);
+    fleet.KillControl(1 - owner);
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(6), 4).status == 200);
+    CHECK(fleet.Get("/config", kNew).message.body == FleetStand::Configuration(6));
+  }
+
   SECTION("all control machines: what was acknowledged is there, and the router served all the while") {
     for (std::size_t i = 0; i < FleetStand::kControls; ++i) fleet.KillControl(i);
     CHECK(fleet.Ask(Request("/read/1", "r1")).status == 200);
