--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -12,7 +12,8 @@
 
 constexpr auto kTickEvery = std::chrono::milliseconds(100);
 constexpr double kControlSilentMs = 1000;  // a control machine that is not heard for so long is left
-constexpr double kControlStaleMs = 1000;   // and so is one that has lost the owner for so long
+constexpr double kControlStaleMs = 1000;   // and so is one that has lost the owner for so long,
+constexpr double kNeverFreshMs = 450;      // or that never was in contact with it since it was chosen
 constexpr double kBeatMs = 400;
 
 std::uint64_t RandomNumber() {
@@ -54,7 +55,7 @@
 
 void Agent::Tick() {
   const double now_ms = NowMs();
-  if (now_ms - heard_ms_ >= kControlSilentMs || now_ms - fresh_ms_ > kControlStaleMs) Choose();
+  if (now_ms - heard_ms_ >= kControlSilentMs || now_ms - fresh_ms_ > (fresh_ ? kControlStaleMs : kNeverFreshMs)) Choose();
   if (now_ms - beat_ms_ >= kBeatMs) Beat();
   tick_.expires_after(kTickEvery);
   tick_.async_wait([this](const fleet::ErrorCode& error) {
@@ -76,6 +77,7 @@
 // Goes on to the next control machine; agents begin at different ones.
 void Agent::Choose() {
   heard_ms_ = fresh_ms_ = NowMs();
+  fresh_ = false;
   const std::vector<std::string> addresses = ControlAddresses();
   if (addresses.empty()) return;
   if (control_) control_->Stop();
--- a/src/router/quota_ledger.cpp
+++ b/src/router/quota_ledger.cpp
@@ -52,7 +52,8 @@
     return QuotaAnswer::kAdmitted;
   }
   if (row.waiting.size() >= kMaxWaiting) return QuotaAnswer::kRefused;
-  if (row.grantor_gone && row.waiting.empty() && UseAllowance(now_ms, row, cost)) {
+  const bool no_grantor = row.grantor_gone || row.granted_ms == 0;
+  if (no_grantor && row.waiting.empty() && UseAllowance(now_ms, row, cost)) {
     Request(now_ms, tenant.name, row, 0);
     return QuotaAnswer::kAdmitted;
   }
@@ -121,7 +122,9 @@
       row.asked.reset();
       row.grantor_gone = true;
     }
-    while (!row.waiting.empty() && now_ms - row.waiting.front().since_ms > kGrantPatienceMs) {
+    // After a start the link to the grantor may still be on its way.
+    const double patience_ms = row.granted_ms == 0 ? kFirstGrantPatienceMs : kGrantPatienceMs;
+    while (!row.waiting.empty() && now_ms - row.waiting.front().since_ms > patience_ms) {
       const Waiting late = row.waiting.front();
       row.waiting.pop_front();
       --waiting_count_;
--- a/src/router/quota_ledger.h
+++ b/src/router/quota_ledger.h
@@ -22,6 +22,7 @@
 namespace bitternmux::router {
 
 constexpr double kGrantPatienceMs = 200;
+constexpr double kFirstGrantPatienceMs = 700;  // of a ledger that has had none yet
 constexpr std::size_t kMaxWaiting = 256;
 
 enum class QuotaAnswer { kAdmitted, kRefused, kWait };
@@ -66,7 +67,7 @@
     double used_per_ms = 0;     // fading mean
     double used_ms = 0;         // when it was brought up to date
     double trusted_per_ms = 0;  // of that, as of the last grant
-    double granted_ms = 0;      // when that was
+    double granted_ms = 0;      // when that was; 0: never
     bool grantor_gone = false;  // the last request was not answered in time
     double allowance = 0;       // for when no grantor answers
     double allowance_ms = 0;
