Share retry budgets and allowances by the number of routers there are

Cause: each router took eight for granted, so that 68 of them might have spent five times a service's slack of repeats. Ruled out: counting by the seeds or zones of the settings, which do not tell.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -243,6 +243,9 @@
 void ControlNode::FromControl(const std::string& address, const fleet::Message& message) {
   if (const auto* grant = std::get_if<fleet::QuotaGrant>(&message)) return GrantQuota(*grant);
   if (const auto* reading = std::get_if<fleet::ListReading>(&message)) return TakeReading(*reading);
+  if (const auto* load = std::get_if<fleet::FeedLoad>(&message)) {
+    return router_count_.Told(NowMs(), address, load->subscribers);
+  }
   replica_->Receive(NowMs(), address, message);
   Drain();
 }
@@ -401,8 +404,22 @@
   Publish(publisher_.SetFleet(std::move(view)));
 }
 
+// Each tells all others, and each sums up for itself.
+void ControlNode::CountRouters() {
+  const double now_ms = NowMs();
+  const auto own = static_cast<std::uint32_t>(subscribers_.size());
+  router_count_.Told(now_ms, self_.internal, own);
+  for (const auto& [address, dialer] : peers_) {
+    if (dialer->link()) dialer->link()->Send(fleet::FeedLoad{own});
+  }
+  fleet::FleetView view = publisher_.state().fleet;
+  view.routers = router_count_.Total(now_ms);
+  Publish(publisher_.SetFleet(std::move(view)));
+}
+
 void ControlNode::Beat() {
   beat_ms_ = NowMs();
+  CountRouters();
   const fleet::FeedBeat beat{publisher_.feed(), publisher_.offset(), replica_->Fresh(beat_ms_)};
   const auto frame = std::make_shared<const std::string>(fleet::EncodeFrame(beat));
   for (const auto& [key, subscriber] : subscribers_) subscriber.link->SendFrame(frame);
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -17,6 +17,7 @@
 #include "events/event.h"
 #include "fleet/discovery/list_role.h"
 #include "fleet/feed/feed.h"
+#include "fleet/membership/router_count.h"
 #include "fleet/quota/quota_grantor.h"
 #include "fleet/replication/replica.h"
 #include "fleet/settings/node_settings.h"
@@ -72,6 +73,7 @@
   void Publish(bool news);
   void PublishCommitted();
   void PublishFleet();
+  void CountRouters();
   void Beat();
   void TakeReading(const fleet::ListReading& reading);
   void ListRead(std::optional<fleet::ServerMap> servers, const std::string& why);
@@ -107,6 +109,7 @@
   fleet::FeedPublisher publisher_;
   fleet::ListRole list_role_;
   fleet::ServerMap newest_servers_;
+  fleet::RouterCount router_count_;
   std::uint64_t published_epoch_ = 0;
   double beat_ms_ = 0;
   bool was_fresh_ = false;
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -295,6 +295,15 @@
   }
 };
 
+// Between control machines: how many agents the sender feeds.
+struct FeedLoad {
+  std::uint32_t subscribers = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(subscribers);
+  }
+};
+
 // ---- Leases of quota
 // ------------------------------------------------------------------------------------------
 
@@ -342,7 +351,7 @@
 
 using Message = std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, Accept, Heartbeat,
                              HeartbeatReply, RecoverRequest, RecoverReply, JoinRequest, Subscribe, FeedEntry,
-                             FeedBeat, ListReading, QuotaRequest, QuotaGrant>;
+                             FeedBeat, ListReading, FeedLoad, QuotaRequest, QuotaGrant>;
 
 }  // namespace bitternmux::fleet
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -14,6 +14,7 @@
 constexpr double kNoticedMs = 2600;       // by when the platform sends no more clients here
 constexpr double kRefuseBeforeMs = 1500;  // before the end of its grace nothing new is begun
 constexpr double kEndBeforeMs = 300;
+constexpr std::size_t kUntoldRouters = 64;  // until the control machines have told how many there are
 
 std::uint64_t RandomNumber() {
   std::random_device device;
@@ -52,9 +53,7 @@
                  }),
       tick_(io),
       quota_tick_(io) {
-  // Until the fleet has said how many there are: no fewer than a fleet has.
-  state_.quota.SetRouters(8);
-  state_.budget.SetRouters(8);
+  UseRouters(kUntoldRouters);
 }
 
 void Router::Start() {
@@ -95,6 +94,7 @@
     const auto& servers = follower_.state().servers;
     state_.upstream.Prune([&](const std::string& id) { return servers.contains(id); });
   }
+  if (applied.fleet && follower_.state().fleet.routers > 0) UseRouters(follower_.state().fleet.routers);
   if (applied.gap) link->Send(follower_.Ask(settings_.node_name));
   CheckReady();
   if (state_.table == nullptr || state_.waiting_for_table.empty()) return;
@@ -103,6 +103,12 @@
   }
 }
 
+// Limits over the whole fleet are shared by as many.
+void Router::UseRouters(std::size_t count) {
+  state_.quota.SetRouters(count);
+  state_.budget.SetRouters(count);
+}
+
 void Router::UseConfiguration() {
   try {
     fleet::Configuration configuration = fleet::ReadConfiguration(follower_.state().configuration);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -35,6 +35,7 @@
   void FromAgent(const LinkPointer& link, const fleet::Message& message);
   void Take(const LinkPointer& link, const fleet::FeedEntry& entry);
   void UseConfiguration();
+  void UseRouters(std::size_t count);
   void CheckReady();
   void QuotaChanged();
   void Tick();
