Weigh what is read again above time that is not at stake

Cause: a home was left for 60 ms of another prompt's reading though the aim is 600 ms; its parts were then read again. Time within 0.35 of the aim counts by 0.35 now.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -80,7 +80,9 @@
 }
 
 void ControlNode::Start() {
+  const double opening_ms = NowMs();
   store_ = std::make_unique<fleet::SqliteStore>(settings_.data_dir);
+  events_.Write(fleet_events::kStorageOpened, {{"took_ms", NowMs() - opening_ms}});
   fleet::Replica::Options options;
   options.self = self_;
   options.seeds = seeds_;
--- a/src/events/fleet_catalogue.h
+++ b/src/events/fleet_catalogue.h
@@ -14,6 +14,7 @@
 // Control machines.
 inline constexpr EventKind kRoleChanged{"replica.role", Severity::kInfo};
 inline constexpr EventKind kMembersChanged{"replica.members", Severity::kInfo};
+inline constexpr EventKind kStorageOpened{"storage.opened", Severity::kInfo};
 inline constexpr EventKind kSaveFailed{"storage.save_failed", Severity::kWarning};
 inline constexpr EventKind kOrderDecided{"operator.order", Severity::kInfo};
 inline constexpr EventKind kListRoleTaken{"platform_list.role_taken", Severity::kInfo};
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -204,6 +204,7 @@
   if (Left(now_ms) < kLeastTimeMs) return Refuse(0);
   ServerAsk ask;
   ask.service = service_;
+  ask.aim_ms = route_->target_latency_ms;
   ask.prompt = prompt_ ? &*prompt_ : nullptr;
   ask.excluded = excluded_;
   ask.repeatable = route_->Repeatable();
--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -9,8 +9,11 @@
 constexpr double kPrefillTokensPerMs = 50;  // a usual server's
 constexpr double kRequestMs = 9;            // by which one more request in work delays a first event
 constexpr double kOtherZoneMs = 6;          // what another zone counts for: its way and its price
-constexpr double kWaitingMs = 60;           // by which one more waiting request does
-constexpr double kReportLifeMs = 4000;      // over which the others' share of a report fades
+// Time within this share of the aim costs little, and counts by as much; what is read again has its price in
+// any case.
+constexpr double kEasyShare = 0.35, kEasySlope = 0.35;
+constexpr double kWaitingMs = 60;       // by which one more waiting request does
+constexpr double kReportLifeMs = 4000;  // over which the others' share of a report fades
 constexpr double kAsideFirstMs = 400, kAsideMostMs = 8000;
 constexpr double kMisdirectedMs = 5000;  // another server has its address: the list will say so soon
 constexpr double kBusyShare = 1.25;      // of a server's slots, from which on it is busy
@@ -115,8 +118,12 @@
     if (server->entry.zone != own_zone_) key += kOtherZoneMs;
     double uncached = 0;
     if (ask.prompt != nullptr) {
-      uncached = std::max(0.0, ask.prompt->tokens_in - SavedTokens(*server, home, *ask.prompt, now_ms));
+      const double saved = SavedTokens(*server, home, *ask.prompt, now_ms);
+      uncached = std::max(0.0, ask.prompt->tokens_in - saved);
       key += (uncached + server->prefill_tokens) / kPrefillTokensPerMs;
+      const double easy_ms = kEasyShare * ask.aim_ms;
+      key -= (1 - kEasySlope) * std::min(key, easy_ms);
+      key += (1 - kEasySlope) * uncached / kPrefillTokensPerMs;
     }
     ranking.push_back({server, key, Unit(), queue, uncached});
   }
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -45,6 +45,7 @@
 
 struct ServerAsk {
   std::string service;
+  double aim_ms = 0;                  // of its first event
   const Prompt* prompt = nullptr;     // null: not for a model
   std::vector<std::string> excluded;  // servers that this request was sent to
   bool repeatable = false;
--- a/tests/router/server_choice_test.cpp
+++ b/tests/router/server_choice_test.cpp
@@ -133,6 +133,25 @@
   }
 }
 
+TEST_CASE(
+    "server choice: where little time is at stake a home is kept at a load that it is left at elsewhere") {
+  Prompt prompt;
+  prompt.tokens_in = 4300;
+  prompt.parts = ReadPromptPrefix("aa:500,bb:1000,cc:2800");
+  ServerAsk ask = Ask();
+  ask.prompt = &prompt;
+  ServerChoice choice({0, 4}, "z", 8);
+  choice.Update(0, Servers(6));
+  const std::string home = choice.Choose(1, ask).chosen->id;
+  for (int i = 0; i < 6; ++i) choice.Reported(2, "i" + std::to_string(i), {2, 0, 64});
+  choice.Reported(2, home, {7, 0, 64});
+  CHECK(choice.Choose(2, ask).chosen->id != home);
+  ask.aim_ms = 600;
+  CHECK(choice.Choose(2, ask).chosen->id == home);
+  choice.Reported(2, home, {40, 0, 64});
+  CHECK(choice.Choose(2, ask).chosen->id != home);
+}
+
 TEST_CASE("server choice: a server that did not report counts as the mean; old reports fade to it") {
   ServerChoice choice({0, 4}, "z", 7);
   choice.Update(0, Servers(3));
