--- a/tests/router/server_choice_test.cpp
+++ b/tests/router/server_choice_test.cpp
@@ -144,7 +144,7 @@
   choice.Update(0, Servers(6));
   const std::string home = choice.Choose(1, ask).chosen->id;
   for (int i = 0; i < 6; ++i) choice.Reported(2, "i" + std::to_string(i), {2, 0, 64});
-  choice.Reported(2, home, {7, 0, 64});
+  choice.Reported(2, home, {9, 0, 64});
   CHECK(choice.Choose(2, ask).chosen->id != home);
   ask.aim_ms = 600;
   CHECK(choice.Choose(2, ask).chosen->id == home);
