--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "ctl/status_report.h"
 #include "http/writer.h"
 #include "lab/fleet/fleet_stand.h"
 
@@ -248,6 +249,24 @@
   }
 }
 
+TEST_CASE("fleet story: the operator's tool, also where some machines are down") {
+  FleetStand fleet(Built());
+  REQUIRE(fleet.Start());
+  std::vector<std::string> controls;
+  for (std::size_t i = 0; i < FleetStand::kControls; ++i) controls.push_back(fleet.ControlAddress(i));
+  ctl::ControlClient client(controls);
+  CHECK(client.GetConfiguration().body == FleetStand::Configuration(4));
+  CHECK(client.PutConfiguration(FleetStand::Configuration(3), 4).status == 400);
+  CHECK(client.PutConfiguration(FleetStand::Configuration(9), 3).status == 412);
+  fleet.KillControl(2);
+  CHECK(client.PutConfiguration(FleetStand::Configuration(9), 4).status == 200);
+  CHECK(client.GetConfiguration().body == FleetStand::Configuration(9));
+  std::vector<ctl::MachineStatus> machines;
+  for (const std::string& control : controls) machines.push_back({control, client.Status(control)});
+  CHECK(ctl::IsHealthy(machines));
+  CHECK(machines[2].result.status == 0);
+}
+
 TEST_CASE("fleet story: a router that is told to stop finishes what it holds") {
   FleetStand fleet(Built());
   REQUIRE(fleet.Start());
