--- a/lab/fleet/process.cpp
+++ b/lab/fleet/process.cpp
@@ -51,18 +51,27 @@
     if (left.count() <= 0) return false;
     pollfd ready{pipe_, POLLIN, 0};
     if (poll(&ready, 1, static_cast<int>(left.count())) <= 0) continue;
-    std::array<char, 4096> bytes;
-    const ssize_t count = read(pipe_, bytes.data(), bytes.size());
-    if (count <= 0) return false;
-    log_.append(bytes.data(), static_cast<std::size_t>(count));
+    if (!Drain()) return false;
   }
 }
 
+// Reads what there is, and waits for it. False: the other end is closed.
+bool Process::Drain() {
+  std::array<char, 4096> bytes;
+  const ssize_t count = read(pipe_, bytes.data(), bytes.size());
+  if (count <= 0) return false;
+  log_.append(bytes.data(), static_cast<std::size_t>(count));
+  return true;
+}
+
 void Process::Signal(int signal) {
   if (id_ > 0) kill(id_, signal);
 }
 
 int Process::Wait() {
+  // One that still writes would wait for its reader.
+  while (Drain()) {
+  }
   int status = 0;
   if (id_ <= 0 || waitpid(id_, &status, 0) != id_) return 0;
   id_ = -1;
--- a/lab/fleet/process.h
+++ b/lab/fleet/process.h
@@ -26,6 +26,8 @@
   const std::string& log() const { return log_; }
 
  private:
+  bool Drain();
+
   pid_t id_ = -1;
   int pipe_ = -1;
   std::string log_;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -53,6 +53,12 @@
   Tick();
 }
 
+void Agent::Stop() {
+  tick_.cancel();
+  if (control_) control_->Stop();
+  io_.stop();
+}
+
 void Agent::Tick() {
   const double now_ms = NowMs();
   if (now_ms - heard_ms_ >= kControlSilentMs ||
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -25,6 +25,7 @@
 
   // Throws if it cannot listen.
   void Start();
+  void Stop();
   void Reseed(const fleet::NodeSettings& settings);
 
  private:
--- a/src/apps/bitternmux_agent.cpp
+++ b/src/apps/bitternmux_agent.cpp
@@ -8,24 +8,23 @@
  public:
   AgentProcess(boost::asio::io_context& io, const bitternmux::fleet::NodeSettings& settings,
                bitternmux::EventSink& events)
-      : io_(io), agent_(io, settings, events), grace_s_(settings.grace_s) {}
+      : agent_(io, settings, events), grace_s_(settings.grace_s), end_(io) {}
   void Start() override { agent_.Start(); }
   // The router beside it still serves for a while and lives on what the agent tells.
   void Stop() override {
     end_.expires_after(
         std::chrono::milliseconds(static_cast<std::int64_t>(grace_s_ * 1000) - kBeforeGraceMs));
     end_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) io_.stop();
+      if (!error) agent_.Stop();
     });
   }
   void Resettle(const bitternmux::fleet::NodeSettings& settings) override { agent_.Reseed(settings); }
 
  private:
   static constexpr std::int64_t kBeforeGraceMs = 200;
-  boost::asio::io_context& io_;
   bitternmux::agent::Agent agent_;
   const double grace_s_;
-  boost::asio::steady_timer end_{io_};
+  boost::asio::steady_timer end_;
 };
 
 }  // namespace
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -122,6 +122,7 @@
 
 void ControlNode::Stop() {
   tick_.cancel();
+  for (const auto& [address, dialer] : peers_) dialer->Stop();
   api_.reset();
   platform_.reset();
   storage_.reset();
--- a/src/fleet/storage/sqlite_store.cpp
+++ b/src/fleet/storage/sqlite_store.cpp
@@ -39,8 +39,7 @@
 
 class SqliteStore::Database {
  public:
-  explicit Database(const std::string& path) {
-    if (sqlite3_open(path.c_str(), &handle_) != SQLITE_OK) Fail("open");
+  explicit Database(const std::string& path) : handle_(Open(path), sqlite3_close) {
     Run("PRAGMA locking_mode = exclusive");
     Run("PRAGMA journal_mode = wal");
     Run("PRAGMA synchronous = full");
@@ -48,27 +47,34 @@
     Run("CREATE TABLE IF NOT EXISTS replica (id INTEGER PRIMARY KEY, promised_epoch INTEGER NOT NULL, "
         "voter INTEGER NOT NULL, accepted BLOB NOT NULL)");
   }
-  ~Database() { sqlite3_close(handle_); }
-  Database(const Database&) = delete;
-  Database& operator=(const Database&) = delete;
 
   void Run(const std::string& sql) {
-    if (sqlite3_exec(handle_, sql.c_str(), nullptr, nullptr, nullptr) != SQLITE_OK) Fail(sql);
+    if (sqlite3_exec(handle_.get(), sql.c_str(), nullptr, nullptr, nullptr) != SQLITE_OK) Fail(sql);
   }
 
   // The statement is finalized when the returned guard goes.
   auto Prepare(const char* sql, sqlite3_stmt*& statement) {
-    if (sqlite3_prepare_v2(handle_, sql, -1, &statement, nullptr) != SQLITE_OK) Fail(sql);
+    if (sqlite3_prepare_v2(handle_.get(), sql, -1, &statement, nullptr) != SQLITE_OK) Fail(sql);
     return gsl::finally([&statement] { sqlite3_finalize(statement); });
   }
 
   [[noreturn]] void Fail(const std::string& what) {
-    const std::string why = handle_ != nullptr ? sqlite3_errmsg(handle_) : "out of memory";
-    throw StorageError(what + ": " + why);
+    throw StorageError(what + ": " + sqlite3_errmsg(handle_.get()));
   }
 
  private:
-  sqlite3* handle_ = nullptr;
+  using Handle = std::unique_ptr<sqlite3, decltype(&sqlite3_close)>;
+
+  // Where it fails SQLite hands out a handle all the same, which has to be closed.
+  static sqlite3* Open(const std::string& path) {
+    sqlite3* opened = nullptr;
+    const int result = sqlite3_open(path.c_str(), &opened);
+    if (result == SQLITE_OK) return opened;
+    sqlite3_close(opened);
+    throw StorageError("cannot open " + path + ": " + sqlite3_errstr(result));
+  }
+
+  Handle handle_;
 };
 
 SqliteStore::SqliteStore(const std::string& folder) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -175,7 +175,9 @@
   if (passed > grace_ms - kRefuseBeforeMs) state_.refusing = true;
   if (passed < kNoticedMs) return;
   front_.CloseIdle();
-  if (front_.sessions() == 0 || passed > grace_ms - kEndBeforeMs) io_.stop();
+  if (front_.sessions() > 0 && passed <= grace_ms - kEndBeforeMs) return;
+  agent_->Stop();
+  io_.stop();
 }
 
 }  // namespace bitternmux::router
