--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr auto kTickEvery = std::chrono::milliseconds(100);
-constexpr double kControlSilentMs = 1000;  // a control machine that is not heard for so long is left
-constexpr double kControlStaleMs = 1000;   // and so is one that has lost the owner for so long,
-constexpr double kNeverFreshMs = 450;      // or that never was in contact with it since it was chosen
 constexpr double kBeatMs = 400;
 
 std::uint64_t RandomNumber() {
@@ -30,9 +27,9 @@
       listen_("127.0.0.1:" + std::to_string(settings.first_internal_port)),
       internal_port_(settings.first_internal_port),
       publisher_(RandomNumber()),
+      source_(RandomNumber()),
       tick_(io) {
   Reseed(settings);
-  next_control_ = RandomNumber();
 }
 
 void Agent::Reseed(const fleet::NodeSettings& settings) {
@@ -61,9 +58,10 @@
 
 void Agent::Tick() {
   const double now_ms = NowMs();
-  if (now_ms - heard_ms_ >= kControlSilentMs ||
-      now_ms - fresh_ms_ > (fresh_ ? kControlStaleMs : kNeverFreshMs))
+  if (source_.ShouldLeave(now_ms)) {
+    if (source_.behind()) events_.Write(fleet_events::kSourceBehind, {{"control", control_address_}});
     Choose();
+  }
   if (now_ms - beat_ms_ >= kBeatMs) Beat();
   tick_.expires_after(kTickEvery);
   tick_.async_wait([this](const fleet::ErrorCode& error) {
@@ -84,12 +82,10 @@
 
 // Goes on to the next control machine; agents begin at different ones.
 void Agent::Choose() {
-  heard_ms_ = fresh_ms_ = NowMs();
-  fresh_ = false;
   const std::vector<std::string> addresses = ControlAddresses();
   if (addresses.empty()) return;
   if (control_) control_->Stop();
-  control_address_ = addresses[next_control_++ % addresses.size()];
+  control_address_ = source_.Choose(NowMs(), addresses);
   fleet::Dialer::Handlers handlers;
   handlers.connected = [this](const LinkPointer& link) {
     link->Send(fleet::Hello{fleet::PeerRole::kAgent, node_name_, {}, publisher_.feed()});
@@ -103,20 +99,17 @@
     events_.Write(fleet_events::kFeedLost, {{"control", control_address_}});
     asio::post(io_, [this] { Choose(); });
   };
-  handlers.failed = [this] { heard_ms_ = NowMs() - kControlSilentMs; };
+  handlers.failed = [this] { source_.Failed(); };
   control_ = std::make_shared<fleet::Dialer>(io_, control_address_, std::move(handlers));
   control_->Start();
 }
 
 void Agent::FromControl(const LinkPointer& link, fleet::Message message) {
   if (!control_ || control_->link() != link) return;
-  heard_ms_ = NowMs();
+  source_.Heard(NowMs());
   if (const auto* entry = std::get_if<fleet::FeedEntry>(&message)) return Take(*entry);
   if (const auto* beat = std::get_if<fleet::FeedBeat>(&message)) {
-    const bool news = beat->fresh && !fresh_;
-    fresh_ = beat->fresh;
-    if (fresh_) fresh_ms_ = heard_ms_;
-    if (news) Beat();
+    if (source_.Beat(NowMs(), *beat, follower_.state())) Beat();
     if (beat->feed == follower_.feed() && beat->offset > follower_.offset())
       link->Send(follower_.Ask(node_name_));
     return;
@@ -165,8 +158,10 @@
 
 void Agent::Beat() {
   beat_ms_ = NowMs();
-  const bool fresh = fresh_ && control_ && control_->link() && beat_ms_ - fresh_ms_ < kControlStaleMs;
-  const fleet::FeedBeat beat{publisher_.feed(), publisher_.offset(), fresh};
+  const bool fresh = control_ && control_->link() && source_.Fresh(beat_ms_);
+  const fleet::FeedState& state = follower_.state();
+  const fleet::FeedBeat beat{publisher_.feed(), publisher_.offset(), fresh, state.configuration_version,
+                             state.list_position};
   for (const auto& [key, router] : routers_) router->Send(beat);
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,7 +1,7 @@
 // The agent beside a router: keeps the link to a control machine and feeds the router over loopback.
 //
-// It bootstraps from a snapshot of the feed and tails it from an offset. A control machine that falls silent,
-// or that says it has lost the owner of the configuration, is left for another one. What the agent holds it
+// It bootstraps from a snapshot of the feed and tails it from an offset. When it leaves a control machine for
+// another one, SourceChoice says. What the agent holds it
 // publishes to the router, which may be restarted beside it and bootstraps from it in the same way.
 #ifndef BITTERNMUX_SRC_AGENT_AGENT_H_
 #define BITTERNMUX_SRC_AGENT_AGENT_H_
@@ -14,6 +14,7 @@
 
 #include "events/event.h"
 #include "fleet/feed/feed.h"
+#include "fleet/feed/source_choice.h"
 #include "fleet/settings/node_settings.h"
 #include "fleet/transport/link.h"
 
@@ -51,11 +52,10 @@
   std::vector<std::string> seeds_;  // internal addresses
   fleet::FeedFollower follower_;
   fleet::FeedPublisher publisher_;
+  fleet::SourceChoice source_;
   std::shared_ptr<fleet::Dialer> control_;
   std::string control_address_;
-  std::size_t next_control_ = 0;
-  double heard_ms_ = 0, fresh_ms_ = 0, beat_ms_ = 0;
-  bool fresh_ = false;  // as the control machine has said last
+  double beat_ms_ = 0;
   std::unique_ptr<fleet::LinkListener> listener_;
   std::unordered_map<fleet::Link*, LinkPointer> routers_;
   boost::asio::steady_timer tick_;
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 namespace bitternmux::control {
 namespace {
@@ -84,13 +85,32 @@
         MHD_OPTION_NOTIFY_COMPLETED, &Server::Completed, nullptr, MHD_OPTION_END);
     if (daemon_ == nullptr) throw std::runtime_error("cannot listen at " + address);
   }
-  ~Server() { MHD_stop_daemon(daemon_); }
+  // The library must not be stopped while connections rest.
+  ~Server() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+      for (const std::weak_ptr<Call>& weak : resting_) {
+        if (const auto call = weak.lock()) Respond(call, Stopping());
+      }
+    }
+    MHD_stop_daemon(daemon_);
+  }
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
  private:
   using CallPointer = std::shared_ptr<Call>;
 
+  static ApiResponse Stopping() { return {503, R"({"error":"this machine stops; go elsewhere"})", "", 0}; }
+
+  static void Respond(const CallPointer& call, ApiResponse response) {
+    const std::lock_guard lock(call->mutex);
+    if (call->response) return;
+    call->response = std::move(response);
+    if (call->suspended != nullptr) MHD_resume_connection(std::exchange(call->suspended, nullptr));
+  }
+
   static MHD_Result Handle(void* self, MHD_Connection* connection, const char* url, const char* method,
                            const char*, const char* upload, std::size_t* upload_size, void** context) {
     return gsl::not_null(static_cast<Server*>(self))
@@ -125,23 +145,26 @@
     if (call->too_large) return Queue(connection, {413, R"({"error":"the body is too large"})", "", 0});
     if (!call->handed_over) {
       call->handed_over = true;
-      handler_(std::move(call->request), [call](ApiResponse response) {
-        const std::lock_guard lock(call->mutex);
-        if (call->response) return;
-        call->response = std::move(response);
-        if (call->suspended != nullptr) MHD_resume_connection(std::exchange(call->suspended, nullptr));
-      });
+      handler_(std::move(call->request),
+               [call](ApiResponse response) { Respond(call, std::move(response)); });
     }
+    const std::lock_guard all(mutex_);
     const std::lock_guard lock(call->mutex);
     if (call->response) return Queue(connection, *call->response);
+    if (stopping_) return Queue(connection, Stopping());
     call->suspended = connection;
     MHD_suspend_connection(connection);
+    std::erase_if(resting_, [](const std::weak_ptr<Call>& weak) { return weak.expired(); });
+    resting_.push_back(call);
     return MHD_YES;
   }
 
   const std::size_t max_body_bytes_;
   const Handler handler_;
   MHD_Daemon* daemon_ = nullptr;
+  std::mutex mutex_;  // guards what follows; taken before that of a call
+  bool stopping_ = false;
+  std::vector<std::weak_ptr<Call>> resting_;
 };
 
 OperatorApi::OperatorApi(const std::string& address, std::size_t max_body_bytes, Handler handler)
--- /dev/null
+++ b/src/control/operator_service.h
@@ -0,0 +1,35 @@
+// Between the HTTP interface and the deciders of a control machine: reads and checks what an operator has
+// sent, and words the answers.
+#ifndef BITTERNMUX_SRC_CONTROL_OPERATOR_SERVICE_H_
+#define BITTERNMUX_SRC_CONTROL_OPERATOR_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "control/operator_api.h"
+#include "fleet/control/control_core.h"
+
+namespace bitternmux::control {
+
+class OperatorService {
+ public:
+  // `status`: the body of GET /status.
+  OperatorService(fleet::ControlCore& core, std::function<std::string()> status)
+      : core_(core), status_(std::move(status)) {}
+
+  void Serve(double now_ms, ApiRequest request, const ApiRespond& respond);
+  void Answer(const fleet::CallAnswer& answer);
+
+ private:
+  void ServePut(double now_ms, ApiRequest request, const ApiRespond& respond);
+
+  fleet::ControlCore& core_;
+  const std::function<std::string()> status_;
+  std::uint64_t last_call_ = 0;
+  std::map<std::uint64_t, ApiRespond> open_;
+};
+
+}  // namespace bitternmux::control
+
+#endif  // BITTERNMUX_SRC_CONTROL_OPERATOR_SERVICE_H_
--- a/src/events/fleet_catalogue.h
+++ b/src/events/fleet_catalogue.h
@@ -16,12 +16,16 @@
 inline constexpr EventKind kMembersChanged{"replica.members", Severity::kInfo};
 inline constexpr EventKind kStorageOpened{"storage.opened", Severity::kInfo};
 inline constexpr EventKind kSaveFailed{"storage.save_failed", Severity::kWarning};
+inline constexpr EventKind kStorageUnavailable{"storage.unavailable", Severity::kWarning};
+inline constexpr EventKind kStorageUnreadable{"storage.unreadable", Severity::kError};
 inline constexpr EventKind kOrderDecided{"operator.order", Severity::kInfo};
 inline constexpr EventKind kListRoleTaken{"platform_list.role_taken", Severity::kInfo};
 inline constexpr EventKind kListReadFailed{"platform_list.read_failed", Severity::kWarning};
+inline constexpr EventKind kSubscriberAhead{"feed.subscriber_ahead", Severity::kWarning};
 // Agents and routers.
 inline constexpr EventKind kFeedConnected{"feed.connected", Severity::kInfo};
 inline constexpr EventKind kFeedLost{"feed.lost", Severity::kInfo};
+inline constexpr EventKind kSourceBehind{"feed.source_behind", Severity::kWarning};
 inline constexpr EventKind kConfigurationInForce{"configuration.in_force", Severity::kInfo};
 inline constexpr EventKind kConfigurationUnreadable{"configuration.unreadable", Severity::kError};
 inline constexpr EventKind kReadinessChanged{"router.readiness", Severity::kInfo};
--- /dev/null
+++ b/src/fleet/control/control_core.cpp
@@ -0,0 +1,275 @@
+#include "fleet/control/control_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bitternmux::fleet {
+namespace {
+
+// Of a bucket that another machine granted from before. With what routers may use meanwhile it stays inside
+// the overage.
+constexpr double kGrantorStartShare = 0.35;
+
+}  // namespace
+
+const char* NameOf(Replica::Role role) {
+  switch (role) {
+    case Replica::Role::kLearner:
+      return "learner";
+    case Replica::Role::kFollower:
+      return "follower";
+    case Replica::Role::kCandidate:
+      return "candidate";
+    case Replica::Role::kOwner:
+      return "owner";
+  }
+  return "";
+}
+
+ControlCore::ControlCore(Options options, std::optional<DurableState> loaded, double now_ms)
+    : first_seeds_(options.replica.seeds),
+      replica_(options.replica, std::move(loaded), now_ms),
+      calls_(replica_),
+      list_reader_(options.replica.self.internal, options.replica.incarnation),
+      publisher_(options.replica.incarnation),
+      grantor_(options.quota_slack) {
+  PublishMembers();
+}
+
+void ControlCore::ToControl(const std::string& address, Message message) {
+  output_.sends.push_back({address, 0, std::move(message)});
+}
+
+void ControlCore::ToAllControl(const Message& message) {
+  for (const Member& peer : replica_.Peers()) ToControl(peer.internal, message);
+}
+
+void ControlCore::ToSubscriber(SubscriberId id, Message message) {
+  output_.sends.push_back({"", id, std::move(message)});
+}
+
+// ---- Events ----
+
+void ControlCore::Tick(double now_ms) {
+  replica_.Tick(now_ms);
+  calls_.Tick(now_ms);
+  TendList(now_ms);
+  if (now_ms - beat_ms_ >= kFeedBeatMs) Beat(now_ms);
+}
+
+void ControlCore::FromControl(double now_ms, const std::string& address, const Message& message) {
+  if (const auto* grant = std::get_if<QuotaGrant>(&message)) return GrantQuota(*grant);
+  if (const auto* request = std::get_if<QuotaRequest>(&message)) return AskQuota(now_ms, *request, true);
+  if (const auto* reading = std::get_if<ListReading>(&message)) return Take(now_ms, *reading);
+  if (const auto* assignment = std::get_if<ListAssignment>(&message)) {
+    return list_reader_.Assigned(*assignment);
+  }
+  if (const auto* load = std::get_if<FeedLoad>(&message)) {
+    return router_count_.Told(now_ms, address, load->subscribers);
+  }
+  replica_.Receive(now_ms, address, message);
+}
+
+// It may have missed what was told on an earlier link.
+void ControlCore::ControlConnected(const std::string& address) {
+  if (!list_reader_.acting() || list_reader_.newest() == ListPosition{}) return;
+  ListReading reading{list_reader_.newest(), list_reader_.content(), std::nullopt};
+  reading.change = MakeServersChange({}, {}, servers_, reading.content);
+  ToControl(address, std::move(reading));
+}
+
+void ControlCore::Subscribed(double now_ms, SubscriberId id, const Subscribe& subscribe) {
+  subscribers_[id] = subscribe.subscriber;
+  const bool configuration_ahead = subscribe.configuration_version > publisher_.state().configuration_version;
+  const bool list_ahead =
+      publisher_.state().list_position != ListPosition{} && subscribe.servers > list_reader_.newest();
+  if (configuration_ahead || list_ahead) {
+    output_.notices.push_back(
+        {ControlNotice::Kind::kSubscriberAhead, subscribe.subscriber, subscribe.configuration_version});
+  }
+  for (FeedEntry& entry : publisher_.CatchUp(subscribe)) ToSubscriber(id, std::move(entry));
+  ToSubscriber(id, BeatNow(now_ms));
+}
+
+void ControlCore::Unsubscribed(SubscriberId id) { subscribers_.erase(id); }
+
+void ControlCore::FromSubscriber(double now_ms, SubscriberId id, QuotaRequest request) {
+  const auto found = subscribers_.find(id);
+  if (found == subscribers_.end()) return;
+  // `asker`: this machine's address, a space, and the agent's name.
+  request.asker = replica_.self().internal + " " + found->second;
+  AskQuota(now_ms, std::move(request), false);
+}
+
+void ControlCore::Put(double now_ms, std::uint64_t call, Order order) {
+  calls_.Put(now_ms, call, std::move(order));
+}
+
+void ControlCore::Get(double now_ms, std::uint64_t call) { calls_.Get(now_ms, call); }
+
+void ControlCore::Saved(double now_ms, std::uint64_t ticket) { replica_.Saved(now_ms, ticket); }
+
+void ControlCore::Leave(double now_ms) { replica_.Leave(now_ms); }
+
+void ControlCore::SetSeeds(std::vector<Member> seeds) { replica_.SetSeeds(std::move(seeds)); }
+
+ControlOutput ControlCore::TakeOutput(double now_ms) {
+  if (replica_.role() != told_role_) calls_.Tick(now_ms);  // calls may have waited for that
+  ReplicaOutput decided = replica_.TakeOutput();
+  output_.save = std::move(decided.save);
+  for (auto& [to, message] : decided.sends) ToControl(to, std::move(message));
+  PublishCommitted(now_ms);
+  for (const Decision& decision : decided.decisions) calls_.Decided(now_ms, decision);
+  for (const ReadOutcome& outcome : decided.reads) calls_.ReadDone(now_ms, outcome);
+  const ShardValue& committed = replica_.committed().value;
+  for (CallReply& reply : calls_.TakeReplies()) {
+    CallAnswer answer{std::move(reply), committed.version, std::nullopt};
+    if (answer.reply.outcome == CallOutcome::kRead) answer.configuration = committed.configuration;
+    output_.answers.push_back(std::move(answer));
+  }
+  TellRole();
+  // Who waits for contact with an owner is told at once that there is one.
+  const bool fresh = replica_.Fresh(now_ms);
+  if (fresh && !was_fresh_) Beat(now_ms);
+  was_fresh_ = fresh;
+  return std::exchange(output_, {});
+}
+
+void ControlCore::TellRole() {
+  if (replica_.epoch() == told_epoch_ && replica_.role() == told_role_) return;
+  told_epoch_ = replica_.epoch();
+  told_role_ = replica_.role();
+  output_.notices.push_back({ControlNotice::Kind::kRole, NameOf(told_role_), told_epoch_.counter});
+}
+
+// ---- The feed ----
+
+void ControlCore::Publish(bool news) {
+  if (news && !subscribers_.empty()) output_.sends.push_back({"", 0, publisher_.Newest()});
+}
+
+void ControlCore::ConfigureGrantor(double now_ms) {
+  const ShardValue& value = replica_.committed().value;
+  if (value.version == 0) return;
+  try {
+    grantor_.Configure(now_ms, ReadConfiguration(value.configuration));
+  } catch (const ConfigurationError& error) {
+    output_.notices.push_back({ControlNotice::Kind::kConfigurationUnreadable, error.what(), value.version});
+  }
+}
+
+void ControlCore::PublishCommitted(double now_ms) {
+  const ShardValue& value = replica_.committed().value;
+  const bool owner = replica_.role() == Replica::Role::kOwner;
+  const bool begins = owner && granting_epoch_ != replica_.epoch() && replica_.Acting(now_ms);
+  const bool news = value.version > publisher_.state().configuration_version;
+  if (owner && (news || begins)) ConfigureGrantor(now_ms);
+  if (begins) {
+    granting_epoch_ = replica_.epoch();
+    if (value.version > 0) grantor_.Begin(now_ms, kGrantorStartShare);
+  }
+  if (news) Publish(publisher_.SetConfiguration(value.version, value.configuration));
+  PublishMembers();
+}
+
+void ControlCore::PublishMembers() {
+  FleetView view = publisher_.state().fleet;
+  view.control = replica_.committed().value.members;
+  if (view.control.empty()) view.control = first_seeds_;
+  if (view.control != publisher_.state().fleet.control) {
+    std::string members;
+    for (const Member& member : view.control) members += member.internal + " ";
+    output_.notices.push_back({ControlNotice::Kind::kMembers, members, 0});
+  }
+  Publish(publisher_.SetFleet(std::move(view)));
+}
+
+// Each tells all others, and each sums up for itself.
+void ControlCore::CountRouters(double now_ms) {
+  const auto own = static_cast<std::uint32_t>(subscribers_.size());
+  router_count_.Told(now_ms, replica_.self().internal, own);
+  ToAllControl(FeedLoad{own});
+  FleetView view = publisher_.state().fleet;
+  view.routers = router_count_.Total(now_ms);
+  Publish(publisher_.SetFleet(std::move(view)));
+}
+
+FeedBeat ControlCore::BeatNow(double now_ms) const {
+  return {publisher_.feed(), publisher_.offset(), replica_.Fresh(now_ms),
+          publisher_.state().configuration_version, list_reader_.newest()};
+}
+
+void ControlCore::Beat(double now_ms) {
+  beat_ms_ = now_ms;
+  CountRouters(now_ms);
+  if (!subscribers_.empty()) output_.sends.push_back({"", 0, BeatNow(now_ms)});
+}
+
+// ---- The platform's list ----
+
+void ControlCore::TendList(double now_ms) {
+  if (replica_.Acting(now_ms)) {
+    const std::vector<LiveProcess> live = replica_.LiveMembers(now_ms);
+    const auto self = std::ranges::find(live, replica_.self().internal, &LiveProcess::internal);
+    const bool begins = assigner_.assignment().epoch != replica_.epoch();
+    if (begins && self != live.end()) assigner_.Begin(now_ms, replica_.epoch(), *self);
+    const bool changed = assigner_.Tick(now_ms, live) || begins;
+    if (changed || now_ms - assigned_ms_ >= kHeartbeatMs) {
+      assigned_ms_ = now_ms;
+      list_reader_.Assigned(assigner_.assignment());
+      ToAllControl(assigner_.assignment());
+    }
+  }
+  if (list_reader_.ShouldRead(now_ms, replica_.epoch(), replica_.Fresh(now_ms))) output_.read_list = true;
+  if (list_reader_.acting() && !was_reading_) {
+    output_.notices.push_back({ControlNotice::Kind::kListRoleTaken, "", 0});
+  }
+  was_reading_ = list_reader_.acting();
+}
+
+void ControlCore::ListRead(double now_ms, std::optional<ServerMap> servers) {
+  if (!servers) return list_reader_.Failed();
+  const bool changed = *servers != servers_;
+  auto told = list_reader_.Read(now_ms, changed);
+  if (!told) return;
+  servers_ = std::move(*servers);
+  if (told->whole) told->reading.change = MakeServersChange({}, {}, servers_, told->reading.content);
+  assigner_.Heard(now_ms, told->reading.position);
+  ToAllControl(told->reading);
+  Publish(publisher_.SetServers(told->reading.content, servers_));
+}
+
+void ControlCore::Take(double now_ms, const ListReading& reading) {
+  if (!list_reader_.Hear(now_ms, reading)) return;
+  assigner_.Heard(now_ms, reading.position);
+  if (reading.change) {
+    servers_.clear();
+    for (const ServerEntry& entry : reading.change->changed) servers_[entry.id] = entry;
+  }
+  Publish(publisher_.SetServers(reading.content, servers_));
+}
+
+// ---- Quota ----
+
+void ControlCore::AskQuota(double now_ms, QuotaRequest request, bool passed_on) {
+  if (replica_.Acting(now_ms) && granting_epoch_ == replica_.epoch()) {
+    return GrantQuota(grantor_.Ask(now_ms, request));
+  }
+  const auto owner = replica_.Owner(now_ms);
+  if (owner && owner->internal != replica_.self().internal && !passed_on) {
+    ToControl(owner->internal, std::move(request));
+  }
+}
+
+void ControlCore::GrantQuota(const QuotaGrant& grant) {
+  const auto space = grant.asker.find(' ');
+  if (space == std::string::npos) return;
+  const std::string address = grant.asker.substr(0, space);
+  if (address != replica_.self().internal) return ToControl(address, grant);
+  const std::string name = grant.asker.substr(space + 1);
+  for (const auto& [id, subscriber] : subscribers_) {
+    if (subscriber == name) return ToSubscriber(id, grant);
+  }
+}
+
+}  // namespace bitternmux::fleet
--- /dev/null
+++ b/src/fleet/control/control_core.h
@@ -0,0 +1,138 @@
+// All that a control machine decides, without I/O, clock or thread: the replica of the configuration shard,
+// the operator's calls, the reading of the platform's list, the feed for agents and the granting of quota.
+// The program (src/control/) carries out what it says on sockets, the simulation (lab/simulation/) in
+// simulated time.
+//
+// Bounds: those of its parts; a row for each subscriber.
+#ifndef BITTERNMUX_SRC_FLEET_CONTROL_CONTROL_CORE_H_
+#define BITTERNMUX_SRC_FLEET_CONTROL_CONTROL_CORE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/discovery/list_assigner.h"
+#include "fleet/discovery/list_reader.h"
+#include "fleet/feed/feed.h"
+#include "fleet/membership/router_count.h"
+#include "fleet/operations/operator_calls.h"
+#include "fleet/quota/quota_grantor.h"
+#include "fleet/replication/replica.h"
+
+namespace bitternmux::fleet {
+
+constexpr double kFeedBeatMs = 400;
+
+using SubscriberId = std::uint64_t;
+
+// A message to be sent. To all subscribers where neither address nor subscriber is given.
+struct ControlSend {
+  std::string control;          // internal address of a control machine
+  SubscriberId subscriber = 0;  // of a link of this machine
+  Message message;
+};
+
+struct CallAnswer {
+  CallReply reply;
+  std::uint64_t version = 0;                 // of the committed configuration
+  std::optional<std::string> configuration;  // of a read
+};
+
+// What an operator should see in the log.
+struct ControlNotice {
+  enum class Kind {
+    kRole,
+    kMembers,
+    kListRoleTaken,
+    kConfigurationUnreadable,
+    kSubscriberAhead,  // a subscriber holds more than this machine
+  };
+  Kind kind = Kind::kRole;
+  std::string text;
+  std::uint64_t number = 0;
+};
+
+struct ControlOutput {
+  std::vector<ControlSend> sends;  // in this order
+  std::optional<std::pair<std::uint64_t, DurableState>> save;
+  std::vector<CallAnswer> answers;
+  std::vector<ControlNotice> notices;
+  bool read_list = false;  // a reading of the platform's list is to begin
+};
+
+const char* NameOf(Replica::Role role);
+
+class ControlCore {
+ public:
+  struct Options {
+    Replica::Options replica;
+    double quota_slack = 0;
+  };
+
+  ControlCore(Options options, std::optional<DurableState> loaded, double now_ms);
+
+  void Tick(double now_ms);
+  void FromControl(double now_ms, const std::string& address, const Message& message);
+  // A link to another control machine has come up.
+  void ControlConnected(const std::string& address);
+  void Subscribed(double now_ms, SubscriberId id, const Subscribe& subscribe);
+  void Unsubscribed(SubscriberId id);
+  void FromSubscriber(double now_ms, SubscriberId id, QuotaRequest request);
+  void Put(double now_ms, std::uint64_t call, Order order);
+  void Get(double now_ms, std::uint64_t call);
+  void Saved(double now_ms, std::uint64_t ticket);
+  // A reading has ended; none: it failed.
+  void ListRead(double now_ms, std::optional<ServerMap> servers);
+  void Leave(double now_ms);
+  void SetSeeds(std::vector<Member> seeds);
+  ControlOutput TakeOutput(double now_ms);
+
+  const Replica& replica() const { return replica_; }
+  const FeedPublisher& publisher() const { return publisher_; }
+  const ListReader& list_reader() const { return list_reader_; }
+  std::size_t subscribers() const { return subscribers_.size(); }
+  std::size_t open_calls() const { return calls_.open(); }
+
+ private:
+  void ToControl(const std::string& address, Message message);
+  void ToAllControl(const Message& message);
+  void ToSubscriber(SubscriberId id, Message message);
+  void Publish(bool news);
+  void PublishCommitted(double now_ms);
+  void PublishMembers();
+  void ConfigureGrantor(double now_ms);
+  void Beat(double now_ms);
+  FeedBeat BeatNow(double now_ms) const;
+  void CountRouters(double now_ms);
+  void TendList(double now_ms);
+  void Take(double now_ms, const ListReading& reading);
+  void AskQuota(double now_ms, QuotaRequest request, bool passed_on);
+  void GrantQuota(const QuotaGrant& grant);
+  void TellRole();
+
+  const std::vector<Member> first_seeds_;
+  Replica replica_;
+  OperatorCalls calls_;
+  ListAssigner assigner_;
+  ListReader list_reader_;
+  ServerMap servers_;  // of the newest reading
+  FeedPublisher publisher_;
+  RouterCount router_count_;
+  QuotaGrantor grantor_;
+  std::optional<Epoch> granting_epoch_;              // in which this machine began to grant
+  std::map<SubscriberId, std::string> subscribers_;  // their names
+  double beat_ms_ = kNeverMs;
+  double assigned_ms_ = kNeverMs;
+  bool was_fresh_ = false;
+  bool was_reading_ = false;
+  Replica::Role told_role_ = Replica::Role::kLearner;
+  Epoch told_epoch_;
+  ControlOutput output_;
+};
+
+}  // namespace bitternmux::fleet
+
+#endif  // BITTERNMUX_SRC_FLEET_CONTROL_CONTROL_CORE_H_
--- a/src/fleet/feed/text_delta.cpp
+++ b/src/fleet/delta/text_delta.cpp
@@ -1,4 +1,4 @@
-#include "fleet/feed/text_delta.h"
+#include "fleet/delta/text_delta.h"
 
 #include <cstdint>
 #include <unordered_map>
--- a/src/fleet/feed/text_delta.h
+++ b/src/fleet/delta/text_delta.h
@@ -1,7 +1,7 @@
 // A text as changes of an earlier one: copies of its parts, and what is new. The texts are JSON, which is cut
 // at the ends of objects: a configuration in which a few routes change costs little more than these.
-#ifndef BITTERNMUX_SRC_FLEET_FEED_TEXT_DELTA_H_
-#define BITTERNMUX_SRC_FLEET_FEED_TEXT_DELTA_H_
+#ifndef BITTERNMUX_SRC_FLEET_DELTA_TEXT_DELTA_H_
+#define BITTERNMUX_SRC_FLEET_DELTA_TEXT_DELTA_H_
 
 #include <optional>
 #include <string>
@@ -16,4 +16,4 @@
 
 }  // namespace bitternmux::fleet
 
-#endif  // BITTERNMUX_SRC_FLEET_FEED_TEXT_DELTA_H_
+#endif  // BITTERNMUX_SRC_FLEET_DELTA_TEXT_DELTA_H_
--- a/src/fleet/feed/feed.cpp
+++ b/src/fleet/feed/feed.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "fleet/feed/text_delta.h"
+#include "fleet/delta/text_delta.h"
 
 namespace bitternmux::fleet {
 namespace {
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -14,28 +14,44 @@
 
 namespace bitternmux::fleet {
 
-constexpr std::uint32_t kProtocolVersion = 1;
+constexpr std::uint32_t kProtocolVersion = 2;
 
-// ---- Replication of a shard
-// -----------------------------------------------------------------------------------
+constexpr double kNeverMs = -1e18;  // a time before all others
 
-// A control machine as others reach it. `internal` identifies it.
+// ---- Replication of a shard ----
+
+// A control machine as others reach it, with the disk that it has now. `internal` is its address and `store`
+// the identity of its disk: a machine that has lost its disk comes back as another member.
 struct Member {
-  std::string internal;  // ip:port of replication and feed
-  std::string control;   // ip:port of the operator's API
+  std::string internal;     // ip:port of replication and feed
+  std::string control;      // ip:port of the operator's API
+  std::uint64_t store = 0;  // 0: not known, of a machine that only its address was told of
 
   bool operator==(const Member&) const = default;
   auto operator<=>(const Member&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(internal, control);
+    archive(internal, control, store);
+  }
+};
+
+// The right to act as the owner of a shard. No two replicas can choose the same one: `store` is the disk of
+// the replica that chose it, which never chooses a counter twice.
+struct Epoch {
+  std::uint64_t counter = 0;
+  std::uint64_t store = 0;
+
+  auto operator<=>(const Epoch&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(counter, store);
   }
 };
 
 // Where a value stands in the history of its shard: under which owner's epoch, and how many values came
 // before.
 struct Position {
-  std::uint64_t epoch = 0;
+  Epoch epoch;
   std::uint64_t sequence = 0;
 
   auto operator<=>(const Position&) const = default;
@@ -60,14 +76,16 @@
 // The replicated value of the configuration shard. It is small enough to be replaced whole by each change.
 struct ShardValue {
   std::vector<Member> members;  // the replica group
-  std::uint64_t version = 0;    // of the configuration; 0: none yet
-  std::string configuration;    // as the operator sent it
+  // The group before a change of members: until the change is committed, majorities of both groups decide.
+  std::vector<Member> previous_members;
+  std::uint64_t version = 0;  // of the configuration; 0: none yet
+  std::string configuration;  // as the operator sent it
   std::vector<TakenOrder> history;
 
   bool operator==(const ShardValue&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(members, version, configuration, history);
+    archive(members, previous_members, version, configuration, history);
   }
 };
 
@@ -85,7 +103,7 @@
 // Asks whether a Prepare of that epoch would find a promise. It changes nothing, so that a replica that
 // others hear but that hears nobody does not depose one owner after another.
 struct PreVote {
-  std::uint64_t epoch = 0;
+  Epoch epoch;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(epoch);
@@ -93,88 +111,120 @@
 };
 
 struct PreVoteReply {
-  std::uint64_t epoch = 0;  // that was asked for
-  std::uint64_t promised_epoch = 0;
+  std::uint64_t store = 0;  // of the sender
+  Epoch epoch;              // that was asked for
+  Epoch promised;
   bool granted = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, promised_epoch, granted);
+    archive(store, epoch, promised, granted);
   }
 };
 
 // Asks for the right to act as the owner of the shard in that epoch.
 struct Prepare {
-  std::uint64_t epoch = 0;
+  Epoch epoch;
+  Position accepted;      // the candidate's own: newer values are wanted, older ones are not
+  bool handover = false;  // the owner has asked it to stand
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch);
+    archive(epoch, accepted, handover);
   }
 };
 
 // The answer to Prepare, sent once the promise is on disk.
 struct Promise {
-  std::uint64_t epoch = 0;
-  AcceptedValue accepted;
+  std::uint64_t store = 0;
+  Epoch epoch;
+  Position accepted;
+  std::optional<AcceptedValue> value;  // if it is newer than the candidate's
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(store, epoch, accepted, value);
+  }
+};
+
+// A piece of the owner's newest value, whole or as changes of the value at `base`.
+struct ValuePiece {
+  Position position;
+  Position base;  // the start of all: the bytes are a whole value
+  std::uint64_t total = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, accepted);
+    archive(position, base, total, offset, bytes);
   }
 };
 
-// The owner's newest value, to be put on disk.
-struct Accept {
-  AcceptedValue accepted;
+// How much of a value has come. Sent while it is not whole, and where its base is missing.
+struct PieceReply {
+  Position position;
+  std::uint64_t received = 0;
+  bool base_missing = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(accepted);
+    archive(position, received, base_missing);
   }
 };
 
 // From the owner: it is alive, what it has committed and what it wants everyone to hold.
 struct Heartbeat {
-  std::uint64_t epoch = 0;
+  Epoch epoch;
   std::uint64_t round = 0;  // rises with each heartbeat of this owner
+  double sent_ms = 0;       // by the owner's clock
+  // The `sent_ms` of the newest reply that the owner has from the receiver, by the receiver's clock: the
+  // heartbeat is not older than that. kNeverMs: it has none.
+  double echo_ms = 0;
   Position committed;
   Position newest;
+  bool successor_waits = false;  // a machine that holds all waits for a place in the group
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, round, committed, newest);
+    archive(epoch, round, sent_ms, echo_ms, committed, newest, successor_waits);
   }
 };
 
-// What the sender holds on disk: the answer to Heartbeat, and sent unasked once an Accept is on disk.
+// What the sender holds: the answer to Heartbeat, and sent unasked once a value is on disk.
 struct HeartbeatReply {
-  std::uint64_t epoch = 0;  // highest that the sender has promised
-  std::uint64_t round = 0;
-  Position durable;
-  bool voter = false;
+  std::uint64_t store = 0;
+  std::uint64_t incarnation = 0;  // of the sender's process
+  Epoch epoch;                    // highest that the sender has promised
+  Epoch answers;                  // of the heartbeat that it answers
+  std::uint64_t round = 0;        // of that heartbeat; 0: unasked
+  double owner_sent_ms = 0;       // of the heartbeat that it answers, by the owner's clock
+  double sent_ms = 0;             // by the sender's clock
+  Position accepted;              // in memory
+  Position durable;               // on disk
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, round, durable, voter);
+    archive(store, incarnation, epoch, answers, round, owner_sent_ms, sent_ms, accepted, durable);
   }
 };
 
-// A replica that has lost its disk asks for what the others hold before it votes again.
-struct RecoverRequest {
-  std::uint64_t nonce = 0;
+// A control machine that is no member of the group asks to become one.
+struct JoinRequest {
+  Member member;
+  std::uint64_t incarnation = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(nonce);
+    archive(member, incarnation);
   }
 };
 
-struct RecoverReply {
-  std::uint64_t nonce = 0;
-  std::uint64_t promised_epoch = 0;
-  AcceptedValue accepted;
+// From one that is not the owner, or to one that does not know that it is no member any more: the group as
+// the sender's value has it.
+struct JoinReply {
+  Position position;  // of that value
+  std::vector<Member> members;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(nonce, promised_epoch, accepted);
+    archive(position, members);
   }
 };
 
-// A control machine that is no member of the group asks to become one.
-struct JoinRequest {
+// A member that is to stop asks for a successor to take its place first.
+struct LeaveRequest {
   Member member;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -182,8 +232,16 @@
   }
 };
 
-// ---- The feed
-// -------------------------------------------------------------------------------------------------
+// The owner hands over: the receiver is to stand for owner now.
+struct StandNow {
+  Epoch epoch;  // of the owner
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(epoch);
+  }
+};
+
+// ---- The feed ----
 
 // A server as the platform lists it.
 struct ServerEntry {
@@ -198,19 +256,21 @@
   }
 };
 
-// Which reading of the platform's list: the reader's term, and the how-manieth reading in it.
+// Which reading of the platform's list. The owner of the configuration shard assigns the reading to one
+// process at a time, so that positions rise with the epochs that a majority has on disk.
 struct ListPosition {
-  std::uint64_t term = 0;
-  std::uint64_t reading = 0;
+  Epoch epoch;                   // of the owner that assigned the reading
+  std::uint64_t assignment = 0;  // how many it had made in that epoch
+  std::uint64_t reading = 0;     // how many were read by this assignment
 
   auto operator<=>(const ListPosition&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(term, reading);
+    archive(epoch, assignment, reading);
   }
 };
 
-// A new configuration. `delta` builds it from the one of `base` (feed/text_delta.h); base 0: from nothing.
+// A new configuration. `delta` builds it from the one of `base` (delta/text_delta.h); base 0: from nothing.
 struct ConfigurationChange {
   std::uint64_t version = 0;
   std::uint64_t base = 0;
@@ -279,19 +339,38 @@
   std::uint64_t feed = 0;
   std::uint64_t offset = 0;
   bool fresh = false;
+  // The version that the source holds, and the newest reading that it knows of. A subscriber that holds more
+  // has heard of what its source has not.
+  std::uint64_t configuration_version = 0;
+  ListPosition servers;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(feed, offset, fresh, configuration_version, servers);
+  }
+};
+
+// From the owner to the other control machines: who reads the platform's list from now on.
+struct ListAssignment {
+  Epoch epoch;
+  std::uint64_t number = 0;
+  std::string reader;             // internal address
+  std::uint64_t incarnation = 0;  // of the reader's process: one that was restarted has to be assigned anew
+
+  bool operator==(const ListAssignment&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(feed, offset, fresh);
+    archive(epoch, number, reader, incarnation);
   }
 };
 
 // Between control machines: a reading of the platform's list.
 struct ListReading {
   ListPosition position;
-  std::optional<ServersChange> change;  // none: nothing has changed
+  ListPosition content;                 // the reading that showed this content first
+  std::optional<ServersChange> change;  // the whole list; none: the content is told already
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(position, change);
+    archive(position, content, change);
   }
 };
 
@@ -304,8 +383,7 @@
   }
 };
 
-// ---- Leases of quota
-// ------------------------------------------------------------------------------------------
+// ---- Leases of quota ----
 
 // A router asks for tokens of a tenant's quota. `asker` is filled by who passes it on.
 struct QuotaRequest {
@@ -332,8 +410,7 @@
   }
 };
 
-// ---- Links
-// ----------------------------------------------------------------------------------------------------
+// ---- Links ----
 
 enum class PeerRole : std::uint8_t { kControl, kAgent, kRouter };
 
@@ -349,9 +426,10 @@
   }
 };
 
-using Message = std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, Accept, Heartbeat,
-                             HeartbeatReply, RecoverRequest, RecoverReply, JoinRequest, Subscribe, FeedEntry,
-                             FeedBeat, ListReading, FeedLoad, QuotaRequest, QuotaGrant>;
+using Message =
+    std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply, Heartbeat,
+                 HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow, Subscribe, FeedEntry,
+                 FeedBeat, ListAssignment, ListReading, FeedLoad, QuotaRequest, QuotaGrant>;
 
 }  // namespace bitternmux::fleet
 
--- a/src/fleet/replication/replica.h
+++ b/src/fleet/replication/replica.h
@@ -3,34 +3,36 @@
 // what is on disk.
 //
 // The shard's state is a single value that each change replaces whole, so there is no log. A value carries
-// its position (epoch, sequence). The protocol is that of Paxos on one register with a stable proposer:
+// its position (epoch, sequence). The protocol is that of Paxos on one register with a stable proposer
+// (docs/design/control-review.md argues it, with the numbers of the invariants that the simulation checks):
 //
 //  - A candidate first asks a majority whether they would follow it, which binds nobody: one that is heard
-//  but hears
-//    nobody gets no further. Then it takes an epoch above all it has seen and asks for promises. A replica
-//    that has promised an
-//  epoch
-//    refuses all that comes from older ones. With promises of a majority the candidate is the owner: it takes
-//    over the value of the highest position among them and has it accepted again under its own epoch.
+//  but
+//    hears nobody gets no further. Then it takes an epoch above all it has seen and asks for promises. A
+//    replica that has promised an epoch refuses all that comes from older ones. With promises of a majority
+//    the candidate is the owner: it takes over the value of the highest position among them and has it
+//    accepted again under its own epoch. An epoch names the disk of the replica that chose it, so that no two
+//    replicas can choose the same.
 //  - The owner replaces the value, one change at a time. A value is committed once a majority of the members
-//  that
-//    the value itself names have it on disk.
+//    that the value itself names have it on disk.
+//  - No call of the operator is answered by what the owner holds alone: a read, a refusal and the word that
+//  an
+//    order was taken before wait until a majority has answered a heartbeat that was sent after the call.
 //  - The first live member in the agreed order (that of the addresses) acts: each waits for longer the later
-//  it
-//    stands there. An owner that is heard keeps its role; one that no majority answers gives it up.
+//    it stands there. An owner that a majority answers keeps its role; one that no majority answers gives it
+//    up. Its contact is as old as the heartbeats that were answered, by its own clock: what lay in buffers
+//    while it stood still does not count as new.
 //
-// A replica that finds its disk empty, and is not starting the fleet for the first time, may not vote: it
-// would do so without the memory of what it has promised. It first asks the others, and takes over the
-// highest of what a majority of the group, itself not counted, holds. Votes are counted for kVoteLifeMs at
-// most, and a replica that recovers waits for longer than that, so that none of its earlier life is counted
-// beside one of the new life.
+// A member is an address and a disk. A machine that has lost its disk has lost its promises with it, and
+// comes back as another member: promises and acknowledgements count by the disk that gave them. It learns the
+// value from the owner and takes the place of the member that it was before.
 //
-// Membership is part of the value and changes by one member at a time, so that majorities before and after
-// overlap. A replica that is no member learns all values and asks to be added; one that is not heard makes
-// room for it.
+// Membership is part of the value. A change exchanges one member (or adds one); until it is committed,
+// majorities of the group before and after it have to agree (quorum.h), so that the group never counts more
+// members than before and a loss at any moment of a change is borne like one before it or after it.
 //
-// Bounds: a value, a row for each member and learner, kMaxProposals waiting orders. Not thread-safe. Times
-// are in milliseconds on one clock that does not go back.
+// Bounds: the value, RecentValues, a row for each member and learner, kMaxProposals waiting orders. Not
+// thread-safe. Times are in milliseconds on one clock that does not go back.
 #ifndef BITTERNMUX_SRC_FLEET_REPLICATION_REPLICA_H_
 #define BITTERNMUX_SRC_FLEET_REPLICATION_REPLICA_H_
 
@@ -44,6 +46,7 @@
 #include <vector>
 
 #include "fleet/messages/messages.h"
+#include "fleet/replication/value_transfer.h"
 
 namespace bitternmux::fleet {
 
@@ -54,18 +57,19 @@
 constexpr double kFirstPatienceMs = 330;     // of one that has heard no owner since its start
 constexpr double kPreVoteMs = 300;           // between two rounds of asking for votes
 constexpr double kCandidateStaggerMs = 250;  // by which the members' patience differs
-constexpr double kVoteLifeMs = 1000;         // an answer is counted for so long
-constexpr double kRecoverWaitMs = 1200;      // from a replica's start without memory to its first vote
-constexpr double kAskAgainMs = 300;          // between two requests to recover or to join
-constexpr double kResendMs = 600;            // before a value that is not on a peer's disk is sent again
+constexpr double kFreshMs = 1000;            // contact with an owner counts as present for so long
+constexpr double kBehindMs = 600;            // a replica that lacks what is committed for so long is behind
+constexpr double kAskAgainMs = 300;          // between two requests to join, to leave or to hand over
 constexpr double kMemberGoneMs = 1500;       // a member not heard for so long may be replaced
+constexpr double kLeaveMs = 1500;            // for which a member that is to stop waits for a successor
 constexpr std::size_t kMaxProposals = 64;
 constexpr std::size_t kMaxHistory = 2048;  // orders that are known when they are repeated
+constexpr std::size_t kMaxLearners = 8;
 
 // What a replica may not forget.
 struct DurableState {
-  std::uint64_t promised_epoch = 0;
-  bool voter = false;
+  std::uint64_t store = 0;  // the identity of the disk
+  Epoch promised;
   AcceptedValue accepted;
 
   bool operator==(const DurableState&) const = default;
@@ -104,16 +108,28 @@
   std::vector<ReadOutcome> reads;
 };
 
+// A process of a control machine that takes part.
+struct LiveProcess {
+  std::string internal;
+  std::uint64_t incarnation = 0;
+
+  bool operator==(const LiveProcess&) const = default;
+};
+
 class Replica {
  public:
   struct Options {
-    Member self;
+    Member self;                // its store is not read
     std::vector<Member> seeds;  // where others may be found; the first group, if `bootstrap`
     bool bootstrap = false;     // the fleet starts for the first time
     std::size_t group_size = 3;
     std::uint64_t incarnation = 1;  // differs from one start to the next
+    std::uint64_t new_store = 0;    // of an empty disk, never used before; above kMaxFirstStore
   };
-  enum class Role { kRecovering, kLearner, kFollower, kCandidate, kOwner };
+  // Stores of the first group are numbered by the members' order.
+  static constexpr std::uint64_t kMaxFirstStore = 1024;
+
+  enum class Role { kLearner, kFollower, kCandidate, kOwner };
 
   // `loaded`: what the disk holds; none if it is empty.
   Replica(Options options, std::optional<DurableState> loaded, double now_ms);
@@ -124,28 +140,43 @@
   // Decided in a later output, maybe the next one.
   void Propose(double now_ms, std::uint64_t id, Order order);
   void Read(double now_ms, std::uint64_t id);
+  // The process is to stop: hands over what it holds. It goes on as before until MayStop.
+  void Leave(double now_ms);
+  bool MayStop(double now_ms) const;
+  // The settings name other machines.
+  void SetSeeds(std::vector<Member> seeds) { seeds_ = std::move(seeds); }
   ReplicaOutput TakeOutput();
 
   Role role() const { return role_; }
-  std::uint64_t epoch() const { return promised_epoch_; }
-  // The newest value that is known to be committed; position 0, 0: none yet.
+  const Member& self() const { return self_; }
+  const Epoch& epoch() const { return promised_; }
+  // The newest value that is known to be committed; the first position: none yet.
   const AcceptedValue& committed() const { return committed_; }
-  // The owner as last heard; empty: none is known.
+  // The owner as last heard; none is known if it has been silent.
   std::optional<Member> Owner(double now_ms) const;
-  // Has it been in contact with an owner, or as an owner with a majority, within the last second?
+  double owner_heard_ms() const { return owner_heard_ms_; }
+  // Has it been in contact with an owner, or as an owner with a majority, within the last second, and does it
+  // hold what is committed?
   bool Fresh(double now_ms) const;
+  // The owner of an epoch in which a majority holds its value, with a majority's word that is not old.
+  bool Acting(double now_ms) const;
+  // As an owner: the members that answer it, itself included, in the agreed order.
+  std::vector<LiveProcess> LiveMembers(double now_ms) const;
   // Other control machines to keep links to.
   std::vector<Member> Peers() const;
+  // Bytes of values that were sent to peers and not answered for.
+  std::uint64_t UnansweredBytes() const;
 
  private:
   struct PeerState {
-    double heard_ms = -1e18;
-    double durable_at_ms = -1e18;  // when `durable` was last told
-    Position durable;
+    std::uint64_t store = 0;
+    std::uint64_t incarnation = 0;
+    double heard_ms = kNeverMs;      // when its last word was read
+    double confirmed_ms = kNeverMs;  // when the newest heartbeat that it answered was sent
+    double echo_ms = kNeverMs;       // by its own clock, when it sent its newest reply
     std::uint64_t round = 0;
-    bool voter = false;
-    double sent_ms = -1e18;  // when the newest value was last sent
-    Position sent;
+    Position accepted, durable;
+    std::optional<OutgoingTransfer> transfer;
   };
   struct Learner {
     Member member;
@@ -155,60 +186,82 @@
     std::uint64_t id;
     Order order;
   };
-  struct PendingRead {
+  // What is to be answered once a majority has answered that round of heartbeats.
+  struct Unconfirmed {
     std::uint64_t id;
     std::uint64_t round;
+    std::optional<OrderOutcome> outcome;  // none: a read
   };
   struct Vote {
-    double at_ms;
-    AcceptedValue accepted;
+    std::uint64_t store;
+    Position accepted;
+    std::optional<AcceptedValue> value;  // if it is newer than one's own
   };
 
   void On(double now_ms, const std::string& from, const PreVote& pre_vote);
   void On(double now_ms, const std::string& from, const PreVoteReply& reply);
   void On(double now_ms, const std::string& from, const Prepare& prepare);
   void On(double now_ms, const std::string& from, const Promise& promise);
-  void On(double now_ms, const std::string& from, const Accept& accept);
+  void On(double now_ms, const std::string& from, const ValuePiece& piece);
+  void On(double now_ms, const std::string& from, const PieceReply& reply);
   void On(double now_ms, const std::string& from, const Heartbeat& heartbeat);
   void On(double now_ms, const std::string& from, const HeartbeatReply& reply);
-  void On(double now_ms, const std::string& from, const RecoverRequest& request);
-  void On(double now_ms, const std::string& from, const RecoverReply& reply);
   void On(double now_ms, const std::string& from, const JoinRequest& request);
+  void On(double now_ms, const std::string& from, const JoinReply& reply);
+  void On(double now_ms, const std::string& from, const LeaveRequest& request);
+  void On(double now_ms, const std::string& from, const StandNow& stand);
   template <class Other>
   void On(double, const std::string&, const Other&) {}
 
-  const std::vector<Member>& Members() const { return accepted_.value.members; }
-  bool IsMember(const std::string& address) const;
+  bool IsVoter(const Member& member) const;
+  bool HasVoterAt(const std::string& address) const;
   std::size_t RankOfSelf() const;
   double Patience() const;
   void Save();
   void SendWhenSaved(const std::string& to, Message message);
   void Send(const std::string& to, Message message) { output_.sends.emplace_back(to, std::move(message)); }
+  template <class MessageType>
+  void SendToVoters(const MessageType& message);
+
+  // Elections (replica_election.cpp).
   void Follow(double now_ms);
   bool OwnerWorks(double now_ms, const std::string& candidate) const;
   void AskForVotes(double now_ms);
-  void StandForOwner(double now_ms);
+  void StandForOwner(double now_ms, bool handover);
+  void SendPrepares();
   void CountPromises(double now_ms);
   void Own(double now_ms, AcceptedValue adopted);
+
+  // The owner (replica_owner.cpp).
   void Replace(double now_ms, ShardValue value);
-  void SendValue(double now_ms, const std::string& to);
+  void Supply(double now_ms, const std::string& to, PeerState& peer);
+  void SupplyAll(double now_ms);
+  void SendHeartbeat(double now_ms, const std::string& to);
   void SendHeartbeats(double now_ms);
   void CountAccepted(double now_ms);
-  void Commit();
-  void AnswerReads(double now_ms);
   void NextChange(double now_ms);
-  bool ChangeMembers(double now_ms);
+  bool Judge(double now_ms, Waiting waiting);
+  void AwaitConfirmation(double now_ms, std::uint64_t id, std::optional<OrderOutcome> outcome);
+  void AnswerConfirmed();
+  bool MajorityConfirmed(double now_ms, double within_ms) const;
   void TickOwner(double now_ms);
-  void TickRecovery(double now_ms);
-  void Recovered(double now_ms);
-  bool MajorityHeard(double now_ms, double within_ms) const;
-  HeartbeatReply Standing(std::uint64_t round) const;
+
+  // Membership (replica_membership.cpp).
+  bool ChangeMembers(double now_ms);
+  const Learner* CaughtUpLearner(const std::string& address) const;
+  std::optional<Member> MemberToReplace(double now_ms) const;
+  void HandOver(double now_ms);
+  void TickLearner(double now_ms);
+
+  void Commit();
+  HeartbeatReply Standing(double now_ms) const;
 
   const Options options_;
   const double started_ms_;
-  Role role_ = Role::kRecovering;
-  bool voter_ = false;
-  std::uint64_t promised_epoch_ = 0;
+  Member self_;
+  std::vector<Member> seeds_;
+  Role role_ = Role::kLearner;
+  Epoch promised_;
   AcceptedValue accepted_;
   AcceptedValue committed_;
   std::uint64_t ticket_ = 0;        // of the newest state handed out to be saved
@@ -217,29 +270,39 @@
   std::map<std::uint64_t, Position> saving_;
   std::deque<std::pair<std::uint64_t, std::pair<std::string, Message>>> when_saved_;
 
-  // As a follower.
-  std::string owner_;              // internal address; empty: none is known
-  double owner_heard_ms_ = -1e18;  // ever; by an owner's heartbeat or value
+  // As a follower or learner.
+  std::string owner_;                  // internal address; empty: none is known
+  double owner_heard_ms_ = kNeverMs;   // ever; by an owner's heartbeat or value
+  double fresh_ms_ = kNeverMs;         // the owner was an owner after this moment, by its echo
+  double behind_since_ms_ = kNeverMs;  // what is committed is not held here; kNeverMs: it is
+  bool successor_waits_ = false;
+  bool outsider_ = false;  // it was told that it is no member any more
+  std::vector<Member> told_members_;
+  IncomingTransfer incoming_;
   double patience_from_ms_ = 0;
+  double asked_ms_ = kNeverMs;
+  double leaving_since_ms_ = kNeverMs;  // kNeverMs: it stays
+
   // As a candidate.
   std::map<std::string, Vote> votes_;
-  std::map<std::string, double> pre_votes_;  // when they came; only while they are asked for
+  std::map<std::string, std::uint64_t> pre_votes_;  // the voters' stores; only while they are asked for
   bool pre_voting_ = false;
+  bool handover_ = false;
   double stood_ms_ = 0;
   bool promise_saved_ = false;
   std::uint64_t promise_ticket_ = 0;
+
   // As an owner.
   std::map<std::string, PeerState> peers_;
   std::map<std::string, Learner> learners_;
-  std::uint64_t round_ = 0;
-  double beat_ms_ = -1e18;
+  std::map<std::string, double> leaving_;  // members that asked for a successor, when last
+  RecentValues recent_;
+  std::uint64_t round_ = 0;  // never set back in one life
+  double beat_ms_ = kNeverMs;
   double owned_ms_ = 0;
   std::deque<Waiting> proposals_;
   std::optional<std::uint64_t> in_flight_;  // the proposal whose value is being accepted
-  std::deque<PendingRead> reads_;
-  // As one that recovers or learns.
-  std::map<std::string, RecoverReply> recover_replies_;
-  double asked_ms_ = -1e18;
+  std::deque<Unconfirmed> unconfirmed_;
 
   ReplicaOutput output_;
 };
--- /dev/null
+++ b/src/fleet/replication/replica_membership.cpp
@@ -0,0 +1,140 @@
+// How the group changes: who joins, who leaves, and in whose place.
+//
+// A change exchanges one member for a learner that holds all, or adds one while the group is smaller than it
+// should be. It is one value that names both groups, committed by majorities of both, and then one that names
+// the new group only. At no moment does the group need more members alive than before: a machine lost during
+// the change is borne as it would be before or after it (docs/design/control-review.md has each sequence).
+#include <algorithm>
+
+#include "fleet/replication/quorum.h"
+#include "fleet/replication/replica.h"
+
+namespace bitternmux::fleet {
+
+void Replica::On(double now_ms, const std::string& from, const JoinRequest& request) {
+  if (request.member.internal != from) return;
+  if (role_ != Role::kOwner) {
+    if (accepted_.position == Position{}) return;
+    return Send(from, JoinReply{accepted_.position, Voters(accepted_.value)});
+  }
+  if (IsVoter(request.member)) return;
+  const bool known = learners_.contains(from);
+  if (!known && learners_.size() >= kMaxLearners) return;
+  learners_[from] = {request.member, now_ms};
+  if (!known) SendHeartbeat(now_ms, from);
+}
+
+void Replica::On(double now_ms, const std::string&, const JoinReply& reply) {
+  if (role_ == Role::kOwner || reply.position <= accepted_.position) return;
+  told_members_ = reply.members;
+  const bool named = std::ranges::any_of(reply.members, [&](const Member& member) {
+    return member.internal == self_.internal && member.store == self_.store;
+  });
+  if (named || outsider_) return;
+  outsider_ = true;  // the group has gone on without it
+  Follow(now_ms);
+}
+
+void Replica::On(double now_ms, const std::string& from, const LeaveRequest& request) {
+  if (role_ == Role::kOwner && IsVoter(request.member)) leaving_[from] = now_ms;
+}
+
+// A learner that has the newest value on disk; at that address, or at any where it is empty.
+const Replica::Learner* Replica::CaughtUpLearner(const std::string& address) const {
+  for (const auto& [at, learner] : learners_) {
+    if ((!address.empty() && at != address) || IsVoter(learner.member)) continue;
+    const auto found = peers_.find(at);
+    if (found != peers_.end() && found->second.store == learner.member.store &&
+        found->second.durable == accepted_.position)
+      return &learner;
+  }
+  return nullptr;
+}
+
+// The member that a learner should take the place of: one that asked to leave, or the one that is silent for
+// longest.
+std::optional<Member> Replica::MemberToReplace(double now_ms) const {
+  std::optional<Member> silent;
+  double silent_since_ms = now_ms - kMemberGoneMs;
+  for (const Member& member : accepted_.value.members) {
+    if (member.internal == self_.internal) {
+      if (leaving_since_ms_ != kNeverMs) return member;
+      continue;
+    }
+    if (leaving_.contains(member.internal)) return member;
+    const auto found = peers_.find(member.internal);
+    const bool known = found != peers_.end() && found->second.store == member.store;
+    const double heard_ms = std::max(owned_ms_, known ? found->second.heard_ms : kNeverMs);
+    if (heard_ms >= silent_since_ms) continue;
+    silent_since_ms = heard_ms;
+    silent = member;
+  }
+  return silent;
+}
+
+// Begins or ends a change of members. True: there is one.
+bool Replica::ChangeMembers(double now_ms) {
+  if (!accepted_.value.previous_members.empty()) {
+    ShardValue next = accepted_.value;
+    next.previous_members.clear();
+    Replace(now_ms, std::move(next));
+    return true;
+  }
+  const Learner* successor = CaughtUpLearner("");
+  if (successor == nullptr) return false;
+  std::optional<Member> leaver;
+  // One that has lost its disk comes back at its address: its former self is gone for certain.
+  for (const Member& member : accepted_.value.members) {
+    const Learner* learner = CaughtUpLearner(member.internal);
+    if (learner == nullptr || learner->member.store == member.store) continue;
+    leaver = member;
+    successor = learner;
+  }
+  const bool grows = !leaver && accepted_.value.members.size() < options_.group_size;
+  if (!leaver && !grows) leaver = MemberToReplace(now_ms);
+  if (!leaver && !grows) return false;
+  ShardValue next = accepted_.value;
+  next.previous_members = next.members;
+  if (leaver) std::erase(next.members, *leaver);
+  next.members.push_back(successor->member);
+  std::ranges::sort(next.members);
+  learners_.erase(std::string(successor->member.internal));
+  Replace(now_ms, std::move(next));
+  return true;
+}
+
+// ---- Leaving ----
+
+void Replica::Leave(double now_ms) {
+  if (leaving_since_ms_ == kNeverMs) leaving_since_ms_ = now_ms;
+}
+
+bool Replica::MayStop(double now_ms) const {
+  if (leaving_since_ms_ == kNeverMs) return false;
+  if (now_ms - leaving_since_ms_ > kLeaveMs) return true;
+  if (role_ == Role::kOwner) return false;
+  return !IsVoter(self_) || !successor_waits_;
+}
+
+// Asks the member that holds most to stand for owner at once.
+void Replica::HandOver(double now_ms) {
+  asked_ms_ = now_ms;
+  const Member* best = nullptr;
+  for (const Member& member : accepted_.value.members) {
+    const auto found = peers_.find(member.internal);
+    if (found == peers_.end() || found->second.store != member.store) continue;
+    if (found->second.accepted != accepted_.position || leaving_.contains(member.internal)) continue;
+    if (now_ms - found->second.confirmed_ms > kOwnerAloneMs) continue;
+    best = &member;
+    break;
+  }
+  if (best != nullptr) Send(best->internal, StandNow{promised_});
+}
+
+void Replica::TickLearner(double now_ms) {
+  if (now_ms - asked_ms_ < kAskAgainMs || leaving_since_ms_ != kNeverMs) return;
+  asked_ms_ = now_ms;
+  for (const Member& member : Peers()) Send(member.internal, JoinRequest{self_, options_.incarnation});
+}
+
+}  // namespace bitternmux::fleet
--- a/src/fleet/storage/replica_store.h
+++ b/src/fleet/storage/replica_store.h
@@ -15,6 +15,12 @@
   using std::runtime_error::runtime_error;
 };
 
+// What was saved cannot be read any more: the disk counts as lost.
+class StorageUnreadable : public StorageError {
+ public:
+  using StorageError::StorageError;
+};
+
 class ReplicaStore {
  public:
   virtual ~ReplicaStore() = default;
--- a/src/fleet/storage/sqlite_store.cpp
+++ b/src/fleet/storage/sqlite_store.cpp
@@ -4,6 +4,7 @@
 #include <sqlite3.h>
 #include <unistd.h>
 
+#include <cstdio>
 #include <gsl/util>
 #include <string_view>
 
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr int kCachePages = 64;  // of 4 KB; the one row is read once
+constexpr int kLogBytes = 1024 * 1024;
+constexpr const char* kFile = "/replica.db";
+constexpr const char* kSetAside = ".unreadable";
 
 std::string ToBytes(const AcceptedValue& accepted) {
   std::string bytes;
@@ -43,9 +47,11 @@
     Run("PRAGMA locking_mode = exclusive");
     Run("PRAGMA journal_mode = wal");
     Run("PRAGMA synchronous = full");
+    Run("PRAGMA journal_size_limit = " + std::to_string(kLogBytes));
     Run("PRAGMA cache_size = " + std::to_string(kCachePages));
-    Run("CREATE TABLE IF NOT EXISTS replica (id INTEGER PRIMARY KEY, promised_epoch INTEGER NOT NULL, "
-        "voter INTEGER NOT NULL, accepted BLOB NOT NULL)");
+    if (HasTable("replica")) throw StorageError(path + " was written by an earlier version of this program");
+    Run("CREATE TABLE IF NOT EXISTS replica_state (id INTEGER PRIMARY KEY, store INTEGER NOT NULL, "
+        "promised_counter INTEGER NOT NULL, promised_store INTEGER NOT NULL, accepted BLOB NOT NULL)");
   }
 
   void Run(const std::string& sql) {
@@ -58,8 +64,20 @@
     return gsl::finally([&statement] { sqlite3_finalize(statement); });
   }
 
+  bool HasTable(const std::string& name) {
+    sqlite3_stmt* statement = nullptr;
+    const auto guard = Prepare("SELECT 1 FROM sqlite_master WHERE type = 'table' AND name = ?", statement);
+    sqlite3_bind_text(statement, 1, name.c_str(), -1, SQLITE_STATIC);
+    const int result = sqlite3_step(statement);
+    if (result != SQLITE_ROW && result != SQLITE_DONE) Fail("look for a table");
+    return result == SQLITE_ROW;
+  }
+
   [[noreturn]] void Fail(const std::string& what) {
-    throw StorageError(what + ": " + sqlite3_errmsg(handle_.get()));
+    const std::string why = what + ": " + sqlite3_errmsg(handle_.get());
+    const int code = sqlite3_errcode(handle_.get());
+    if (code == SQLITE_CORRUPT || code == SQLITE_NOTADB) throw StorageUnreadable(why);
+    throw StorageError(why);
   }
 
  private:
@@ -78,28 +96,38 @@
 };
 
 SqliteStore::SqliteStore(const std::string& folder) {
-  database_ = std::make_unique<Database>(folder + "/replica.db");
+  database_ = std::make_unique<Database>(folder + kFile);
   SyncFolder(folder);
 }
 
 SqliteStore::~SqliteStore() = default;
 
+void SqliteStore::SetAside(const std::string& folder) {
+  const std::string path = folder + kFile;
+  if (std::rename(path.c_str(), (path + kSetAside).c_str()) != 0) throw StorageError("cannot move " + path);
+  for (const char* suffix : {"-wal", "-shm", "-journal"}) std::remove((path + suffix).c_str());
+  SyncFolder(folder);
+}
+
 std::optional<DurableState> SqliteStore::Load() {
   sqlite3_stmt* statement = nullptr;
-  const auto guard =
-      database_->Prepare("SELECT promised_epoch, voter, accepted FROM replica WHERE id = 0", statement);
+  const auto guard = database_->Prepare(
+      "SELECT store, promised_counter, promised_store, accepted FROM replica_state WHERE id = 0", statement);
   const int result = sqlite3_step(statement);
   if (result == SQLITE_DONE) return std::nullopt;
   if (result != SQLITE_ROW) database_->Fail("load");
+  const auto number = [&](int column) {
+    return static_cast<std::uint64_t>(sqlite3_column_int64(statement, column));
+  };
   DurableState state;
-  state.promised_epoch = static_cast<std::uint64_t>(sqlite3_column_int64(statement, 0));
-  state.voter = sqlite3_column_int(statement, 1) != 0;
-  const auto* bytes = static_cast<const char*>(sqlite3_column_blob(statement, 2));
-  const auto size = static_cast<std::size_t>(sqlite3_column_bytes(statement, 2));
+  state.store = number(0);
+  state.promised = {number(1), number(2)};
+  const auto* bytes = static_cast<const char*>(sqlite3_column_blob(statement, 3));
+  const auto size = static_cast<std::size_t>(sqlite3_column_bytes(statement, 3));
   try {
     state.accepted = FromBytes(std::string_view(bytes, size));
   } catch (const cereal::Exception& error) {
-    throw StorageError(std::string("the stored value cannot be read: ") + error.what());
+    throw StorageUnreadable(std::string("the stored value cannot be read: ") + error.what());
   }
   return state;
 }
@@ -108,10 +136,16 @@
   const std::string accepted = ToBytes(state.accepted);
   sqlite3_stmt* statement = nullptr;
   const auto guard = database_->Prepare(
-      "INSERT OR REPLACE INTO replica (id, promised_epoch, voter, accepted) VALUES (0, ?, ?, ?)", statement);
-  sqlite3_bind_int64(statement, 1, static_cast<sqlite3_int64>(state.promised_epoch));
-  sqlite3_bind_int(statement, 2, state.voter ? 1 : 0);
-  sqlite3_bind_blob(statement, 3, accepted.data(), static_cast<int>(accepted.size()), SQLITE_STATIC);
+      "INSERT OR REPLACE INTO replica_state (id, store, promised_counter, promised_store, accepted) "
+      "VALUES (0, ?, ?, ?, ?)",
+      statement);
+  const auto bind = [&](int parameter, std::uint64_t number) {
+    sqlite3_bind_int64(statement, parameter, static_cast<sqlite3_int64>(number));
+  };
+  bind(1, state.store);
+  bind(2, state.promised.counter);
+  bind(3, state.promised.store);
+  sqlite3_bind_blob(statement, 4, accepted.data(), static_cast<int>(accepted.size()), SQLITE_STATIC);
   if (sqlite3_step(statement) != SQLITE_DONE) database_->Fail("save");
 }
 
--- a/tests/fleet/discovery/list_role_test.cpp
+++ b/tests/fleet/discovery/list_role_test.cpp
@@ -1,72 +1,145 @@
-#include "fleet/discovery/list_role.h"
-
+// Who reads the platform's list: the owner's assignments and the readers that go by them.
 #include <catch2/catch.hpp>
 
+#include "fleet/discovery/list_assigner.h"
+#include "fleet/discovery/list_reader.h"
+
 namespace bitternmux::fleet {
+namespace {
+
+const Epoch kFirst{3, 1}, kSecond{4, 2};
+const LiveProcess kA{"a", 10}, kB{"b", 20}, kC{"c", 30};
+const std::vector<LiveProcess> kAll = {kA, kB, kC};
 
-TEST_CASE("list role: the first in order reads at once, the others only when it falls silent") {
-  ListRole first(0), second(0);
-  CHECK(first.ShouldRead(1, 0));
-  CHECK_FALSE(second.ShouldRead(1, 1));
-  const ListPosition position = first.Read(3);
-  CHECK(second.Hear(4, position));
-  CHECK_FALSE(second.ShouldRead(900, 1));
-  CHECK(second.ShouldRead(4 + kListSilentMs + kListStaggerMs, 1));
-  CHECK(second.acting());
+ListReading ReadingAt(const ListReader::Told& told) {
+  ListReading reading = told.reading;
+  if (told.whole) reading.change.emplace();
+  return reading;
 }
 
-TEST_CASE("list role: a reader that was frozen is refused and gives the role up") {
-  ListRole first(0), second(0), third(0);
-  REQUIRE(first.ShouldRead(0, 0));
-  second.Hear(2, first.Read(1));
-  third.Hear(2, first.newest());
-  REQUIRE(first.ShouldRead(500, 0));  // a reading is under way as it freezes
-  REQUIRE(second.ShouldRead(2000, 1));
-  const ListPosition newer = second.Read(2001);
-  CHECK(third.Hear(2002, newer));
-  const ListPosition late = first.Read(3000);  // what it read is past
-  CHECK_FALSE(third.Hear(3001, late));
-  CHECK(first.Hear(3002, newer));
-  CHECK_FALSE(first.acting());
-  CHECK_FALSE(first.ShouldRead(3003, 0));
+}  // namespace
+
+TEST_CASE("list assigner: the owner reads first, the next live member when nothing is heard for 0.9 s") {
+  ListAssigner assigner;
+  assigner.Begin(0, kFirst, kB);
+  CHECK(assigner.assignment() == ListAssignment{kFirst, 1, "b", 20});
+  assigner.Heard(500, {kFirst, 1, 1});
+  CHECK_FALSE(assigner.Tick(500 + kListSilentMs, kAll));
+  CHECK(assigner.Tick(501 + kListSilentMs, kAll));
+  CHECK(assigner.assignment() == ListAssignment{kFirst, 2, "c", 30});
+  // What the former reader still tells does not count.
+  assigner.Heard(2000, {kFirst, 1, 2});
+  CHECK(assigner.Tick(2400, kAll));
+  CHECK(assigner.assignment() == ListAssignment{kFirst, 3, "a", 10});
 }
 
-TEST_CASE("list role: a reader that the platform does not answer is succeeded") {
-  ListRole first(0), second(0);
-  REQUIRE(first.ShouldRead(0, 0));
-  second.Hear(1, first.Read(1));
-  for (double now_ms = 400; now_ms < 1100; now_ms += 400) {
-    REQUIRE(first.ShouldRead(now_ms, 0));
-    first.Failed();
-  }
-  CHECK(second.ShouldRead(1200, 1));
+TEST_CASE("list assigner: a reader whose process was restarted is assigned anew at once") {
+  ListAssigner assigner;
+  assigner.Begin(0, kFirst, kA);
+  assigner.Heard(100, {kFirst, 1, 1});
+  CHECK(assigner.Tick(150, {{"a", 11}, kB}));
+  CHECK(assigner.assignment() == ListAssignment{kFirst, 2, "a", 11});
 }
 
-TEST_CASE("list role: terms of two that take over at the same moment differ") {
-  ListRole second(0), third(0);
-  const ListPosition seen{256, 7};
-  second.Hear(0, seen);
-  third.Hear(0, seen);
-  REQUIRE(second.ShouldRead(5000, 1));
-  REQUIRE(third.ShouldRead(5000, 2));
-  const ListPosition one = second.Read(5001), other = third.Read(5001);
-  CHECK(one.term != other.term);
-  // The one with the lower term gives way.
-  CHECK(second.Hear(5002, other));
-  CHECK_FALSE(third.Hear(5002, one));
-  CHECK_FALSE(second.acting());
-  CHECK(third.acting());
+TEST_CASE("list assigner: a new epoch begins anew, the same one does not") {
+  ListAssigner assigner;
+  assigner.Begin(0, kFirst, kA);
+  assigner.Tick(2000, kAll);
+  const ListAssignment before = assigner.assignment();
+  assigner.Begin(2000, kFirst, kA);
+  CHECK(assigner.assignment() == before);
+  assigner.Begin(3000, kSecond, kC);
+  CHECK(assigner.assignment() == ListAssignment{kSecond, 1, "c", 30});
 }
 
-TEST_CASE("list role: readings keep their pace") {
-  ListRole role(0);
+TEST_CASE(
+    "list reader: reads every 0.4 s while it is assigned, in contact, and in the epoch of its assignment") {
+  ListReader reader("a", 10);
+  CHECK_FALSE(reader.ShouldRead(0, kFirst, true));
+  reader.Assigned({kFirst, 1, "a", 10});
   int readings = 0;
   for (double now_ms = 0; now_ms < 4000; now_ms += 10) {
-    if (!role.ShouldRead(now_ms, 0)) continue;
+    if (!reader.ShouldRead(now_ms, kFirst, true)) continue;
     ++readings;
-    role.Read(now_ms + 1);
+    REQUIRE(reader.Read(now_ms + 1, false));
   }
   CHECK(readings == 10);
+  CHECK_FALSE(reader.ShouldRead(5000, kFirst, false));
+  CHECK_FALSE(reader.ShouldRead(5000, kSecond, true));
+  reader.Assigned({kFirst, 2, "b", 20});
+  CHECK_FALSE(reader.ShouldRead(5000, kFirst, true));
+  CHECK_FALSE(reader.acting());
+}
+
+TEST_CASE("list reader: an assignment to an earlier life of the process is none of its") {
+  ListReader reader("a", 11);
+  reader.Assigned({kFirst, 1, "a", 10});
+  CHECK_FALSE(reader.ShouldRead(0, kFirst, true));
+}
+
+TEST_CASE("list reader: what ends after another assignment has come is dropped") {
+  ListReader reader("a", 10);
+  reader.Assigned({kFirst, 1, "a", 10});
+  REQUIRE(reader.ShouldRead(0, kFirst, true));
+  reader.Assigned({kFirst, 2, "b", 20});
+  reader.ShouldRead(10, kFirst, true);
+  CHECK_FALSE(reader.Read(20, true));
+  // Assigned anew meanwhile: it is a reading of the former assignment all the same.
+  reader.Assigned({kFirst, 3, "a", 10});
+  REQUIRE(reader.ShouldRead(30, kFirst, true));
+  reader.Assigned({kFirst, 4, "a", 10});
+  CHECK_FALSE(reader.Read(40, true));
+}
+
+TEST_CASE("list reader: an older assignment does not take the place of a newer one") {
+  ListReader reader("a", 10);
+  reader.Assigned({kSecond, 1, "a", 10});
+  reader.Assigned({kFirst, 9, "b", 20});
+  CHECK(reader.ShouldRead(0, kSecond, true));
+}
+
+TEST_CASE("list reader: after all control machines were killed the first reading is above all before") {
+  ListReader before("a", 10), after("a", 11);
+  before.Assigned({kFirst, 1, "a", 10});
+  ListPosition last;
+  for (double now_ms = 0; now_ms < 20'000; now_ms += 400) {
+    REQUIRE(before.ShouldRead(now_ms, kFirst, true));
+    last = before.Read(now_ms, false)->reading.position;
+  }
+  after.Assigned({kSecond, 1, "a", 11});
+  REQUIRE(after.ShouldRead(0, kSecond, true));
+  CHECK(after.Read(1, true)->reading.position > last);
+}
+
+TEST_CASE("list reader: readings of others are taken in order, and only where their content is known") {
+  ListReader reader("a", 10), other("b", 20);
+  reader.Assigned({kFirst, 1, "a", 10});
+  REQUIRE(reader.ShouldRead(0, kFirst, true));
+  const ListReading first = ReadingAt(*reader.Read(1, true));
+  REQUIRE(reader.ShouldRead(400, kFirst, true));
+  const ListReading changed = ReadingAt(*reader.Read(401, true));
+  REQUIRE(reader.ShouldRead(800, kFirst, true));
+  const ListReading same = ReadingAt(*reader.Read(801, false));
+  CHECK_FALSE(same.change);
+  CHECK(other.Hear(2, first));
+  CHECK_FALSE(other.Hear(3, first));
+  // It has missed the second reading, and must not take its own content for the third one's.
+  CHECK_FALSE(other.Hear(802, same));
+  CHECK(other.newest() == first.position);
+  CHECK(other.Hear(803, changed));
+  CHECK(other.Hear(804, same));
+  CHECK_FALSE(other.Hear(805, changed));
+}
+
+TEST_CASE("list reader: the whole list is told again now and then") {
+  ListReader reader("a", 10);
+  reader.Assigned({kFirst, 1, "a", 10});
+  std::uint64_t whole = 0;
+  for (double now_ms = 0; now_ms < 400.0 * 24; now_ms += 400) {
+    REQUIRE(reader.ShouldRead(now_ms, kFirst, true));
+    whole += reader.Read(now_ms, false)->whole ? 1 : 0;
+  }
+  CHECK(whole == 1 + 24 / kWholeEvery);
 }
 
 }  // namespace bitternmux::fleet
--- a/tests/fleet/messages/codec_test.cpp
+++ b/tests/fleet/messages/codec_test.cpp
@@ -16,8 +16,9 @@
 
 AcceptedValue SomeValue() {
   AcceptedValue accepted;
-  accepted.position = {3, 9};
-  accepted.value.members = {{"a:1", "a:2"}};
+  accepted.position = {{3, 7}, 9};
+  accepted.value.members = {{"a:1", "a:2", 7}};
+  accepted.value.previous_members = {{"b:1", "b:2", 8}};
   accepted.value.version = 5;
   accepted.value.configuration = std::string("{\"x\":\0}", 7);
   accepted.value.history = {{5, 77}};
@@ -27,10 +28,10 @@
 }  // namespace
 
 TEST_CASE("codec: messages come back as they were") {
-  CHECK(std::get<Accept>(Again(Accept{SomeValue()})).accepted == SomeValue());
+  CHECK(std::get<Promise>(Again(Promise{7, {3, 7}, {{3, 7}, 9}, SomeValue()})).value == SomeValue());
   FeedEntry entry;
   entry.offset = 4;
-  entry.servers = ServersChange{{1, 2}, true, {}, {{"i", "s", "a", "z", 3, true}}, {"gone"}};
+  entry.servers = ServersChange{{{1, 7}, 1, 2}, true, {}, {{"i", "s", "a", "z", 3, true}}, {"gone"}};
   const auto back = std::get<FeedEntry>(Again(entry));
   CHECK(back.offset == 4);
   REQUIRE(back.servers);
@@ -40,7 +41,7 @@
 }
 
 TEST_CASE("codec: what is cut, spoilt or of another version is refused and never read past its end") {
-  const std::string frame = EncodeFrame(Accept{SomeValue()});
+  const std::string frame = EncodeFrame(Promise{7, {3, 7}, {{3, 7}, 9}, SomeValue()});
   const std::string payload = frame.substr(kFrameHeaderBytes);
   for (std::size_t size = 0; size < payload.size(); ++size) {
     CHECK_THROWS_AS(DecodePayload(payload.substr(0, size)), FrameError);
--- a/tests/fleet/replication/replica_test.cpp
+++ b/tests/fleet/replication/replica_test.cpp
@@ -1,5 +1,6 @@
 // The replica group in simulated time: histories of orders and faults, checked after the run.
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 
 #include "fleet/replication/simulation.h"
@@ -142,7 +143,7 @@
   CheckEnd(simulation);
 }
 
-TEST_CASE("replica: a wiped one does not vote before it has asked a majority of the others") {
+TEST_CASE("replica: a wiped one does not count before the group has taken it in") {
   Simulation simulation({15, 3, 1, 5, 0});
   simulation.RunFor(1000);
   simulation.Send(1, 0, 10);
@@ -155,10 +156,15 @@
   simulation.Start(wiped);
   simulation.RunFor(3000);
   // Alone with the owner it must not form a majority: the one that is down may know more.
-  CHECK(simulation.replica(wiped)->role() == Replica::Role::kRecovering);
+  CHECK(simulation.replica(wiped)->role() != Replica::Role::kOwner);
+  CHECK(simulation.replica(wiped)->epoch() <= simulation.replica(owner)->epoch());
+  CHECK_FALSE(simulation.Owner());
   simulation.Start(other);
   simulation.RunFor(3000);
-  CHECK(simulation.replica(wiped)->role() != Replica::Role::kRecovering);
+  const auto now_owner = simulation.Owner();
+  REQUIRE(now_owner);
+  const auto& members = simulation.replica(*now_owner)->committed().value.members;
+  CHECK(std::ranges::find(members, simulation.replica(wiped)->self()) != members.end());
   CheckEnd(simulation);
 }
 
@@ -174,8 +180,14 @@
     REQUIRE(owner);
     const auto& members = simulation.replica(*owner)->committed().value.members;
     CHECK(members.size() == machines);
-    CHECK(std::ranges::find(members, simulation.member(machines)) != members.end());
-    CHECK(std::ranges::find(members, simulation.member(0)) == members.end());
+    std::set<std::string> addresses;
+    for (const Member& member : members) addresses.insert(member.internal);
+    CHECK(addresses.size() == members.size());
+    const auto named = [&](std::size_t i) {
+      return std::ranges::count(members, simulation.member(i).internal, &Member::internal) == 1;
+    };
+    CHECK(named(machines));
+    CHECK_FALSE(named(0));
     // It now bears the loss of another one of the first.
     simulation.Crash(1);
     simulation.RunFor(2500);
@@ -264,9 +276,9 @@
 }
 
 TEST_CASE("replica: a read is answered by an owner that a majority confirms, and by no other") {
-  const Member self{"10.0.0.1:7000", "10.0.0.1:8000"}, second{"10.0.0.2:7000", "10.0.0.2:8000"},
-      third{"10.0.0.3:7000", "10.0.0.3:8000"};
-  Replica replica({self, {self, second, third}, true, 3, 1}, std::nullopt, 0);
+  const Member self{"10.0.0.1:7000", "10.0.0.1:8000", 0}, second{"10.0.0.2:7000", "10.0.0.2:8000", 0},
+      third{"10.0.0.3:7000", "10.0.0.3:8000", 0};
+  Replica replica({self, {self, second, third}, true, 3, 1, 5000}, std::nullopt, 0);
   replica.Read(1, 77);
   const ReplicaOutput output = replica.TakeOutput();
   REQUIRE(output.reads.size() == 1);
--- a/tests/fleet/replication/simulation.h
+++ b/tests/fleet/replication/simulation.h
@@ -164,7 +164,7 @@
     auto machine = std::make_unique<Machine>();
     const std::string ip =
         "10.0." + std::to_string(address / 200) + "." + std::to_string(100 + address % 200);
-    machine->self = {ip + ":7000", ip + ":8000"};
+    machine->self = {ip + ":7000", ip + ":8000", 0};
     return machine;
   }
 
@@ -179,6 +179,7 @@
     options.bootstrap = bootstrap;
     options.group_size = 2 * options_.tolerated + 1;
     options.incarnation = ++last_incarnation_;
+    options.new_store = Replica::kMaxFirstStore + last_incarnation_;
     ++machine.life;
     machine.committed = {};
     machine.replica = std::make_unique<Replica>(options, machine.disk, now_ms_);
@@ -262,7 +263,7 @@
     if (machine.replica->role() != Replica::Role::kOwner) {
       const auto owner = machine.replica->Owner(now_ms_);
       for (std::size_t i = 0; owner && i < machines_.size(); ++i) {
-        if (machines_[i]->self == *owner && machines_[i]->replica != nullptr &&
+        if (machines_[i]->self.internal == owner->internal && machines_[i]->replica != nullptr &&
             machines_[i]->replica->role() == Replica::Role::kOwner) {
           return At(now_ms_ + 1, [=, this] { Try(record, i, tries + 1); });
         }
@@ -311,8 +312,8 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::vector<OrderRecord> records_;
   std::map<std::uint64_t, Pending> pending_;
-  std::map<std::uint64_t, ShardValue> values_;   // committed, by sequence
-  std::map<std::uint64_t, std::string> owners_;  // by epoch
+  std::map<std::uint64_t, ShardValue> values_;  // committed, by sequence
+  std::map<Epoch, std::string> owners_;         // by epoch
   std::vector<std::string> violations_;
 };
 
--- a/tests/fleet/storage/sqlite_store_test.cpp
+++ b/tests/fleet/storage/sqlite_store_test.cpp
@@ -2,9 +2,11 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace bitternmux::fleet {
@@ -26,9 +28,9 @@
 
 DurableState State(std::uint64_t epoch, std::size_t bytes) {
   DurableState state;
-  state.promised_epoch = epoch;
-  state.voter = true;
-  state.accepted.position = {epoch, 3};
+  state.store = 7;
+  state.promised = {epoch, 7};
+  state.accepted.position = {{epoch, 7}, 3};
   state.accepted.value.configuration = std::string(bytes, 'c');
   state.accepted.value.history = {{1, 2}, {3, 4}};
   return state;
@@ -62,4 +64,47 @@
   CHECK_THROWS_AS(SqliteStore("/nonexistent/folder"), StorageError);
 }
 
+TEST_CASE("sqlite store: a file that is no database is set aside, and an empty store takes its place") {
+  const Folder folder;
+  std::ofstream(folder.path() + "/replica.db") << std::string(9000, 'x');
+  CHECK_THROWS_AS(SqliteStore(folder.path()), StorageUnreadable);
+  SqliteStore::SetAside(folder.path());
+  SqliteStore store(folder.path());
+  CHECK_FALSE(store.Load());
+  store.Save(State(3, 10));
+  CHECK(store.Load() == State(3, 10));
+  CHECK(std::filesystem::exists(folder.path() + "/replica.db.unreadable"));
+}
+
+TEST_CASE("sqlite store: pages that were spoilt are told as unreadable, at the opening or at the reading") {
+  const Folder folder;
+  {
+    SqliteStore store(folder.path());
+    store.Save(State(3, 60'000));
+  }
+  {
+    std::fstream file(folder.path() + "/replica.db", std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(4096);
+    file << std::string(8192, '\x7f');
+  }
+  const auto read = [&] {
+    SqliteStore store(folder.path());
+    store.Load();
+  };
+  CHECK_THROWS_AS(read(), StorageUnreadable);
+}
+
+TEST_CASE("sqlite store: hundreds of changes with bodies of 4 MB stay far below the disk's 128 MB") {
+  const Folder folder;
+  SqliteStore store(folder.path());
+  std::uintmax_t most = 0;
+  for (std::uint64_t i = 0; i < 300; ++i) {
+    store.Save(State(i, i % 10 == 0 ? 4 * 1024 * 1024 : 20'000));
+    std::uintmax_t bytes = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(folder.path())) bytes += entry.file_size();
+    most = std::max(most, bytes);
+  }
+  CHECK(most < 32U * 1024 * 1024);
+}
+
 }  // namespace bitternmux::fleet
