--- a/lab/simulation/disk.h
+++ b/lab/simulation/disk.h
@@ -1,5 +1,5 @@
-// A simulated disk: what is on it outlasts the process and the power. A write takes its time, may be torn away
-// by a kill or a loss of power while it runs, and waits while the disk is stalled or full.
+// A simulated disk: what is on it outlasts the process and the power. A write takes its time, may be torn
+// away by a kill or a loss of power while it runs, and waits while the disk is stalled or full.
 #ifndef BITTERNMUX_LAB_SIMULATION_DISK_H_
 #define BITTERNMUX_LAB_SIMULATION_DISK_H_
 
@@ -44,6 +44,7 @@
     bool begun = false;
   };
   static constexpr double kRetryMs = 150;
+  static constexpr double kLookMs = 10;  // while it is stalled
 
   void Begin() {
     writing_ = std::exchange(waiting_, std::nullopt);
@@ -61,7 +62,7 @@
       return;
     }
     if (now_ms < stalled_until_ms_) {
-      clock_.At(stalled_until_ms_, [this, life] {
+      clock_.After(kLookMs, [this, life] {
         if (life == life_) Wait();
       });
       return;
--- a/lab/simulation/edge_machine.h
+++ b/lab/simulation/edge_machine.h
@@ -1,5 +1,5 @@
-// An edge machine in simulated time: the agent's deciders (which control machine feeds it, what it holds, what
-// it publishes) and the router's end of the feed beside it.
+// An edge machine in simulated time: the agent's deciders (which control machine feeds it, what it holds,
+// what it publishes) and the router's end of the feed beside it.
 #ifndef BITTERNMUX_LAB_SIMULATION_EDGE_MACHINE_H_
 #define BITTERNMUX_LAB_SIMULATION_EDGE_MACHINE_H_
 
@@ -45,6 +45,7 @@
   void Kill();
   void KillRouter() { router_.reset(); }
   void Freeze(double for_ms);
+  void Unfreeze();
   void AskQuota(const std::string& tenant, double need, double reserve);
 
   void Connected(std::uint64_t life, std::uint64_t link);
--- a/lab/simulation/faults.cpp
+++ b/lab/simulation/faults.cpp
@@ -104,7 +104,8 @@
   if (kind == 4) LeaveOneBehind(hit, clock.Between(1500, 5000));
 }
 
-// One is cut off and misses changes; then another one loses its disk and the rest are dark, and the cut heals.
+// One is cut off and misses changes; then another one loses its disk and the rest are dark, and the cut
+// heals.
 void Faults::LeaveOneBehind(std::size_t hit, double for_ms) {
   world_.Isolate(hit, for_ms);
   world_.clock().After(for_ms - 100, [this, hit, for_ms] {
--- a/lab/simulation/faults.h
+++ b/lab/simulation/faults.h
@@ -1,6 +1,6 @@
 // The faults of a day, drawn from its seed. Each has its counterpart among the bench's kinds of trouble
-// (docs/design/control-review.md has the table). They overlap and repeat, also beyond what the fleet tolerates;
-// only disks are not lost beyond it.
+// (docs/design/control-review.md has the table). They overlap and repeat, also beyond what the fleet
+// tolerates; only disks are not lost beyond it.
 #ifndef BITTERNMUX_LAB_SIMULATION_FAULTS_H_
 #define BITTERNMUX_LAB_SIMULATION_FAULTS_H_
 
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -129,6 +129,7 @@
 
   void AddControl();
   void RemoveWhenBorne(std::size_t i);
+  void DropSeed(std::size_t i);
   std::vector<fleet::Member> CountedMembers() const;  // of the newest committed value, and before its change
   void Boot(std::size_t i, bool bootstrap);
   void StartAfter(std::size_t i, double down_ms);
@@ -161,6 +162,7 @@
   std::set<std::size_t> cut_from_platform_;
   std::map<std::size_t, std::uint64_t> starting_;  // which start of a machine is due
   double lost_answers_ = 0;
+  bool calm_ = false;  // faults that were planned before do not strike any more
   std::set<std::size_t> open_calls_;
   std::map<std::size_t, fleet::Order> orders_;
   std::function<void(std::size_t)> when_acknowledged_;
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -233,7 +233,7 @@
                         {"members", members},
                         {"servers", core_->publisher().state().servers.size()},
                         {"reads_platform_list", core_->list_reader().acting()},
-                        {"platform_list_age_ms", NowMs() - core_->list_reader().heard_ms()},
+                        {"platform_list_age_ms", NowMs() - core_->list().heard_ms()},
                         {"subscribers", core_->subscribers()}}
       .dump();
 }
--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -60,7 +60,15 @@
 void ControlCore::FromControl(double now_ms, const std::string& address, const Message& message) {
   if (const auto* grant = std::get_if<QuotaGrant>(&message)) return GrantQuota(*grant);
   if (const auto* request = std::get_if<QuotaRequest>(&message)) return AskQuota(now_ms, *request, true);
-  if (const auto* reading = std::get_if<ListReading>(&message)) return Take(now_ms, *reading);
+  if (const auto* reading = std::get_if<ListReading>(&message)) {
+    if (list_.Take(now_ms, *reading)) Publish(publisher_.SetServers(list_.content(), list_.servers()));
+    return;
+  }
+  if (const auto* report = std::get_if<ListReport>(&message)) {
+    ServerMap servers;
+    for (const ServerEntry& entry : report->servers) servers[entry.id] = entry;
+    return Report(now_ms, report->assignment, std::move(servers));
+  }
   if (const auto* assignment = std::get_if<ListAssignment>(&message)) {
     return list_reader_.Assigned(*assignment);
   }
@@ -72,17 +80,15 @@
 
 // It may have missed what was told on an earlier link.
 void ControlCore::ControlConnected(const std::string& address) {
-  if (!list_reader_.acting() || list_reader_.newest() == ListPosition{}) return;
-  ListReading reading{list_reader_.newest(), list_reader_.content(), std::nullopt};
-  reading.change = MakeServersChange({}, {}, servers_, reading.content);
-  ToControl(address, std::move(reading));
+  if (replica_.role() != Replica::Role::kOwner || list_.newest().epoch != replica_.epoch()) return;
+  ToControl(address, list_.Whole());
 }
 
 void ControlCore::Subscribed(double now_ms, SubscriberId id, const Subscribe& subscribe) {
   subscribers_[id] = subscribe.subscriber;
   const bool configuration_ahead = subscribe.configuration_version > publisher_.state().configuration_version;
   const bool list_ahead =
-      publisher_.state().list_position != ListPosition{} && subscribe.servers > list_reader_.newest();
+      publisher_.state().list_position != ListPosition{} && subscribe.servers > list_.newest();
   if (configuration_ahead || list_ahead) {
     output_.notices.push_back(
         {ControlNotice::Kind::kSubscriberAhead, subscribe.subscriber, subscribe.configuration_version});
@@ -115,12 +121,20 @@
 
 ControlOutput ControlCore::TakeOutput(double now_ms) {
   if (replica_.role() != told_role_) calls_.Tick(now_ms);  // calls may have waited for that
+  const bool begins_to_act = replica_.epoch() != assigner_.assignment().epoch && replica_.Acting(now_ms);
+  if (begins_to_act) TendList(now_ms);  // the list is wanted at once
   ReplicaOutput decided = replica_.TakeOutput();
   output_.save = std::move(decided.save);
   for (auto& [to, message] : decided.sends) ToControl(to, std::move(message));
   PublishCommitted(now_ms);
   for (const Decision& decision : decided.decisions) calls_.Decided(now_ms, decision);
-  for (const ReadOutcome& outcome : decided.reads) calls_.ReadDone(now_ms, outcome);
+  for (const ReadOutcome& outcome : decided.reads) {
+    if (outcome.id < kConfirmations) {
+      calls_.ReadDone(now_ms, outcome);
+    } else if (outcome.id == confirmation_ && outcome.current) {
+      PublishList(now_ms);
+    }
+  }
   const ShardValue& committed = replica_.committed().value;
   for (CallReply& reply : calls_.TakeReplies()) {
     CallAnswer answer{std::move(reply), committed.version, std::nullopt};
@@ -196,7 +210,7 @@
 
 FeedBeat ControlCore::BeatNow(double now_ms) const {
   return {publisher_.feed(), publisher_.offset(), replica_.Fresh(now_ms),
-          publisher_.state().configuration_version, list_reader_.newest()};
+          publisher_.state().configuration_version, list_.newest()};
 }
 
 void ControlCore::Beat(double now_ms) {
@@ -228,25 +242,28 @@
 }
 
 void ControlCore::ListRead(double now_ms, std::optional<ServerMap> servers) {
-  if (!servers) return list_reader_.Failed();
-  const bool changed = *servers != servers_;
-  auto told = list_reader_.Read(now_ms, changed);
-  if (!told) return;
-  servers_ = std::move(*servers);
-  if (told->whole) told->reading.change = MakeServersChange({}, {}, servers_, told->reading.content);
-  assigner_.Heard(now_ms, told->reading.position);
-  ToAllControl(told->reading);
-  Publish(publisher_.SetServers(told->reading.content, servers_));
+  const auto under = list_reader_.Ended();
+  if (!servers || !under) return;
+  if (replica_.role() == Replica::Role::kOwner) return Report(now_ms, *under, std::move(*servers));
+  const auto owner = replica_.Owner(now_ms);
+  if (!owner) return;
+  ListReport report{*under, {}};
+  for (auto& [id, entry] : *servers) report.servers.push_back(std::move(entry));
+  ToControl(owner->internal, std::move(report));
 }
 
-void ControlCore::Take(double now_ms, const ListReading& reading) {
-  if (!list_reader_.Hear(now_ms, reading)) return;
-  assigner_.Heard(now_ms, reading.position);
-  if (reading.change) {
-    servers_.clear();
-    for (const ServerEntry& entry : reading.change->changed) servers_[entry.id] = entry;
-  }
-  Publish(publisher_.SetServers(reading.content, servers_));
+void ControlCore::Report(double now_ms, const ListAssignment& under, ServerMap servers) {
+  if (!replica_.Acting(now_ms) || under.epoch != replica_.epoch()) return;
+  if (!assigner_.Heard(now_ms, under)) return;
+  unconfirmed_list_ = std::move(servers);
+  replica_.Read(now_ms, ++confirmation_);
+}
+
+void ControlCore::PublishList(double now_ms) {
+  if (!unconfirmed_list_ || replica_.role() != Replica::Role::kOwner) return;
+  ToAllControl(list_.Publish(now_ms, replica_.epoch(), std::move(*unconfirmed_list_)));
+  unconfirmed_list_.reset();
+  Publish(publisher_.SetServers(list_.content(), list_.servers()));
 }
 
 // ---- Quota ----
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -16,6 +16,7 @@
 
 #include "fleet/discovery/list_assigner.h"
 #include "fleet/discovery/list_reader.h"
+#include "fleet/discovery/list_view.h"
 #include "fleet/feed/feed.h"
 #include "fleet/membership/router_count.h"
 #include "fleet/operations/operator_calls.h"
@@ -93,10 +94,14 @@
   const Replica& replica() const { return replica_; }
   const FeedPublisher& publisher() const { return publisher_; }
   const ListReader& list_reader() const { return list_reader_; }
+  const ListView& list() const { return list_; }
   std::size_t subscribers() const { return subscribers_.size(); }
   std::size_t open_calls() const { return calls_.open(); }
 
  private:
+  // Reads of the replica that are none of an operator's have numbers from here on.
+  static constexpr std::uint64_t kConfirmations = std::uint64_t{1} << 63;
+
   void ToControl(const std::string& address, Message message);
   void ToAllControl(const Message& message);
   void ToSubscriber(SubscriberId id, Message message);
@@ -108,7 +113,8 @@
   FeedBeat BeatNow(double now_ms) const;
   void CountRouters(double now_ms);
   void TendList(double now_ms);
-  void Take(double now_ms, const ListReading& reading);
+  void Report(double now_ms, const ListAssignment& under, ServerMap servers);
+  void PublishList(double now_ms);
   void AskQuota(double now_ms, QuotaRequest request, bool passed_on);
   void GrantQuota(const QuotaGrant& grant);
   void TellRole();
@@ -118,7 +124,10 @@
   OperatorCalls calls_;
   ListAssigner assigner_;
   ListReader list_reader_;
-  ServerMap servers_;  // of the newest reading
+  ListView list_;
+  // As an owner: a reading that waits for a majority's word.
+  std::optional<ServerMap> unconfirmed_list_;
+  std::uint64_t confirmation_ = kConfirmations;  // its number among the replica's reads
   FeedPublisher publisher_;
   RouterCount router_count_;
   QuotaGrantor grantor_;
--- a/src/fleet/discovery/list_assigner.cpp
+++ b/src/fleet/discovery/list_assigner.cpp
@@ -18,8 +18,10 @@
   Assign(now_ms, self);
 }
 
-void ListAssigner::Heard(double now_ms, const ListPosition& position) {
-  if (position.epoch == assignment_.epoch && position.assignment == assignment_.number) heard_ms_ = now_ms;
+bool ListAssigner::Heard(double now_ms, const ListAssignment& under) {
+  if (under != assignment_) return false;
+  heard_ms_ = now_ms;
+  return true;
 }
 
 bool ListAssigner::Tick(double now_ms, const std::vector<LiveProcess>& live) {
--- a/src/fleet/discovery/list_assigner.h
+++ b/src/fleet/discovery/list_assigner.h
@@ -1,11 +1,10 @@
 // Who reads the platform's list of servers: a decider of the owner of the configuration shard.
 //
 // The owner assigns the reading to one process at a time, itself first, and to the next live member in the
-// agreed order when it has heard of no reading for kListSilentMs (the reader is gone, frozen, or cut off from
-// the platform alone) or when the reader's process was restarted. Each assignment has a number of its own in
-// the owner's epoch. Since a majority has that epoch on disk before the owner acts, positions of readings
-// rise for good: also when all control machines were killed at once, and with them all that they had in
-// memory.
+// agreed order when no reading has come to it for kListSilentMs (the reader is gone, frozen, or cut off from
+// the platform alone) or when the reader's process was restarted. What another one reads, or reads under an
+// earlier assignment, is not taken: a reading that is published began after the assignment it was made under,
+// and so after all that was published before that.
 #ifndef BITTERNMUX_SRC_FLEET_DISCOVERY_LIST_ASSIGNER_H_
 #define BITTERNMUX_SRC_FLEET_DISCOVERY_LIST_ASSIGNER_H_
 
@@ -22,8 +21,8 @@
  public:
   // The machine acts as the owner of that epoch from now on.
   void Begin(double now_ms, const Epoch& epoch, const LiveProcess& self);
-  // A reading was heard of, or made here.
-  void Heard(double now_ms, const ListPosition& position);
+  // A report has come. False: it was not made under the assignment in force.
+  bool Heard(double now_ms, const ListAssignment& under);
   // Assigns anew where that is due. `live`: the members that may read, in the agreed order.
   // True: the assignment has changed.
   bool Tick(double now_ms, const std::vector<LiveProcess>& live);
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -256,17 +256,16 @@
   }
 };
 
-// Which reading of the platform's list. The owner of the configuration shard assigns the reading to one
-// process at a time, so that positions rise with the epochs that a majority has on disk.
+// Which reading of the platform's list. The owner of the configuration shard numbers the readings that it
+// publishes, so that positions rise with the epochs that a majority has on disk.
 struct ListPosition {
-  Epoch epoch;                   // of the owner that assigned the reading
-  std::uint64_t assignment = 0;  // how many it had made in that epoch
-  std::uint64_t reading = 0;     // how many were read by this assignment
+  Epoch epoch;                // of the owner that published it
+  std::uint64_t reading = 0;  // how many it had published in that epoch
 
   auto operator<=>(const ListPosition&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, assignment, reading);
+    archive(epoch, reading);
   }
 };
 
@@ -363,7 +362,17 @@
   }
 };
 
-// Between control machines: a reading of the platform's list.
+// From the reader to the owner: what it has read under that assignment.
+struct ListReport {
+  ListAssignment assignment;
+  std::vector<ServerEntry> servers;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(assignment, servers);
+  }
+};
+
+// From the owner to the other control machines: a reading of the platform's list.
 struct ListReading {
   ListPosition position;
   ListPosition content;                 // the reading that showed this content first
@@ -429,7 +438,7 @@
 using Message =
     std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply, Heartbeat,
                  HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow, Subscribe, FeedEntry,
-                 FeedBeat, ListAssignment, ListReading, FeedLoad, QuotaRequest, QuotaGrant>;
+                 FeedBeat, ListAssignment, ListReport, ListReading, FeedLoad, QuotaRequest, QuotaGrant>;
 
 }  // namespace bitternmux::fleet
 
--- a/src/fleet/replication/replica.cpp
+++ b/src/fleet/replication/replica.cpp
@@ -65,6 +65,7 @@
 }
 
 void Replica::SendWhenSaved(const std::string& to, Message message) {
+  if (ticket_ == saved_ticket_) return Send(to, std::move(message));
   when_saved_.emplace_back(ticket_, std::make_pair(to, std::move(message)));
 }
 
@@ -84,7 +85,7 @@
   if (role_ == Role::kCandidate && !pre_voting_ && !promise_saved_ && ticket >= promise_ticket_) {
     promise_saved_ = true;
     votes_[self_.internal] = {self_.store, accepted_.position, std::nullopt};
-    SendPrepares();
+    SendPrepares(now_ms);
     CountPromises(now_ms);
   }
 }
@@ -216,8 +217,7 @@
       if (now_ms - patience_from_ms_ > Patience()) AskForVotes(now_ms);
       return;
     case Role::kCandidate:
-      if (now_ms - stood_ms_ > (pre_voting_ ? kPreVoteMs : Patience())) AskForVotes(now_ms);
-      return;
+      return TickCandidate(now_ms);
     case Role::kOwner:
       return TickOwner(now_ms);
   }
--- a/src/fleet/replication/replica.h
+++ b/src/fleet/replication/replica.h
@@ -54,15 +54,17 @@
 constexpr double kOwnerSilentMs = 700;       // an owner that is not heard for so long is taken for gone
 constexpr double kOwnerWorksMs = 550;        // one that was heard since then is not to be replaced
 constexpr double kOwnerAloneMs = 900;        // an owner that no majority answers for so long gives up
-constexpr double kFirstPatienceMs = 330;     // of one that has heard no owner since its start
-constexpr double kPreVoteMs = 300;           // between two rounds of asking for votes
+constexpr double kFirstPatienceMs = 200;     // of one that has heard no owner since its start; who hears one
+                                             // refuses its vote
+constexpr double kPreVoteMs = 300;           // between two rounds of asking for votes, or for promises
+constexpr double kStandMs = 1200;            // for which a candidate waits for promises: disks may be slow
 constexpr double kCandidateStaggerMs = 250;  // by which the members' patience differs
-constexpr double kFreshMs = 1500;            // contact with an owner counts as present for so long: it is a round
-                                             // trip old already, and a change of owner takes most of a second
-constexpr double kBehindMs = 600;            // a replica that lacks what is committed for so long is behind
-constexpr double kAskAgainMs = 300;          // between two requests to join, to leave or to hand over
-constexpr double kMemberGoneMs = 1500;       // a member not heard for so long may be replaced
-constexpr double kLeaveMs = 1500;            // for which a member that is to stop waits for a successor
+constexpr double kFreshMs = 1500;       // contact with an owner counts as present for so long: it is a round
+                                        // trip old already, and a change of owner takes most of a second
+constexpr double kBehindMs = 600;       // a replica that lacks what is committed for so long is behind
+constexpr double kAskAgainMs = 300;     // between two requests to join, to leave or to hand over
+constexpr double kMemberGoneMs = 1500;  // a member not heard for so long may be replaced
+constexpr double kLeaveMs = 1500;       // for which a member that is to stop waits for a successor
 constexpr std::size_t kMaxProposals = 64;
 constexpr std::size_t kMaxHistory = 2048;  // orders that are known when they are repeated
 constexpr std::size_t kMaxLearners = 8;
@@ -221,15 +223,14 @@
   void Save();
   void SendWhenSaved(const std::string& to, Message message);
   void Send(const std::string& to, Message message) { output_.sends.emplace_back(to, std::move(message)); }
-  template <class MessageType>
-  void SendToVoters(const MessageType& message);
 
   // Elections (replica_election.cpp).
   void Follow(double now_ms);
   bool OwnerWorks(double now_ms, const std::string& candidate) const;
   void AskForVotes(double now_ms);
   void StandForOwner(double now_ms, bool handover);
-  void SendPrepares();
+  void SendPrepares(double now_ms);
+  void TickCandidate(double now_ms);
   void CountPromises(double now_ms);
   void Own(double now_ms, AcceptedValue adopted);
 
@@ -290,6 +291,7 @@
   bool pre_voting_ = false;
   bool handover_ = false;
   double stood_ms_ = 0;
+  double prepares_sent_ms_ = 0;
   bool promise_saved_ = false;
   std::uint64_t promise_ticket_ = 0;
 
--- a/src/fleet/replication/replica_election.cpp
+++ b/src/fleet/replication/replica_election.cpp
@@ -40,13 +40,6 @@
   return now_ms - owner_heard_ms_ < kOwnerWorksMs && owner_ != candidate;
 }
 
-template <class MessageType>
-void Replica::SendToVoters(const MessageType& message) {
-  for (const Member& member : Voters(accepted_.value)) {
-    if (member.internal != self_.internal) Send(member.internal, message);
-  }
-}
-
 void Replica::AskForVotes(double now_ms) {
   role_ = Role::kCandidate;
   owner_.clear();
@@ -55,7 +48,10 @@
   pre_voting_ = true;
   stood_ms_ = now_ms;
   pre_votes_ = {{self_.internal, self_.store}};
-  SendToVoters(PreVote{{promised_.counter + 1, self_.store}});
+  const PreVote pre_vote{{promised_.counter + 1, self_.store}};
+  for (const Member& member : Voters(accepted_.value)) {
+    if (member.internal != self_.internal) Send(member.internal, pre_vote);
+  }
   if (Voters(accepted_.value).size() == 1) StandForOwner(now_ms, false);
 }
 
@@ -101,15 +97,33 @@
   promise_ticket_ = ticket_;
 }
 
-void Replica::SendPrepares() { SendToVoters(Prepare{promised_, accepted_.position, handover_}); }
+void Replica::SendPrepares(double now_ms) {
+  prepares_sent_ms_ = now_ms;
+  for (const Member& member : Voters(accepted_.value)) {
+    if (member.internal == self_.internal || votes_.contains(member.internal)) continue;
+    Send(member.internal, Prepare{promised_, accepted_.position, handover_});
+  }
+}
+
+void Replica::TickCandidate(double now_ms) {
+  if (pre_voting_) {
+    if (now_ms - stood_ms_ > kPreVoteMs) AskForVotes(now_ms);
+    return;
+  }
+  if (now_ms - stood_ms_ > kStandMs + kCandidateStaggerMs * static_cast<double>(RankOfSelf()))
+    return AskForVotes(now_ms);
+  if (promise_saved_ && now_ms - prepares_sent_ms_ > kPreVoteMs) SendPrepares(now_ms);
+}
 
 void Replica::On(double now_ms, const std::string& from, const Prepare& prepare) {
-  if (prepare.epoch <= promised_) return;
-  if (!prepare.handover && OwnerWorks(now_ms, from)) return;
-  promised_ = prepare.epoch;
-  owner_.clear();
-  Follow(now_ms);
-  Save();
+  if (prepare.epoch < promised_) return;
+  if (prepare.epoch > promised_) {
+    if (!prepare.handover && OwnerWorks(now_ms, from)) return;
+    promised_ = prepare.epoch;
+    owner_.clear();
+    Follow(now_ms);
+    Save();
+  }
   Promise promise{self_.store, prepare.epoch, accepted_.position, std::nullopt};
   if (accepted_.position > prepare.accepted) promise.value = accepted_;
   SendWhenSaved(from, std::move(promise));
--- a/src/fleet/replication/value_transfer.cpp
+++ b/src/fleet/replication/value_transfer.cpp
@@ -121,7 +121,14 @@
 
 void OutgoingTransfer::Received(double now_ms, std::uint64_t bytes) {
   if (bytes > bytes_.size()) return;
-  if (bytes != received_) progress_ms_ = now_ms;
+  if (bytes < received_) sent_ = bytes;  // the receiver has begun anew
+  if (bytes != received_) {
+    progress_ms_ = now_ms;
+    repeated_ = 0;
+  } else if (++repeated_ >= kRepeatedReplies) {
+    sent_ = received_;
+    repeated_ = 0;
+  }
   received_ = bytes;
   sent_ = std::max(sent_, received_);
 }
--- a/src/fleet/replication/value_transfer.h
+++ b/src/fleet/replication/value_transfer.h
@@ -23,6 +23,7 @@
 constexpr std::size_t kPieceBytes = 32 * 1024;
 constexpr std::size_t kPiecesAhead = 4;
 constexpr double kTransferStallMs = 600;  // without an answer, before the pieces are sent again
+constexpr int kRepeatedReplies = 3;       // that tell of no progress, after which they are sent again at once
 constexpr std::uint64_t kMaxValueBytes = 12 * 1024 * 1024;
 
 // Values that the owner had before, as bases of increments. Bounded in number and in bytes, the newest is
@@ -64,6 +65,7 @@
   std::string bytes_;
   std::uint64_t sent_ = 0, received_ = 0;
   double progress_ms_ = kNeverMs;
+  int repeated_ = 0;
 };
 
 class IncomingTransfer {
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -109,7 +109,7 @@
 void RequestFlow::Admit() {
   if (const auto id = message_.Find("x-request-id")) request_id_ = *id;
   if (state_.refusing) return Refuse(kBusyRetryMs);
-  if (table_ == nullptr) return WaitForTable();
+  if (table_ == nullptr || !state_.servers_known) return WaitForTable();
   const auto host = message_.Find("host");
   route_ = table_->Match(host.value_or(""), message_.target);
   if (route_ == nullptr) return Answer_(404, "no route");
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -37,6 +37,7 @@
   QuotaLedger quota;
   RetryBudget budget;
   std::shared_ptr<const RouteTable> table;  // null: no configuration is known yet
+  bool servers_known = false;               // a list of servers has come
   bool refusing = false;                    // the process ends soon: nothing new is begun
   std::uint64_t last_request = 0;
   std::unordered_map<std::uint64_t, std::weak_ptr<class RequestFlow>> waiting_for_quota;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -36,6 +36,7 @@
                  {settings_.retry_budget_ratio, settings_.budget_slack, settings_.budget_window_s * 1000}),
              nullptr,
              false,
+             false,
              0,
              {},
              {},
@@ -91,13 +92,14 @@
   if (applied.configuration) UseConfiguration();
   if (applied.servers) {
     state_.choice.Update(SteadyNowMs(), follower_.state().servers);
+    state_.servers_known = true;
     const auto& servers = follower_.state().servers;
     state_.upstream.Prune([&](const std::string& id) { return servers.contains(id); });
   }
   if (applied.fleet && follower_.state().fleet.routers > 0) UseRouters(follower_.state().fleet.routers);
   if (applied.gap) link->Send(follower_.Ask(settings_.node_name));
   CheckReady();
-  if (state_.table == nullptr || state_.waiting_for_table.empty()) return;
+  if (state_.table == nullptr || !state_.servers_known || state_.waiting_for_table.empty()) return;
   for (const auto& waiting : std::exchange(state_.waiting_for_table, {})) {
     if (const auto flow = waiting.lock()) flow->TableCame();
   }
