--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -629,7 +629,10 @@
 void World::GoOn(Try attempt) {
   if (attempt.only_there) return End(attempt.call, CallEnd::kUnknown, "nobody");
   attempt.redirects = 0;
-  attempt.target = seeds_[clock_.Below(seeds_.size())];
+  const std::size_t last = attempt.target;
+  do {
+    attempt.target = seeds_[clock_.Below(seeds_.size())];
+  } while (attempt.target == last && seeds_.size() > 1);
   const double pause_ms = attempt.pause_ms;
   attempt.pause_ms = std::min(kMostPauseMs, attempt.pause_ms * 1.5);
   clock_.After(pause_ms, [this, attempt] { Send(attempt); });
