Play machines that stood still, lost or spoilt their disk, or are told to stop, as processes

Stories of the built programs: an owner under SIGSTOP answers nothing old and refuses nothing that was taken, when it goes on; a machine with an emptied folder or a spoilt store takes its place again and counts; a store that cannot be opened is told once; an owner hands over on SIGTERM; all killed at once with one disk lost; an early answer to a long body. Not done: a relay for cuts and slow links between processes; these are played in simulated time only.

--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <boost/asio.hpp>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -132,7 +133,7 @@
 }
 
 std::string FleetStand::ControlSettings(std::size_t i, bool bootstrap) {
-  const std::string data = folder_ + "/data-" + std::to_string(i);
+  const std::string data = DataFolder(i);
   std::filesystem::create_directories(data);
   return "ip: \"" + Ip(1 + i) + "\"\nlisten:\n  control: \"" + ControlAddress(i) + "\"\ndata_dir: \"" + data +
          "\"\nbootstrap: " + (bootstrap ? "true" : "false") + "\n";
@@ -149,6 +150,8 @@
   controls_[i] =
       std::make_unique<Process>(programs_.control, WriteSettings(name, ControlSettings(i, bootstrap)));
 }
+std::string FleetStand::DataFolder(std::size_t i) const { return folder_ + "/data-" + std::to_string(i); }
+
 void FleetStand::KillControl(std::size_t i) { controls_[i].reset(); }
 
 bool FleetStand::Start() {
@@ -274,11 +277,12 @@
   return Operate("PUT", ControlAddress(control), "/config", body, if_match);
 }
 
-// Ends by itself: a machine that knows no owner holds nothing back, and the tries are bounded.
+// Ends by itself: a machine that knows no owner holds a call for less than a second, and the time is bounded.
 Reply FleetStand::PutAnywhere(const std::string& body, std::uint64_t if_match) {
-  constexpr std::size_t kMostTries = 20'000;
+  constexpr auto kMostTime = std::chrono::seconds(20);
+  const auto until = std::chrono::steady_clock::now() + kMostTime;
   Reply reply;
-  for (std::size_t i = 0; i < kMostTries; ++i) {
+  for (std::size_t i = 0; std::chrono::steady_clock::now() < until; ++i) {
     reply = Put(body, if_match, i % kControls);
     if (reply.status != 0 && reply.status < 500) return reply;
   }
--- a/lab/fleet/fleet_stand.h
+++ b/lab/fleet/fleet_stand.h
@@ -79,6 +79,8 @@
   void StartAgent();
   void StartControl(std::size_t i, bool bootstrap);
   void KillControl(std::size_t i);
+  // The folder of its data, whether it runs or not.
+  std::string DataFolder(std::size_t i) const;
   void KillRouter() { router_.reset(); }
   void KillAgent() { agent_.reset(); }
 
--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -199,6 +201,25 @@
     CHECK(fleet.Ask(Request("/sheet/1", "r2")).status == 502);
   }
 
+  SECTION("an early answer to a long body reaches its client, and the next request is not cut into") {
+    std::atomic<int> spoilt = 0;
+    everywhere("sheets", [&](Exchange& exchange) {
+      fleet.CountRun(exchange.Header("x-request-id"));
+      if (exchange.request().body.find_first_not_of('b') != std::string::npos) ++spoilt;
+      exchange.Send(Head(exchange, "Content-Length: 5\r\n") + "early");
+    });
+    ClientRequest large = Request("/sheet/1", "large");
+    large.body = std::string(3 * 1024 * 1024, 'b');
+    CHECK(fleet.Ask(large).message.body == "early");
+    for (int i = 0; i < 6; ++i) {
+      ClientRequest next = Request("/sheet/1", "next-" + std::to_string(i));
+      next.body = "bbb";
+      CHECK(fleet.Ask(next).status == 200);
+    }
+    CHECK(spoilt == 0);
+    for (const auto& [id, runs] : fleet.Runs()) CHECK(runs == 1);
+  }
+
   SECTION("another server at the address does not run it") {
     fleet.server("sheets-1").Use(fleet.Usual("sheets-9"));
     for (int i = 0; i < 6; ++i) CHECK(fleet.Ask(Request("/sheet/1", "r" + std::to_string(i))).status == 200);
@@ -261,6 +282,102 @@
   }
 }
 
+TEST_CASE("fleet story: control machines that stood still, lost their disk, or are told to stop") {
+  FleetStand fleet(Built());
+  REQUIRE(fleet.Start());
+  const std::size_t owner = fleet.Owner();
+  REQUIRE(owner < FleetStand::kControls);
+  const std::size_t second = (owner + 1) % FleetStand::kControls, third = (owner + 2) % FleetStand::kControls;
+  const auto put_elsewhere = [&](std::uint64_t version, std::uint64_t builds_on) {
+    Reply reply;
+    for (int i = 0; i < 400; ++i) {
+      reply = fleet.Put(FleetStand::Configuration(version), builds_on, i % 2 == 0 ? second : third);
+      if (reply.status != 0 && reply.status < 500) break;
+    }
+    return reply.status;
+  };
+
+  SECTION("an owner that stood still hands out nothing old, and does not refuse what was taken meanwhile") {
+    fleet.control(owner).Signal(SIGSTOP);
+    // These calls lie in its sockets until it goes on.
+    Reply read, again;
+    std::thread reader([&] { read = fleet.Get("/config", owner); });
+    REQUIRE(fleet.control(second).Says("role=owner") + fleet.control(third).Says("role=owner", 1) > 0);
+    CHECK(put_elsewhere(6, 4) == 200);
+    CHECK(put_elsewhere(7, 6) == 200);
+    std::thread repeater([&] { again = fleet.Put(FleetStand::Configuration(7), 6, owner); });
+    fleet.control(owner).Signal(SIGCONT);
+    reader.join();
+    repeater.join();
+    if (read.status == 200) CHECK(read.message.body == FleetStand::Configuration(7));
+    CHECK((read.status == 200 || read.status >= 500));
+    CHECK((again.status == 200 || again.status >= 500));
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(7), 6).status == 200);
+    CHECK(fleet.Get("/config", owner).message.body == FleetStand::Configuration(7));
+  }
+
+  SECTION("a machine that lost its disk takes its own place again, and counts") {
+    fleet.KillControl(second);
+    std::filesystem::remove_all(fleet.DataFolder(second));
+    fleet.StartControl(second, false);
+    REQUIRE(fleet.control(second).Says("role=learner"));
+    REQUIRE(fleet.control(second).Says("role=follower"));
+    REQUIRE(fleet.control(second).Says("replica.members"));  // the change is committed
+    fleet.KillControl(third);
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(6), 4).status == 200);
+    CHECK(fleet.Get("/config", second).message.body == FleetStand::Configuration(6));
+  }
+
+  SECTION("a store that was spoilt is set aside, and the machine joins anew") {
+    fleet.KillControl(second);
+    for (const char* file : {"/replica.db", "/replica.db-wal"})
+      std::ofstream(fleet.DataFolder(second) + file) << std::string(20'000, 'x');
+    fleet.StartControl(second, false);
+    REQUIRE(fleet.control(second).Says("storage.unreadable"));
+    REQUIRE(fleet.control(second).Says("role=follower"));
+    REQUIRE(fleet.control(second).Says("replica.members"));
+    fleet.KillControl(third);
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(6), 4).status == 200);
+  }
+
+  SECTION("a store that cannot be opened is told once, and the process stays") {
+    fleet.KillControl(second);
+    std::filesystem::remove_all(fleet.DataFolder(second));
+    std::filesystem::create_directories(fleet.DataFolder(second) + "/replica.db/in the way");
+    fleet.StartControl(second, false);
+    REQUIRE(fleet.control(second).Says("storage.unavailable"));
+    std::filesystem::remove_all(fleet.DataFolder(second) + "/replica.db");
+    CHECK(fleet.control(second).Says("storage.opened"));
+    CHECK(fleet.control(second).Says("role=follower"));
+  }
+
+  SECTION("an owner that is told to stop hands over before it ends") {
+    fleet.control(owner).Signal(SIGTERM);
+    CHECK(fleet.control(owner).Wait() == 0);
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(6), 4).status == 200);
+    const std::string log = fleet.control(owner).log();
+    CHECK(log.rfind("role=follower") > log.rfind("role=owner"));
+  }
+
+  SECTION("all at once, and one of them loses its disk") {
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(6), 4).status == 200);
+    for (std::size_t i = 0; i < FleetStand::kControls; ++i) fleet.KillControl(i);
+    std::filesystem::remove_all(fleet.DataFolder(owner));
+    for (std::size_t i = 0; i < FleetStand::kControls; ++i) fleet.StartControl(i, false);
+    CHECK(fleet.PutAnywhere(FleetStand::Configuration(7), 6).status == 200);
+    CHECK(fleet.Get("/config", owner).message.body == FleetStand::Configuration(7));
+    CHECK(fleet.router().Says("configuration.in_force version=7"));
+    // The list is heard of again, too.
+    fleet.Drain("sheets-1");
+    int on_second = 0;
+    for (int i = 0; i < 20'000 && on_second < 40; ++i) {
+      const Reply reply = fleet.Ask(Request("/sheet/1", "d" + std::to_string(i)));
+      on_second = reply.status == 200 && Holds(reply, "server=sheets-2") ? on_second + 1 : 0;
+    }
+    CHECK(on_second == 40);
+  }
+}
+
 TEST_CASE("fleet story: the operator's tool, also where some machines are down") {
   FleetStand fleet(Built());
   REQUIRE(fleet.Start());
