--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,27 @@
 # make run CONFIG=path/to/config.json
 run: build
 	RELAY_CONFIG=$(CONFIG) build/bitternmux
+
+# Days of the control side in simulated time: make simulation SEEDS=500 FIRST=1. A violation prints its seed and a history.
+SEEDS ?= 500
+FIRST ?= 1
+.PHONY: simulation simulation-mutations packages tidy
+simulation:
+	.ci/install
+	cmake -B build-demo -DCMAKE_BUILD_TYPE=Release -DCARTSPRING_LAB=ON
+	cmake --build build-demo -j$$(nproc) --target fleet_simulation
+	build-demo/fleet-simulation --seeds=$(SEEDS) --first=$(FIRST) --history --measure
+
+# One mechanism switched off at a time, in a copy; each has to be found by a seed.
+simulation-mutations:
+	.ci/install
+	lab/simulation/mutations/run.sh
+
+# Whether deploy/system.toml lists all Debian packages that the fleet's build uses.
+packages:
+	.ci/install
+	.ci/packages
+
+tidy:
+	.ci/install
+	.ci/tidy
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -30,6 +30,7 @@
 
 std::vector<fleet::Member> MembersAt(const std::vector<std::string>& controls, std::uint16_t internal_port) {
   std::vector<fleet::Member> members;
+  members.reserve(controls.size());
   for (const std::string& control : controls) members.push_back(MemberAt(control, internal_port));
   std::ranges::sort(members);
   return members;
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -10,8 +10,8 @@
 // Reads keys of one file, with the path of a key in each error.
 class Reader {
  public:
-  Reader(std::string file, YAML::Node node, std::string prefix = "")
-      : file_(std::move(file)), node_(std::move(node)), prefix_(std::move(prefix)) {}
+  Reader(std::string file, const YAML::Node& node, std::string prefix = "")
+      : file_(std::move(file)), node_(node), prefix_(std::move(prefix)) {}
 
   Reader Section(const char* key) const {
     const YAML::Node section = Find(key);
