--- a/lab/simulation/faults.cpp
+++ b/lab/simulation/faults.cpp
@@ -53,7 +53,7 @@
     case 7:
       return StrikeEdge(clock.Below(5), Span());
     default:
-      return StrikeAll(clock.Below(7));
+      return StrikeAll(clock.Below(9));
   }
 }
 
@@ -146,7 +146,22 @@
   if (kind == 1) world_.KillAll(clock.Between(100, 2000), /*power=*/true, /*everyone=*/false);
   if (kind == 2) world_.KillAll(clock.Between(100, 2000), /*power=*/true, /*everyone=*/true);
   if (kind == 3) operators_.Storm(clock.Between(500, 4000), 80);
-  if (kind >= 4) StrikeAfterAcknowledgement();
+  if (kind >= 4 && kind < 7) StrikeAfterAcknowledgement();
+  if (kind >= 7) StrikeDuringElection();
+}
+
+// The owner is cut off until just after others have promised to follow another one; who has promised loses
+// power in that moment, and is back while the former owner still acts and has an order under way.
+void Faults::StrikeDuringElection() {
+  const auto owner = world_.ActingOwner();
+  if (!owner) return;
+  Clock& clock = world_.clock();
+  world_.Isolate(*owner, clock.Between(720, 900));
+  const std::uint64_t version = world_.control(*owner).core()->replica().committed().value.version;
+  clock.After(clock.Between(300, 700), [this, owner = *owner, version] {
+    world_.PutAt(owner, version + 1 + world_.clock().Below(3), version);
+  });
+  world_.OncePromised([this](std::size_t machine) { world_.Power(machine, world_.clock().Between(5, 60)); });
 }
 
 void Faults::StrikeAfterAcknowledgement() {
--- a/lab/simulation/faults.h
+++ b/lab/simulation/faults.h
@@ -29,6 +29,7 @@
   void StrikeEdge(std::size_t kind, double for_ms);
   void StrikeAll(std::size_t kind);
   void StrikeAfterAcknowledgement();
+  void StrikeDuringElection();
   void LeaveOneBehind(std::size_t hit, double for_ms);
   std::size_t Target();
   double Span();
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -361,6 +361,7 @@
   Tell("---- calm ----");
   calm_ = true;
   when_acknowledged_ = nullptr;
+  when_promised_ = nullptr;
   network_.HealAll();
   cut_from_platform_.clear();
   lost_answers_ = 0;
@@ -406,6 +407,12 @@
   return nullptr;
 }
 
+std::size_t World::IndexOf(const std::string& address) const {
+  std::size_t index = 0;
+  while (controls_[index]->address() != address) ++index;
+  return index;
+}
+
 EdgeMachine* World::FindEdge(const std::string& name) {
   for (const auto& edge : edges_) {
     if (edge->name() == name) return edge.get();
@@ -416,6 +423,11 @@
 void World::ToControl(const std::string& from, const std::string& to, const fleet::Message& message) {
   ControlMachine* const machine = FindControl(to);
   if (machine == nullptr || !machine->up()) return;
+  if (when_promised_ && std::holds_alternative<fleet::Promise>(message)) {
+    const auto then = std::exchange(when_promised_, nullptr);
+    const std::size_t index = IndexOf(from);
+    clock_.After(clock_.Between(0.1, 3), [then, index] { then(index); });
+  }
   const auto frame = std::make_shared<const std::string>(fleet::EncodeFrame(message));
   network_.Send(from, to, frame->size(), [machine, life = machine->life(), from, frame] {
     machine->FromControl(life, from,
@@ -443,9 +455,7 @@
 void World::ReadPlatform(const std::string& machine) {
   ControlMachine* const reader = FindControl(machine);
   const std::uint64_t life = reader->life();
-  std::size_t index = 0;
-  while (controls_[index].get() != reader) ++index;
-  if (cut_from_platform_.contains(index)) {
+  if (cut_from_platform_.contains(IndexOf(machine))) {
     clock_.After(400, [reader, life] { reader->ListRead(life, std::nullopt); });
     return;
   }
@@ -561,7 +571,7 @@
 }
 
 std::size_t World::PutAt(std::size_t machine, std::uint64_t version, std::uint64_t builds_on) {
-  const std::string by = "operator";
+  const std::string by = "operator-" + std::to_string(history_.calls.size());  // its text is nobody else's
   const std::string text = ConfigurationText(version, by, 0);
   const fleet::Order order{version, builds_on, fleet::DigestOf(text), text};
   CallRecord record{CallKind::kPut, by, version, builds_on, order.digest, 0, 0, CallEnd::kUnknown, false, ""};
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -93,6 +93,9 @@
     when_acknowledged_ = std::move(then);
   }
 
+  // When a control machine sends a promise the next time.
+  void OncePromised(std::function<void(std::size_t machine)> then) { when_promised_ = std::move(then); }
+
   // ---- The end of trouble ----
   void Heal();  // links, disks, and all that is down comes up
 
@@ -138,6 +141,7 @@
   std::vector<fleet::Member> Seeds() const;
   std::vector<std::string> SeedAddresses() const;
   ControlMachine* FindControl(const std::string& address);
+  std::size_t IndexOf(const std::string& address) const;
   EdgeMachine* FindEdge(const std::string& name);
   std::optional<fleet::SubscriberId> FindLink(const std::string& edge, std::uint64_t number) const;
   std::size_t Begin(CallRecord record, std::optional<fleet::Order> order, double most_ms,
@@ -165,7 +169,7 @@
   bool calm_ = false;  // faults that were planned before do not strike any more
   std::set<std::size_t> open_calls_;
   std::map<std::size_t, fleet::Order> orders_;
-  std::function<void(std::size_t)> when_acknowledged_;
+  std::function<void(std::size_t)> when_acknowledged_, when_promised_;
 };
 
 // The text of a configuration of that version, as operators of the simulation send it.
--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -61,9 +61,11 @@
   if (const auto* grant = std::get_if<QuotaGrant>(&message)) return GrantQuota(*grant);
   if (const auto* request = std::get_if<QuotaRequest>(&message)) return AskQuota(now_ms, *request, true);
   if (const auto* reading = std::get_if<ListReading>(&message)) {
-    if (list_.Take(now_ms, *reading)) Publish(publisher_.SetServers(list_.content(), list_.servers()));
+    if (list_.Take(now_ms, *reading)) return Publish(publisher_.SetServers(list_.content(), list_.servers()));
+    if (reading->position > list_.newest()) ToControl(address, ListRequest{list_.newest()});
     return;
   }
+  if (std::holds_alternative<ListRequest>(message)) return TellWholeList(address);
   if (const auto* report = std::get_if<ListReport>(&message)) {
     ServerMap servers;
     for (const ServerEntry& entry : report->servers) servers[entry.id] = entry;
@@ -79,7 +81,9 @@
 }
 
 // It may have missed what was told on an earlier link.
-void ControlCore::ControlConnected(const std::string& address) {
+void ControlCore::ControlConnected(const std::string& address) { TellWholeList(address); }
+
+void ControlCore::TellWholeList(const std::string& address) {
   if (replica_.role() != Replica::Role::kOwner || list_.newest().epoch != replica_.epoch()) return;
   ToControl(address, list_.Whole());
 }
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -115,6 +115,7 @@
   void TendList(double now_ms);
   void Report(double now_ms, const ListAssignment& under, ServerMap servers);
   void PublishList(double now_ms);
+  void TellWholeList(const std::string& address);
   void AskQuota(double now_ms, QuotaRequest request, bool passed_on);
   void GrantQuota(const QuotaGrant& grant);
   void TellRole();
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -212,8 +212,8 @@
   }
 };
 
-// From one that is not the owner, or to one that does not know that it is no member any more: the group as
-// the sender's value has it.
+// The group as the sender's value has it: from one that is not the owner, to one that does not know that it
+// is no member any more, and now and then to machines that the settings name and that are no members.
 struct JoinReply {
   Position position;  // of that value
   std::vector<Member> members;
@@ -383,6 +383,15 @@
   }
 };
 
+// To the owner: the sender lacks the content that a reading speaks of.
+struct ListRequest {
+  ListPosition held;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(held);
+  }
+};
+
 // Between control machines: how many agents the sender feeds.
 struct FeedLoad {
   std::uint32_t subscribers = 0;
@@ -435,10 +444,10 @@
   }
 };
 
-using Message =
-    std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply, Heartbeat,
-                 HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow, Subscribe, FeedEntry,
-                 FeedBeat, ListAssignment, ListReport, ListReading, FeedLoad, QuotaRequest, QuotaGrant>;
+using Message = std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply,
+                             Heartbeat, HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow,
+                             Subscribe, FeedEntry, FeedBeat, ListAssignment, ListReport, ListReading,
+                             ListRequest, FeedLoad, QuotaRequest, QuotaGrant>;
 
 }  // namespace bitternmux::fleet
 
--- a/src/fleet/replication/replica.cpp
+++ b/src/fleet/replication/replica.cpp
@@ -206,6 +206,7 @@
 }
 
 void Replica::Tick(double now_ms) {
+  TellSeeds(now_ms);
   if (leaving_since_ms_ != kNeverMs && role_ != Role::kOwner && now_ms - asked_ms_ >= kAskAgainMs) {
     asked_ms_ = now_ms;
     if (!owner_.empty()) Send(owner_, LeaveRequest{self_});
--- a/src/fleet/replication/replica.h
+++ b/src/fleet/replication/replica.h
@@ -63,6 +63,7 @@
                                         // trip old already, and a change of owner takes most of a second
 constexpr double kBehindMs = 600;       // a replica that lacks what is committed for so long is behind
 constexpr double kAskAgainMs = 300;     // between two requests to join, to leave or to hand over
+constexpr double kTellGroupMs = 1000;   // between two words to seeds that are no members
 constexpr double kMemberGoneMs = 1500;  // a member not heard for so long may be replaced
 constexpr double kLeaveMs = 1500;       // for which a member that is to stop waits for a successor
 constexpr std::size_t kMaxProposals = 64;
@@ -254,6 +255,7 @@
   std::optional<Member> MemberToReplace(double now_ms) const;
   void HandOver(double now_ms);
   void TickLearner(double now_ms);
+  void TellSeeds(double now_ms);
 
   void Commit();
   HeartbeatReply Standing(double now_ms) const;
@@ -280,6 +282,8 @@
   bool successor_waits_ = false;
   bool outsider_ = false;  // it was told that it is no member any more
   std::vector<Member> told_members_;
+  Position told_position_;
+  double told_seeds_ms_ = kNeverMs;
   IncomingTransfer incoming_;
   double patience_from_ms_ = 0;
   double asked_ms_ = kNeverMs;
--- a/src/fleet/replication/replica_membership.cpp
+++ b/src/fleet/replication/replica_membership.cpp
@@ -14,8 +14,10 @@
 void Replica::On(double now_ms, const std::string& from, const JoinRequest& request) {
   if (request.member.internal != from) return;
   if (role_ != Role::kOwner) {
-    if (accepted_.position == Position{}) return;
-    return Send(from, JoinReply{accepted_.position, Voters(accepted_.value)});
+    if (accepted_.position != Position{})
+      return Send(from, JoinReply{accepted_.position, Voters(accepted_.value)});
+    if (!told_members_.empty()) Send(from, JoinReply{told_position_, told_members_});
+    return;
   }
   if (IsVoter(request.member)) return;
   const bool known = learners_.contains(from);
@@ -26,6 +28,8 @@
 
 void Replica::On(double now_ms, const std::string&, const JoinReply& reply) {
   if (role_ == Role::kOwner || reply.position <= accepted_.position) return;
+  if (reply.position < told_position_) return;
+  told_position_ = reply.position;
   told_members_ = reply.members;
   const bool named = std::ranges::any_of(reply.members, [&](const Member& member) {
     return member.internal == self_.internal && member.store == self_.store;
@@ -131,6 +135,16 @@
   if (best != nullptr) Send(best->internal, StandNow{promised_});
 }
 
+// The settings may come to name machines that know nobody but each other: these cannot ask the group.
+void Replica::TellSeeds(double now_ms) {
+  if (accepted_.position == Position{} || now_ms - told_seeds_ms_ < kTellGroupMs) return;
+  told_seeds_ms_ = now_ms;
+  for (const Member& seed : seeds_) {
+    if (seed.internal == self_.internal || HasVoterAt(seed.internal)) continue;
+    Send(seed.internal, JoinReply{accepted_.position, Voters(accepted_.value)});
+  }
+}
+
 void Replica::TickLearner(double now_ms) {
   if (now_ms - asked_ms_ < kAskAgainMs || leaving_since_ms_ != kNeverMs) return;
   asked_ms_ = now_ms;
--- a/tests/fleet/replication/replica_test.cpp
+++ b/tests/fleet/replication/replica_test.cpp
@@ -275,6 +275,36 @@
   CHECK(acknowledged == sent);
 }
 
+TEST_CASE("replica: seeds that know nobody but each other are told of the group, and tell each other") {
+  const Member member{"10.0.0.1:7000", "10.0.0.1:8000", 0}, seed{"10.0.0.2:7000", "10.0.0.2:8000", 0},
+      other{"10.0.0.3:7000", "10.0.0.3:8000", 0};
+  Replica owner({member, {member}, true, 1, 1, 5001}, std::nullopt, 0);
+  owner.Saved(1, owner.TakeOutput().save->first);
+  for (double now_ms = 0; now_ms < 2000; now_ms += 50) {
+    owner.Tick(now_ms);
+    const ReplicaOutput output = owner.TakeOutput();
+    if (output.save) owner.Saved(now_ms + 1, output.save->first);
+  }
+  REQUIRE(owner.role() == Replica::Role::kOwner);
+  owner.SetSeeds({seed, other});
+  owner.Tick(4000);
+  Replica first({seed, {seed, other}, false, 1, 2, 5002}, std::nullopt, 0);
+  Replica second({other, {seed, other}, false, 1, 3, 5003}, std::nullopt, 0);
+  for (const auto& [to, message] : owner.TakeOutput().sends) {
+    if (to == seed.internal && std::holds_alternative<JoinReply>(message))
+      first.Receive(4001, member.internal, message);
+  }
+  const auto knows = [&](const Replica& replica) {
+    const auto peers = replica.Peers();
+    return std::ranges::count(peers, member.internal, &Member::internal) == 1;
+  };
+  CHECK(knows(first));
+  first.TakeOutput();
+  first.Receive(4002, other.internal, JoinRequest{other, 3});
+  for (const auto& [to, message] : first.TakeOutput().sends) second.Receive(4003, seed.internal, message);
+  CHECK(knows(second));
+}
+
 TEST_CASE("replica: a read is answered by an owner that a majority confirms, and by no other") {
   const Member self{"10.0.0.1:7000", "10.0.0.1:8000", 0}, second{"10.0.0.2:7000", "10.0.0.2:8000", 0},
       third{"10.0.0.3:7000", "10.0.0.3:8000", 0};
