Refuse, while a router stops, what might outlast its grace

From the moment at which the platform has noticed, a request whose time runs beyond the grace is refused at once.

--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -137,6 +137,7 @@
   void Boot(std::size_t i, bool bootstrap);
   void StartAfter(std::size_t i, double down_ms);
   void LinksLost(const std::string& control);
+  void GoDark(std::size_t i);
   void CutBoth(const std::string& one, const std::string& other, double for_ms, bool both_ways);
   std::vector<fleet::Member> Seeds() const;
   std::vector<std::string> SeedAddresses() const;
--- a/src/router/request_flow.cpp
+++ b/src/router/request_flow.cpp
@@ -119,6 +119,7 @@
     if (const auto number = http::WholeNumber(*told)) deadline_ms = static_cast<double>(*number);
   }
   until_ms_ = began_ms_ + std::min(deadline_ms, route_->timeout_ms);
+  if (until_ms_ > state_.must_end_by_ms) return Refuse(kBusyRetryMs);
   body_ = std::make_shared<const std::string>(std::move(message_.body));
   message_.body = std::string();
   if (const auto count = message_.Find("x-token-count")) prompt_ = ReadTokenCount(*count);
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -9,6 +9,7 @@
 #define BITTERNMUX_SRC_ROUTER_REQUEST_FLOW_H_
 
 #include <boost/asio.hpp>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <random>
@@ -39,6 +40,8 @@
   std::shared_ptr<const RouteTable> table;  // null: no configuration is known yet
   bool servers_known = false;               // a list of servers has come
   bool refusing = false;                    // the process ends soon: nothing new is begun
+  // While the process stops: what may last longer than this is not begun.
+  double must_end_by_ms = std::numeric_limits<double>::infinity();
   std::uint64_t last_request = 0;
   std::unordered_map<std::uint64_t, std::weak_ptr<class RequestFlow>> waiting_for_quota;
   std::vector<std::weak_ptr<class RequestFlow>> waiting_for_table;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -1,6 +1,7 @@
 #include "router/router.h"
 
 #include <chrono>
+#include <limits>
 #include <random>
 
 #include "events/fleet_catalogue.h"
@@ -37,6 +38,7 @@
              nullptr,
              false,
              false,
+             std::numeric_limits<double>::infinity(),
              0,
              {},
              {},
@@ -176,6 +178,9 @@
   const double grace_ms = settings_.grace_s * 1000;
   if (passed > grace_ms - kRefuseBeforeMs) state_.refusing = true;
   if (passed < kNoticedMs) return;
+  // Clients may still be sent here, where most machines of a zone are out. What is begun now has to end in
+  // time.
+  state_.must_end_by_ms = stopping_since_ms_ + grace_ms - kEndBeforeMs;
   front_.CloseIdle();
   if (front_.sessions() > 0 && passed <= grace_ms - kEndBeforeMs) return;
   agent_->Stop();
