--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kDialTimeoutMs = 600;
+constexpr double kGraceMs = 8000;  // from SIGTERM to SIGKILL
+constexpr double kLookEveryMs = 50;
 constexpr std::size_t kMostSeeds = 3;
 
 }  // namespace
@@ -138,27 +140,27 @@
 }
 
 void World::Terminate(std::size_t i, double down_ms) {
-  if (calm_) return;
-  if (!controls_[i]->up()) return;
-  constexpr double kGraceMs = 8000;
+  if (calm_ || !controls_[i]->up()) return;
   Tell(controls_[i]->address() + " is told to stop");
   const std::uint64_t life = controls_[i]->life();
   controls_[i]->Terminate();
-  const std::uint64_t start = ++starting_[i];
-  const auto look = std::make_shared<std::function<void(double)>>();
-  *look = [this, i, life, start, down_ms, look](double passed_ms) {
-    ControlMachine& machine = *controls_[i];
-    if (starting_[i] != start || machine.removed()) return;
-    const bool ended = !machine.up() || machine.life() != life;
-    if (!ended && passed_ms < kGraceMs) {
-      clock_.After(50, [look, passed_ms] { (*look)(passed_ms + 50); });
-      return;
-    }
-    machine.Kill();
-    LinksLost(machine.address());
-    StartAfter(i, down_ms);
-  };
-  clock_.After(50, [look] { (*look)(50); });
+  AwaitEnd(i, life, ++starting_[i], down_ms, clock_.now_ms() + kGraceMs);
+}
+
+// Starts the machine again once the process of that life has ended, or its grace is over.
+void World::AwaitEnd(std::size_t i, std::uint64_t life, std::uint64_t start, double down_ms,
+                     double until_ms) {
+  ControlMachine& machine = *controls_[i];
+  if (starting_[i] != start || machine.removed()) return;
+  const bool ended = !machine.up() || machine.life() != life;
+  if (!ended && clock_.now_ms() < until_ms) {
+    clock_.After(kLookEveryMs,
+                 [this, i, life, start, down_ms, until_ms] { AwaitEnd(i, life, start, down_ms, until_ms); });
+    return;
+  }
+  machine.Kill();
+  LinksLost(machine.address());
+  StartAfter(i, down_ms);
 }
 
 void World::Replace(std::size_t i, double after_ms) {
@@ -186,7 +188,6 @@
     ++starting_[i];
     const std::uint64_t life = controls_[i]->life();
     controls_[i]->Terminate();
-    constexpr double kGraceMs = 8000;
     clock_.After(kGraceMs, [this, i, life] {
       if (controls_[i]->life() == life) LinksLost(controls_[i]->address());
       RemoveWhenBorne(i);
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -138,6 +138,7 @@
   void StartAfter(std::size_t i, double down_ms);
   void LinksLost(const std::string& control);
   void GoDark(std::size_t i);
+  void AwaitEnd(std::size_t i, std::uint64_t life, std::uint64_t start, double down_ms, double until_ms);
   void CutBoth(const std::string& one, const std::string& other, double for_ms, bool both_ways);
   std::vector<fleet::Member> Seeds() const;
   std::vector<std::string> SeedAddresses() const;
