Play cuts and slow links between the built programs, by a relay of ours

A setting of our own, bitternmux.internal_listen, lets a machine listen elsewhere than others reach it.

--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -22,7 +22,8 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr int kAnswerSeconds = 20;
-constexpr std::size_t kPlatform = 20, kEdge = 10, kFirstServer = 30;
+constexpr std::size_t kPlatform = 20, kEdge = 10, kFirstServer = 30, kFirstBackend = 60;
+constexpr std::size_t kServersOfEach = 2;
 
 // An address of this process's own block of loopback, so that tests run beside each other.
 std::string Ip(std::size_t machine) {
@@ -83,8 +84,7 @@
   return reply;
 }
 
-FleetStand::FleetStand(Programs programs, std::size_t model_servers, std::size_t sheet_servers)
-    : programs_(std::move(programs)) {
+FleetStand::FleetStand(Programs programs, Ways ways) : programs_(std::move(programs)) {
   std::string folder = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
   if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no folder");
   folder_ = folder;
@@ -98,11 +98,18 @@
     server->server = std::make_unique<ScriptedServer>(Ip(kFirstServer + servers_.size()), 0, Usual(id));
     servers_[id] = std::move(server);
   };
-  for (std::size_t i = 1; i <= model_servers; ++i) add("model", i);
-  for (std::size_t i = 1; i <= sheet_servers; ++i) add("sheets", i);
+  for (std::size_t i = 1; i <= kServersOfEach; ++i) {
+    add("model", i);
+    add("sheets", i);
+  }
   platform_ = std::make_unique<ScriptedServer>(Ip(kPlatform), 0, [this](Exchange& exchange) {
     exchange.Send(http::WriteResponse(200, {{"Content-Type", "application/json"}}, List(), true));
   });
+  if (ways == Ways::kDirect) return;
+  std::vector<LinkRelay::Machine> machines;
+  for (std::size_t i = 0; i < kControls + kSpares; ++i)
+    machines.push_back({InternalAddress(i), BackendAddress(i)});
+  relay_ = std::make_unique<LinkRelay>(machines);
 }
 
 FleetStand::~FleetStand() {
@@ -118,6 +125,20 @@
   return Ip(1 + i) + ":" + std::to_string(port_ + 1);
 }
 
+std::string FleetStand::InternalAddress(std::size_t i) const {
+  return Ip(1 + i) + ":" + std::to_string(port_);
+}
+
+std::string FleetStand::BackendAddress(std::size_t i) const {
+  return Ip(kFirstBackend + i) + ":" + std::to_string(port_);
+}
+
+void FleetStand::CutOff(std::size_t i) {
+  for (std::size_t other = 0; other < kControls + kSpares; ++other) {
+    if (other != i) relay_->CutBoth(InternalAddress(i), InternalAddress(other));
+  }
+}
+
 std::string FleetStand::WriteSettings(const std::string& name, const std::string& text) {
   std::string seeds;
   for (std::size_t i = 0; i < kControls; ++i) seeds += "  - \"" + ControlAddress(i) + "\"\n";
@@ -140,7 +161,8 @@
   const std::string data = DataFolder(i);
   std::filesystem::create_directories(data);
   return "ip: \"" + Ip(1 + i) + "\"\nlisten:\n  control: \"" + ControlAddress(i) + "\"\ndata_dir: \"" + data +
-         "\"\nbootstrap: " + (bootstrap ? "true" : "false") + "\n";
+         "\"\nbootstrap: " + (bootstrap ? "true" : "false") + "\n" +
+         (relay_ ? "bitternmux:\n  internal_listen: \"" + BackendAddress(i) + "\"\n" : "");
 }
 
 void FleetStand::StartRouter() {
--- a/lab/fleet/fleet_stand.h
+++ b/lab/fleet/fleet_stand.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "http/parser.h"
+#include "lab/fleet/link_relay.h"
 #include "lab/fleet/process.h"
 #include "lab/fleet/scripted_server.h"
 
@@ -40,8 +41,11 @@
   static constexpr std::size_t kSpares = 1;    // that may be started later
   static constexpr const char* kHost = "desk.example";
 
-  // Servers of the service "model" and of the service "sheets".
-  explicit FleetStand(Programs programs, std::size_t model_servers = 2, std::size_t sheet_servers = 2);
+  // How machines reach the control machines' internal addresses.
+  enum class Ways { kDirect, kRelayed };
+
+  // Two servers of the service "model" and two of the service "sheets".
+  explicit FleetStand(Programs programs, Ways ways = Ways::kDirect);
   ~FleetStand();
 
   // Starts all programs, has the first configuration taken, and waits until the router is ready. False: it is
@@ -59,6 +63,12 @@
   // The control machine that answers for the configuration; kControls if none does.
   std::size_t Owner();
   std::string ControlAddress(std::size_t i) const;
+  // The address that others reach its links at: its name for the relay.
+  std::string InternalAddress(std::size_t i) const;
+  // Only where the ways are relayed.
+  LinkRelay& relay() { return *relay_; }
+  // Cuts it off from all other control machines, in both directions. Agents and operators reach it.
+  void CutOff(std::size_t i);
 
   Reply Ask(const ClientRequest& request);
   std::string front() const { return front_; }
@@ -94,6 +104,7 @@
   std::string WriteSettings(const std::string& name, const std::string& text);
   std::string EdgeSettings();
   std::string ControlSettings(std::size_t i, bool bootstrap);
+  std::string BackendAddress(std::size_t i) const;
   Reply Operate(const std::string& method, const std::string& address, const std::string& path,
                 const std::string& body, std::uint64_t if_match);
 
@@ -105,6 +116,7 @@
   std::map<std::string, std::unique_ptr<Server>> servers_;
   std::map<std::string, int> runs_;
   std::unique_ptr<ScriptedServer> platform_;
+  std::unique_ptr<LinkRelay> relay_;  // null: the ways are direct
   std::array<std::unique_ptr<Process>, kControls + kSpares> controls_;
   std::unique_ptr<Process> router_, agent_;
 };
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -129,7 +129,8 @@
   };
   links.lost = [this](fleet::SubscriberId id) { core_->Unsubscribed(id); };
   const fleet::Hello hello{fleet::PeerRole::kControl, settings_.node_name, self_, incarnation_};
-  links_ = std::make_unique<ControlLinks>(io_, self_.internal, hello, std::move(links));
+  const std::string& listen = settings_.internal_listen.empty() ? self_.internal : settings_.internal_listen;
+  links_ = std::make_unique<ControlLinks>(io_, listen, hello, std::move(links));
   platform_ = std::make_unique<PlatformList>(
       settings_.platform_address, [this](std::optional<fleet::ServerMap> servers, std::string why) {
         asio::post(io_,
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -96,6 +96,7 @@
     file.Fail("internal_ports", "are not two rising ports");
   out.first_internal_port = ports[0];
   out.last_internal_port = ports[1];
+  out.internal_listen = file.Section("bitternmux").Address("internal_listen");
   out.seeds = file.Get<std::vector<std::string>>("seeds", {});
   for (const std::string& seed : out.seeds) file.CheckAddress("seeds", seed);
   out.bootstrap = file.Get<bool>("bootstrap", false);
--- a/src/fleet/settings/node_settings.h
+++ b/src/fleet/settings/node_settings.h
@@ -21,6 +21,9 @@
   std::string node_name, ip, zone;
   std::string front, readiness, control;  // ip:port to listen on; empty: not this role's
   std::uint16_t first_internal_port = 0, last_internal_port = 0;
+  // Where a control machine listens for links, if others reach it at another address than its own: behind a
+  // forwarded port. Empty: at `control`'s address and the first internal port.
+  std::string internal_listen;
   std::vector<std::string> seeds;  // control addresses
   bool bootstrap = false;
   std::string data_dir;  // empty: no disk
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -76,6 +76,14 @@
   CHECK(read.tolerated_machines == 2);
   CHECK(read.quota_slack == 110000);
   CHECK(read.drain_ms == 3000);
+  CHECK(read.internal_listen.empty());
+}
+
+TEST_CASE("node settings: links may be listened for at another address than the one others reach") {
+  const File file(std::string(kGood) + "bitternmux:\n  internal_listen: \"127.0.0.1:7680\"\n");
+  CHECK(ReadNodeSettings(file.path()).internal_listen == "127.0.0.1:7680");
+  const File faulty(std::string(kGood) + "bitternmux:\n  internal_listen: \"7680\"\n");
+  CHECK_THROWS_WITH(ReadNodeSettings(faulty.path()), Catch::Contains("bitternmux.internal_listen"));
 }
 
 TEST_CASE("node settings: a fault names file, key and value") {
