--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -8,7 +8,7 @@
 
 // Of a bucket that another machine granted from before. With what routers may use meanwhile it stays inside
 // the overage.
-constexpr double kGrantorStartShare = 0.2;
+constexpr double kGrantorStartShare = 0.35;
 
 }  // namespace
 
--- a/src/fleet/quota/quota_ledger.cpp
+++ b/src/fleet/quota/quota_ledger.cpp
@@ -11,12 +11,12 @@
 constexpr double kReserveMs = 250;       // of that use is kept in reserve
 constexpr double kRefillShare = 0.5;     // of the reserve below which more is asked for
 constexpr double kMostOnTrustMs = 4000;  // of trusted use in any window
-constexpr double kTrustShare = 0.75;     // of what was used is trusted: the mean may hold a spent burst
+constexpr double kTrustShare = 0.8;      // of what was used is trusted: the mean may hold a spent burst
 constexpr double kTrustMs = 30'000;      // over which what the last grantor allowed fades
 constexpr double kAllowanceMs = 400;     // of that may be saved up
 // Of the slack that stands for what is used without a grantor. Grantors take less than a fifth of it, and
 // both may fall into one window.
-constexpr double kAllowanceShare = 0.5;
+constexpr double kAllowanceShare = 0.6;
 
 }  // namespace
 
