--- a/tests/fleet/quota/quota_test.cpp
+++ b/tests/fleet/quota/quota_test.cpp
@@ -12,8 +12,8 @@
 namespace bitternmux {
 namespace {
 
-using fleet::QuotaGrantor;
 using fleet::QuotaAnswer;
+using fleet::QuotaGrantor;
 using fleet::QuotaLedger;
 
 constexpr double kSlack = 110'000;
