--- a/tests/fleet/quota/quota_test.cpp
+++ b/tests/fleet/quota/quota_test.cpp
@@ -182,6 +182,71 @@
   CHECK(ledger.Ask(2, 2, tenant, 100) == QuotaAnswer::kAdmitted);
 }
 
+namespace {
+
+// Asks for `tokens` every 50 ms from one moment to another, with a grantor that is silent; how many get
+// through.
+double UseWithoutGrantor(QuotaLedger& ledger, const fleet::Tenant& tenant, double tokens, double from_ms,
+                         double to_ms) {
+  constexpr double kEveryMs = 50;
+  double admitted = 0;
+  std::uint64_t request = static_cast<std::uint64_t>(from_ms) * 1000;
+  for (double now_ms = from_ms; now_ms < to_ms; now_ms += kEveryMs) {
+    ledger.Tick(now_ms);
+    if (ledger.Ask(now_ms, ++request, tenant, tokens) == QuotaAnswer::kAdmitted) admitted += tokens;
+    for (const fleet::QuotaVerdict& verdict : ledger.TakeVerdicts())
+      admitted += verdict.admitted ? tokens : 0;
+    ledger.TakeRequests();
+  }
+  return admitted;
+}
+
+// Uses 1,000 tokens a second, each granted as it is asked for.
+void UseWithGrants(QuotaLedger& ledger, const fleet::Tenant& tenant, double to_ms) {
+  std::uint64_t request = 0;
+  for (double now_ms = 0; now_ms < to_ms; now_ms += 100) {
+    ledger.Ask(now_ms, ++request, tenant, 100);
+    for (const fleet::QuotaRequest& asked : ledger.TakeRequests()) {
+      ledger.Granted(now_ms, {asked.id, asked.tenant, asked.need + asked.reserve, 0, ""});
+    }
+    ledger.TakeVerdicts();
+  }
+}
+
+}  // namespace
+
+TEST_CASE("quota: without a grantor a router uses its share of the slack once in any window") {
+  QuotaLedger ledger({10'000, kWindowMs});
+  ledger.SetRouters(2);
+  const fleet::Tenant tenant = TenantOf("t", 1000);
+  const double first = UseWithoutGrantor(ledger, tenant, 100, 0, kWindowMs);
+  CHECK(first > 0);
+  CHECK(first <= 5'000);
+  CHECK(UseWithoutGrantor(ledger, tenant, 100, 1.5 * kWindowMs, 2 * kWindowMs) <= 5'000);
+}
+
+TEST_CASE("quota: a router that is cut off stops within a window, as others are granted its rate") {
+  QuotaLedger ledger({0, kWindowMs});
+  const fleet::Tenant tenant = TenantOf("t", 1000);
+  UseWithGrants(ledger, tenant, 20'000);
+  const double in_window = UseWithoutGrantor(ledger, tenant, 100, 20'000, 20'000 + kWindowMs);
+  CHECK(in_window >= 2'000);
+  CHECK(in_window <= 4'500);
+}
+
+TEST_CASE("quota: a grant that comes late is offset by what was used without it") {
+  QuotaLedger ledger({10'000, kWindowMs});
+  const fleet::Tenant tenant = TenantOf("t", 1000);
+  CHECK(ledger.Ask(0, 1, tenant, 100) == QuotaAnswer::kAdmitted);  // of the slack, before any grant
+  const auto asked = ledger.TakeRequests();
+  REQUIRE(asked.size() == 1);
+  ledger.Tick(1000);  // it is given up
+  CHECK(ledger.Ask(1000, 2, tenant, 100) == QuotaAnswer::kAdmitted);
+  ledger.Granted(1010, {asked[0].id, "t", 150, 0, ""});
+  ledger.TakeRequests();
+  CHECK(ledger.Ask(1010, 3, tenant, 100) == QuotaAnswer::kWait);  // 150 less the 200 that were used
+}
+
 TEST_CASE("quota: a tenant without a limit is never asked for") {
   QuotaLedger ledger({0, kWindowMs});
   CHECK(ledger.Ask(0, 1, TenantOf("t", 0), 1e9) == QuotaAnswer::kAdmitted);
