--- a/tests/router/front_test.cpp
+++ b/tests/router/front_test.cpp
@@ -1,19 +1,21 @@
 // The clients' side on real sockets, in one process.
 #include "router/front.h"
 
+#include <array>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "support/run_until.h"
+
 namespace bitternmux::router {
 namespace {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr auto kPatience = std::chrono::seconds(10);
 const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 // A front whose requests the test answers, and one client.
@@ -30,12 +32,12 @@
   void Send(const std::string& bytes) { asio::write(client_, asio::buffer(bytes)); }
   // The responder of the request of that number, once it has come.
   std::shared_ptr<Responder> Taken(std::size_t number) {
-    REQUIRE(Until([&] { return taken_.size() > number; }));
+    REQUIRE(support::RunUntil(io_, [&] { return taken_.size() > number; }));
     return taken_[number];
   }
   // Whether the client gets to see that text.
   bool Sees(const std::string& text) {
-    return Until([&] { return Read().find(text) != std::string::npos; });
+    return support::RunUntil(io_, [&] { return Read().find(text) != std::string::npos; });
   }
   const std::string& Read() {
     std::array<char, 4096> piece;
@@ -45,17 +47,6 @@
   }
 
  private:
-  template <class Holds>
-  bool Until(const Holds& holds) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!holds()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      io_.restart();
-      io_.run_one_for(std::chrono::milliseconds(1));
-    }
-    return true;
-  }
-
   asio::io_context io_;
   std::vector<std::shared_ptr<Responder>> taken_;
   Front front_{io_, [this](const http::Message&, const std::shared_ptr<Responder>& responder) {
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -7,10 +7,11 @@
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
-#include <functional>
 #include <memory>
 #include <string>
 
+#include "support/run_until.h"
+
 namespace bitternmux::router {
 namespace {
 
@@ -18,7 +19,6 @@
 using asio::ip::tcp;
 using trompeloeil::_;
 
-constexpr auto kPatience = std::chrono::seconds(10);
 constexpr std::size_t kServers = 2;
 
 class MockResponder : public Responder {
@@ -75,15 +75,9 @@
     return RequestFlow::Begin(state_, std::move(message), responder_);
   }
 
-  // Runs what is due until it is so.
-  bool Until(const std::function<bool()>& holds) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!holds()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      io_.restart();
-      io_.run_one_for(std::chrono::milliseconds(1));
-    }
-    return true;
+  template <class Holds>
+  bool Until(const Holds& holds) {
+    return support::RunUntil(io_, holds);
   }
 
   // The connection of the next attempt, with its request read; counts who was asked.
