Do not fill a slow link with repeats of pieces that are only late

Now replies count as a loss only behind the repeated part, and the time to a repeat follows what progress takes. Ruled out: the learner's place (asked for every 300 ms, kept 1,500 ms), the relay (it keeps order and loses nothing).

--- a/src/fleet/replication/value_transfer.cpp
+++ b/src/fleet/replication/value_transfer.cpp
@@ -108,11 +108,18 @@
 OutgoingTransfer::OutgoingTransfer(const Position& position, const Position& base, std::string bytes)
     : position_(position), base_(base), bytes_(std::move(bytes)) {}
 
+void OutgoingTransfer::SendAgain() {
+  repeated_to_ = std::max(repeated_to_, sent_);
+  sent_ = received_;
+  repeated_replies_ = 0;
+}
+
 std::vector<ValuePiece> OutgoingTransfer::TakePieces(double now_ms) {
-  if (progress_ms_ == kNeverMs) progress_ms_ = now_ms;
-  if (now_ms - progress_ms_ > kTransferStallMs) {
-    sent_ = received_;
-    progress_ms_ = now_ms;
+  if (progress_ms_ == kNeverMs) progress_ms_ = waits_from_ms_ = now_ms;
+  if (now_ms - waits_from_ms_ > stall_ms_) {
+    SendAgain();
+    waits_from_ms_ = now_ms;
+    stall_ms_ = std::min(2 * stall_ms_, kMostTransferStallMs);
   }
   std::vector<ValuePiece> pieces;
   while (sent_ < bytes_.size() && sent_ - received_ < kPiecesAhead * kPieceBytes) {
@@ -125,14 +132,20 @@
 
 void OutgoingTransfer::Received(double now_ms, std::uint64_t bytes) {
   if (bytes > bytes_.size()) return;
-  if (bytes < received_) sent_ = bytes;  // the receiver has begun anew
-  if (bytes != received_) {
-    progress_ms_ = now_ms;
-    repeated_ = 0;
-  } else if (++repeated_ >= kRepeatedReplies) {
-    sent_ = received_;
-    repeated_ = 0;
+  if (bytes == received_) {
+    const bool may_be_late = received_ <= repeated_to_ && repeated_to_ > 0;
+    if (!may_be_late && ++repeated_replies_ >= kRepeatedReplies) SendAgain();
+    return;
+  }
+  if (bytes < received_) {  // the receiver has begun anew
+    sent_ = bytes;
+    repeated_to_ = 0;
   }
+  // What arrives of the repeated part says nothing of how long an answer takes.
+  if (bytes > repeated_to_)
+    stall_ms_ = std::clamp(2 * (now_ms - progress_ms_), kTransferStallMs, kMostTransferStallMs);
+  progress_ms_ = waits_from_ms_ = now_ms;
+  repeated_replies_ = 0;
   received_ = bytes;
   sent_ = std::max(sent_, received_);
 }
--- a/src/fleet/replication/value_transfer.h
+++ b/src/fleet/replication/value_transfer.h
@@ -3,8 +3,12 @@
 // The owner has at most one transfer under way for each peer. It sends a value whole (a snapshot) or as the
 // changes of one that the peer holds (an increment), in pieces of kPieceBytes of which kPiecesAhead may be
 // unanswered, so that a heartbeat waits for no more than these. A transfer that makes no progress goes on
-// from what the peer has answered for. One that has begun is finished even if a newer value has come
-// meanwhile: a slow link then still moves forward, and what came in between follows as one increment.
+// from what the peer has answered for. Links keep their order, so that pieces are lost only with a link; what
+// looks lost is mostly late. Repeats therefore never cause others: replies that tell of no progress count
+// only once something has arrived that was sent after the last repeat; the time to a repeat is twice what the
+// last progress took, at least, and doubles with each repeat without progress. One that has begun is finished
+// even if a newer value has come meanwhile: a slow link then still moves forward, and what came in between
+// follows as one increment.
 #ifndef BITTERNMUX_SRC_FLEET_REPLICATION_VALUE_TRANSFER_H_
 #define BITTERNMUX_SRC_FLEET_REPLICATION_VALUE_TRANSFER_H_
 
@@ -22,8 +26,9 @@
 
 constexpr std::size_t kPieceBytes = 32 * 1024;
 constexpr std::size_t kPiecesAhead = 4;
-constexpr double kTransferStallMs = 600;  // without an answer, before the pieces are sent again
-constexpr int kRepeatedReplies = 3;       // that tell of no progress, after which they are sent again at once
+constexpr double kTransferStallMs = 600;         // without an answer, before the pieces are sent again
+constexpr double kMostTransferStallMs = 10'000;  // the longest that this time becomes
+constexpr int kRepeatedReplies = 3;  // that tell of no progress, after which they are sent again at once
 constexpr std::uint64_t kMaxValueBytes = 12 * 1024 * 1024;
 
 // Values that the owner had before, as bases of increments. Bounded in number and in bytes, the newest is
@@ -61,11 +66,16 @@
   std::uint64_t unanswered() const { return sent_ - received_; }
 
  private:
+  void SendAgain();
+
   Position position_, base_;
   std::string bytes_;
   std::uint64_t sent_ = 0, received_ = 0;
-  double progress_ms_ = kNeverMs;
-  int repeated_ = 0;
+  std::uint64_t repeated_to_ = 0;    // what lies before this may arrive twice
+  double progress_ms_ = kNeverMs;    // the newest progress, or the first piece
+  double waits_from_ms_ = kNeverMs;  // that, or the newest repeat
+  double stall_ms_ = kTransferStallMs;
+  int repeated_replies_ = 0;  // that tell of no progress, one after the other
 };
 
 class IncomingTransfer {
--- a/tests/fleet/replication/value_transfer_test.cpp
+++ b/tests/fleet/replication/value_transfer_test.cpp
@@ -1,6 +1,8 @@
 #include "fleet/replication/value_transfer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <random>
 
 namespace bitternmux::fleet {
@@ -63,6 +65,77 @@
   CHECK(*got == value);
 }
 
+// A link that carries pieces in order at a rate, and stands still once.
+namespace {
+
+struct SlowLinkPlay {
+  double bytes_per_ms = 1250;
+  double still_from_ms = 0, still_for_ms = 0;
+  double took_ms = 0;
+  std::size_t bytes_sent = 0;
+  bool whole = false;
+
+  void Play(const AcceptedValue& value) {
+    OutgoingTransfer outgoing(value.position, {}, EncodeValue(nullptr, value));
+    IncomingTransfer incoming;
+    std::deque<std::pair<double, ValuePiece>> under_way;  // by when it arrives
+    double free_from_ms = 0;
+    constexpr double kTickMs = 5, kMostMs = 120'000;
+    for (double now_ms = 0; now_ms < kMostMs && !whole; now_ms += kTickMs) {
+      for (ValuePiece& piece : outgoing.TakePieces(now_ms)) {
+        const auto size = static_cast<double>(piece.bytes.size());
+        free_from_ms = std::max(free_from_ms, now_ms);
+        if (free_from_ms >= still_from_ms && free_from_ms < still_from_ms + still_for_ms)
+          free_from_ms = still_from_ms + still_for_ms;
+        free_from_ms += size / bytes_per_ms;
+        bytes_sent += piece.bytes.size();
+        under_way.emplace_back(free_from_ms, std::move(piece));
+      }
+      while (!under_way.empty() && under_way.front().first <= now_ms && !whole) {
+        const auto result = incoming.Receive(under_way.front().second, AcceptedValue{});
+        under_way.pop_front();
+        if (result.reply) outgoing.Received(now_ms, result.reply->received);
+        whole = result.value.has_value();
+      }
+      took_ms = now_ms;
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("value transfer: a link that stands still for a while is not filled with repeats for good") {
+  constexpr std::size_t kBytes = 4'000'000;
+  const AcceptedValue value = Value(7, std::string(kBytes, 'y'));
+  SlowLinkPlay calm;
+  calm.Play(value);
+  REQUIRE(calm.whole);
+  SlowLinkPlay play;
+  play.still_from_ms = 300;
+  play.still_for_ms = GENERATE(500.0, 700.0, 2000.0, 5000.0);
+  CAPTURE(play.still_for_ms, calm.took_ms, calm.bytes_sent);
+  play.Play(value);
+  REQUIRE(play.whole);
+  // What may be sent twice is a few windows, and it holds the link up by no more than its own time.
+  constexpr std::size_t kFewWindows = 4 * kPiecesAhead * kPieceBytes;
+  CHECK(play.bytes_sent <= calm.bytes_sent + kFewWindows);
+  CHECK(play.took_ms <=
+        calm.took_ms + play.still_for_ms + static_cast<double>(kFewWindows) / play.bytes_per_ms);
+}
+
+TEST_CASE(
+    "value transfer: a link slower than the time after which pieces are sent again still gets through") {
+  constexpr std::size_t kBytes = 2'000'000;
+  const AcceptedValue value = Value(7, std::string(kBytes, 'y'));
+  SlowLinkPlay play;
+  play.bytes_per_ms = 30;  // a piece takes over a second
+  play.Play(value);
+  REQUIRE(play.whole);
+  // Until it has learned how long an answer takes, and then no more.
+  constexpr std::size_t kFewWindows = 5 * kPiecesAhead * kPieceBytes;
+  CHECK(play.bytes_sent <= kBytes + kFewWindows);
+}
+
 TEST_CASE("value transfer: changes of a value that the receiver does not hold are told as such") {
   const AcceptedValue base = Value(4, "{a}"), next = Value(5, "{b}");
   OutgoingTransfer outgoing(next.position, base.position, EncodeValue(&base, next));
