--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -116,6 +116,10 @@
   }
   if (const auto* grant = std::get_if<fleet::QuotaGrant>(&message)) {
     for (const auto& [key, router] : routers_) router->Send(*grant);
+    return;
+  }
+  if (std::holds_alternative<fleet::ServerLoads>(message)) {
+    for (const auto& [key, router] : routers_) router->Send(message);
   }
 }
 
@@ -135,10 +139,16 @@
   const auto link = std::make_shared<fleet::Link>(
       std::move(socket),
       [this](const LinkPointer& from, fleet::Message message) { FromRouter(from, std::move(message)); },
-      [this](const LinkPointer& from) { routers_.erase(from.get()); });
+      [this](const LinkPointer& from) { RouterLost(from); });
   link->Start();
 }
 
+// What it had in work is nobody's any more.
+void Agent::RouterLost(const LinkPointer& link) {
+  routers_.erase(link.get());
+  if (control_ && control_->link()) control_->link()->Send(fleet::ServerLoads{true, {}});
+}
+
 void Agent::FromRouter(const LinkPointer& link, fleet::Message message) {
   if (const auto* subscribe = std::get_if<fleet::Subscribe>(&message)) {
     routers_[link.get()] = link;
@@ -147,6 +157,10 @@
   }
   if (const auto* request = std::get_if<fleet::QuotaRequest>(&message)) {
     if (control_ && control_->link()) control_->link()->Send(*request);
+    return;
+  }
+  if (std::holds_alternative<fleet::ServerLoads>(message) && control_ && control_->link()) {
+    control_->link()->Send(message);
   }
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -41,6 +41,7 @@
   std::vector<std::string> ControlAddresses() const;
   // The router.
   void Accepted(fleet::tcp::socket socket);
+  void RouterLost(const LinkPointer& link);
   void FromRouter(const LinkPointer& link, fleet::Message message);
   void Publish(bool news);
   void Beat();
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -81,8 +81,10 @@
     return handlers_.from_control(control, message);
   }
   if (auto* request = std::get_if<fleet::QuotaRequest>(&message)) {
-    handlers_.from_subscriber(accepted.id, std::move(*request));
+    return handlers_.from_subscriber(accepted.id, std::move(*request));
   }
+  if (const auto* loads = std::get_if<fleet::ServerLoads>(&message))
+    handlers_.loads_told(accepted.id, *loads);
 }
 
 void ControlLinks::Send(const fleet::ControlSend& send) {
--- a/src/control/control_links.h
+++ b/src/control/control_links.h
@@ -23,6 +23,7 @@
     std::function<void(const std::string& address, const fleet::Message&)> from_control;
     std::function<void(fleet::SubscriberId, const fleet::Subscribe&)> subscribed;
     std::function<void(fleet::SubscriberId, fleet::QuotaRequest)> from_subscriber;
+    std::function<void(fleet::SubscriberId, const fleet::ServerLoads&)> loads_told;
     std::function<void(fleet::SubscriberId)> lost;
   };
 
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -127,6 +127,9 @@
     core_->FromSubscriber(NowMs(), id, std::move(request));
     Drain();
   };
+  links.loads_told = [this](fleet::SubscriberId id, const fleet::ServerLoads& loads) {
+    core_->LoadsTold(id, loads);
+  };
   links.lost = [this](fleet::SubscriberId id) { core_->Unsubscribed(id); };
   const fleet::Hello hello{fleet::PeerRole::kControl, settings_.node_name, self_, incarnation_};
   const std::string& listen = settings_.internal_listen.empty() ? self_.internal : settings_.internal_listen;
--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -6,10 +6,16 @@
 namespace bitternmux::fleet {
 namespace {
 
-// Of a bucket that another machine granted from before. With what routers may use meanwhile it stays inside
-// the overage.
 constexpr double kGrantContactMs = 500;  // an owner grants quota on a majority's word that is no older
 
+// Loads are told so often at the most, and so that they cost the subscribers of one machine no more.
+constexpr double kLoadsEveryMs = 50;
+constexpr double kLoadBytesPerMs = 500;
+constexpr double kLoadRowBytes = 12, kLoadFrameBytes = 60;
+constexpr double kLoadsRefreshMs = 1000;  // after which all rows are told again
+constexpr double kLoadsGoneMs = 2500;     // after which those of a silent control machine are dropped
+const char* const kOwnLoads = "";         // the source of this machine's own sums
+
 }  // namespace
 
 const char* NameOf(Replica::Role role) {
@@ -55,6 +61,7 @@
   calls_.Tick(now_ms);
   TendList(now_ms);
   if (now_ms - beat_ms_ >= kFeedBeatMs) Beat(now_ms);
+  if (LoadsDue(now_ms)) TellLoads(now_ms);
 }
 
 void ControlCore::FromControl(double now_ms, const std::string& address, const Message& message) {
@@ -77,6 +84,10 @@
   if (const auto* load = std::get_if<FeedLoad>(&message)) {
     return router_count_.Told(now_ms, address, load->subscribers);
   }
+  if (const auto* loads = std::get_if<ServerLoads>(&message)) {
+    loads_heard_ms_[address] = now_ms;
+    return fleet_loads_.Set(address, *loads);
+  }
   replica_.Receive(now_ms, address, message);
 }
 
@@ -101,7 +112,10 @@
   ToSubscriber(id, BeatNow(now_ms));
 }
 
-void ControlCore::Unsubscribed(SubscriberId id) { subscribers_.erase(id); }
+void ControlCore::Unsubscribed(SubscriberId id) {
+  subscribers_.erase(id);
+  own_loads_.Drop(std::to_string(id));
+}
 
 void ControlCore::FromSubscriber(double now_ms, SubscriberId id, QuotaRequest request) {
   const auto found = subscribers_.find(id);
@@ -225,6 +239,38 @@
   if (!subscribers_.empty()) output_.sends.push_back({"", 0, BeatNow(now_ms)});
 }
 
+// ---- Load ----
+
+void ControlCore::LoadsTold(SubscriberId id, const ServerLoads& loads) {
+  if (subscribers_.contains(id)) own_loads_.Set(std::to_string(id), loads);
+}
+
+bool ControlCore::LoadsDue(double now_ms) const {
+  const double bytes = kLoadFrameBytes + kLoadRowBytes * static_cast<double>(load_rows_);
+  const double span_ms = static_cast<double>(subscribers_.size()) * bytes / kLoadBytesPerMs;
+  return now_ms - loads_told_ms_ >= std::max(kLoadsEveryMs, span_ms);
+}
+
+void ControlCore::TellLoads(double now_ms) {
+  loads_told_ms_ = now_ms;
+  std::erase_if(loads_heard_ms_, [&](const auto& entry) {
+    const bool gone = now_ms - entry.second > kLoadsGoneMs;
+    if (gone) fleet_loads_.Drop(entry.first);
+    return gone;
+  });
+  const bool refresh = now_ms - loads_refreshed_ms_ >= kLoadsRefreshMs;
+  if (refresh) loads_refreshed_ms_ = now_ms;
+  ServerLoads own = own_loads_.TakeChanges();
+  fleet_loads_.Set(kOwnLoads, own);
+  if (refresh) own = own_loads_.All();
+  if (refresh || !own.rows.empty()) ToAllControl(own);
+  ServerLoads fleet = fleet_loads_.TakeChanges();
+  load_rows_ = fleet.rows.size();
+  if (refresh) fleet = fleet_loads_.All();
+  if ((refresh || !fleet.rows.empty()) && !subscribers_.empty())
+    output_.sends.push_back({"", 0, std::move(fleet)});
+}
+
 // ---- The platform's list ----
 
 void ControlCore::TendList(double now_ms) {
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -18,6 +18,7 @@
 #include "fleet/discovery/list_reader.h"
 #include "fleet/discovery/list_view.h"
 #include "fleet/feed/feed.h"
+#include "fleet/load/load_board.h"
 #include "fleet/membership/router_count.h"
 #include "fleet/operations/operator_calls.h"
 #include "fleet/quota/quota_grantor.h"
@@ -83,6 +84,8 @@
   void Subscribed(double now_ms, SubscriberId id, const Subscribe& subscribe);
   void Unsubscribed(SubscriberId id);
   void FromSubscriber(double now_ms, SubscriberId id, QuotaRequest request);
+  // What a subscriber's router has in work.
+  void LoadsTold(SubscriberId id, const ServerLoads& loads);
   void Put(double now_ms, std::uint64_t call, Order order);
   void Get(double now_ms, std::uint64_t call);
   void Saved(double now_ms, std::uint64_t ticket);
@@ -122,6 +125,8 @@
   void TellDrained(double now_ms);
   void GrantQuota(const QuotaGrant& grant);
   void TellRole();
+  void TellLoads(double now_ms);
+  bool LoadsDue(double now_ms) const;
 
   const std::vector<Member> first_seeds_;
   Replica replica_;
@@ -134,6 +139,11 @@
   std::uint64_t confirmation_ = kConfirmations;  // its number among the replica's reads
   FeedPublisher publisher_;
   RouterCount router_count_;
+  LoadBoard own_loads_;                           // of the routers behind this machine's subscribers
+  LoadBoard fleet_loads_;                         // sums of all control machines
+  std::map<std::string, double> loads_heard_ms_;  // from the others
+  double loads_told_ms_ = kNeverMs, loads_refreshed_ms_ = kNeverMs;
+  std::size_t load_rows_ = 0;  // that were told last
   QuotaGrantor grantor_;
   std::optional<std::vector<std::string>> wanted_drained_;  // as told to the replica in this epoch
   std::optional<Epoch> granting_epoch_;                     // in which this machine began to grant
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -14,7 +14,7 @@
 
 namespace bitternmux::fleet {
 
-constexpr std::uint32_t kProtocolVersion = 3;
+constexpr std::uint32_t kProtocolVersion = 4;
 
 constexpr double kNeverMs = -1e18;  // a time before all others
 
@@ -447,6 +447,31 @@
   }
 };
 
+// ---- Load ----
+
+// What is in work at one server; absolute values.
+struct ServerLoad {
+  std::uint32_t server = 0;         // LoadKey of its id
+  std::int32_t requests = 0;        // sent there and not ended
+  std::int32_t prefill_tokens = 0;  // to be read for those of them that have not begun to answer
+
+  bool operator==(const ServerLoad&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, requests, prefill_tokens);
+  }
+};
+
+// A router's rows, or the sums of a control machine's routers, or those of the fleet.
+struct ServerLoads {
+  bool whole = false;  // what was told before and is not here is nothing any more
+  std::vector<ServerLoad> rows;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(whole, rows);
+  }
+};
+
 // ---- Links ----
 
 enum class PeerRole : std::uint8_t { kControl, kAgent, kRouter };
@@ -466,7 +491,7 @@
 using Message = std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply,
                              Heartbeat, HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow,
                              Subscribe, FeedEntry, FeedBeat, ListAssignment, ListReport, ListReading,
-                             ListRequest, FeedLoad, QuotaRequest, QuotaGrant>;
+                             ListRequest, FeedLoad, QuotaRequest, QuotaGrant, ServerLoads>;
 
 }  // namespace bitternmux::fleet
 
--- /dev/null
+++ b/src/router/first_event_model.cpp
@@ -0,0 +1,80 @@
+#include "router/first_event_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bitternmux::router {
+namespace {
+
+// Answers that lie behind the start: a short and a long prompt, and a busy server.
+constexpr std::array<WorkAhead, 4> kStartAnswers = {{{0, 0}, {500, 2}, {4000, 4}, {1000, 20}}};
+constexpr double kLeastPivot = 1e-9;
+
+}  // namespace
+
+FirstEventModel::FirstEventModel() {
+  const double weight = kStartWeight / static_cast<double>(kStartAnswers.size());
+  for (const WorkAhead& work : kStartAnswers) Add(TermsOf(work), Expected(work), weight);
+}
+
+double FirstEventModel::Expected(const WorkAhead& work) const {
+  return coefficients_[0] + coefficients_[1] * work.tokens + coefficients_[2] * work.requests;
+}
+
+void FirstEventModel::Add(const Terms& terms, double came_ms, double weight) {
+  for (std::size_t row = 0; row < kTerms; ++row) {
+    moments_[row] += weight * terms[row] * came_ms;
+    for (std::size_t column = 0; column < kTerms; ++column)
+      products_[row][column] += weight * terms[row] * terms[column];
+  }
+}
+
+// An answer weighs the less the longer it took: what is to be right is the share, not the difference.
+void FirstEventModel::Learn(const WorkAhead& work, double came_ms) {
+  constexpr double kKept = 1 - 1 / kMemory;
+  for (Terms& row : products_) {
+    for (double& product : row) product *= kKept;
+  }
+  for (double& moment : moments_) moment *= kKept;
+  const double expected_ms = std::max(Expected(work), 1.0);
+  const double limited_ms = std::min(came_ms, 4 * expected_ms + 100);  // one that hung says little
+  Add(TermsOf(work), limited_ms, std::min(1.0, kStartBaseMs / expected_ms));
+  Solve();
+}
+
+// Gauss' elimination; the matrix is symmetric and, by the start, not singular.
+void FirstEventModel::Solve() {
+  std::array<Terms, kTerms> matrix = products_;
+  Terms right = moments_;
+  for (std::size_t pivot = 0; pivot < kTerms; ++pivot) {
+    if (std::abs(matrix[pivot][pivot]) < kLeastPivot) return;
+    for (std::size_t row = pivot + 1; row < kTerms; ++row) {
+      const double factor = matrix[row][pivot] / matrix[pivot][pivot];
+      for (std::size_t column = pivot; column < kTerms; ++column)
+        matrix[row][column] -= factor * matrix[pivot][column];
+      right[row] -= factor * right[pivot];
+    }
+  }
+  for (std::size_t row = kTerms; row-- > 0;) {
+    double value = right[row];
+    for (std::size_t column = row + 1; column < kTerms; ++column)
+      value -= matrix[row][column] * coefficients_[column];
+    coefficients_[row] = std::max(0.0, value / matrix[row][row]);
+  }
+}
+
+double PaceFactor::At(double now_ms) const {
+  const double kept = std::exp(-std::max(0.0, now_ms - at_ms_) / kFadeMs);
+  const double factor = (kept * came_ms_ + kUsualMs) / (kept * expected_ms_ + kUsualMs);
+  return std::clamp(factor, kLeastFactor, kMostFactor);
+}
+
+void PaceFactor::Learn(double now_ms, double expected_ms, double came_ms) {
+  const double kept = std::exp(-std::max(0.0, now_ms - at_ms_) / kFadeMs);
+  expected_ms_ = kept * expected_ms_ + expected_ms;
+  came_ms_ = kept * came_ms_ + std::min(came_ms, kMostFactor * expected_ms);
+  at_ms_ = std::max(at_ms_, now_ms);
+}
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/request_ending.cpp
@@ -0,0 +1,77 @@
+// How a request ends, and what is told of that.
+#include <algorithm>
+
+#include "events/fleet_catalogue.h"
+#include "router/request_flow.h"
+#include "router/request_headers.h"
+
+namespace bitternmux::router {
+void RequestFlow::Refuse(double retry_ms, EndReason reason) {
+  if (passing_) return StreamBroke();
+  if (may_have_run_ && !route_->Repeatable()) return Respond(502, "it may have run", reason);
+  http::Headers headers = {{"X-Request-Id", request_id_}};
+  if (retry_ms > 0) {
+    const double spread = std::uniform_real_distribution<double>(0.6, 1.4)(state_.random);
+    headers.emplace_back("Retry-After", SecondsText(retry_ms * spread));
+  }
+  if (const auto responder = responder_.lock()) responder->Respond(503, headers, "");
+  Over(reason);
+}
+
+void RequestFlow::Respond(int status, std::string_view why, EndReason reason) {
+  if (const auto responder = responder_.lock()) {
+    responder->Respond(status, {{"X-Request-Id", request_id_}, {"Content-Type", "text/plain"}}, why);
+  }
+  Over(reason);
+}
+
+void RequestFlow::TimeIsUp() {
+  if (phase_ == Phase::kOver) return;
+  const bool sent = attempt_ != nullptr;
+  if (sent) {
+    Upstream::Cancel(attempt_);
+    may_have_run_ = true;
+    AttemptOver(attempt_begun_ ? ServerOutcome::kLeft : ServerOutcome::kFailed);
+  }
+  if (passing_) {
+    if (const auto responder = responder_.lock()) responder->BreakOff();
+    return Over(EndReason::kOutOfTime);
+  }
+  may_have_run_ ? Respond(504, "out of time", EndReason::kOutOfTime) : Refuse(0, EndReason::kNoTime);
+}
+
+void RequestFlow::ClientLeft() {
+  if (phase_ == Phase::kOver) return;
+  if (attempt_) {
+    Upstream::Cancel(attempt_);
+    may_have_run_ = true;
+    AttemptOver(ServerOutcome::kLeft);
+  }
+  Over(EndReason::kClientLeft);
+}
+
+void RequestFlow::TellEnd(EndReason reason) {
+  state_.metrics.Ended(reason);
+  const bool late = route_ != nullptr && first_event_ms_ > route_->target_latency_ms;
+  if (reason == EndReason::kServed && late) state_.metrics.Late();
+  state_.events.Write(fleet_events::kRequestEnded, {{"id", request_id_},
+                                                    {"reason", NameOf(reason)},
+                                                    {"route", route_ != nullptr ? route_->path_prefix : ""},
+                                                    {"tokens_in", prompt_ ? prompt_->tokens_in : 0.0},
+                                                    {"cost", cost_},
+                                                    {"sends", sends_},
+                                                    {"first_event_ms", first_event_ms_},
+                                                    {"took_ms", SteadyNowMs() - began_ms_}});
+}
+
+void RequestFlow::Over(EndReason reason) {
+  if (phase_ == Phase::kOver) return;
+  phase_ = Phase::kOver;
+  timer_.cancel();
+  TellEnd(reason);
+  if (state_.waiting_for_quota.erase(number_) > 0) state_.quota.Withdraw(tenant_->name, number_);
+  if (!charged_ || may_have_run_ || tenant_ == nullptr) return;
+  state_.quota.GiveBack(SteadyNowMs(), tenant_->name, charged_ms_, cost_);
+}
+
+}  // namespace bitternmux::router
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -2,6 +2,9 @@
 //
 //   quota -> choice of a server -> attempt -> (another attempt) -> answer
 //
+// request_admission.cpp has the way to the choice, request_attempts.cpp the attempts, request_ending.cpp the
+// end.
+//
 // What never ran is told from what may have run by one flag, which the first byte of an attempt sets and only
 // a server's own word (X-Not-Executed, 421) takes back: without it a request that must not run twice is
 // neither sent again nor answered with one of the statuses that promise it never will run.
@@ -21,8 +24,10 @@
 #include "router/event_stream.h"
 #include "router/front.h"
 #include "router/prompt.h"
+#include "router/request_end.h"
 #include "router/retry_budget.h"
 #include "router/route_table.h"
+#include "router/router_metrics.h"
 #include "router/server_choice.h"
 #include "router/shutdown.h"
 #include "router/upstream.h"
@@ -44,7 +49,9 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<class RequestFlow>> waiting_for_quota;
   std::vector<std::weak_ptr<class RequestFlow>> waiting_for_table;
   std::function<void()> quota_changed;  // requests or verdicts are to be taken from the ledger
+  std::function<void()> loads_changed;  // the choice has loads to tell
   std::mt19937 random;
+  RouterMetrics metrics;
 };
 
 class RequestFlow : public OpenRequest,
@@ -82,13 +89,15 @@
   void Failed(bool reached);
   bool MayRepeat(double now_ms);
   void StreamBroke();
+  void NoteFirstEvent();
   void AttemptOver(ServerOutcome outcome);
   void PassHead(const http::Message& head);
   void PassAnswer();
-  void Refuse(double retry_ms);
-  void Answer_(int status, std::string_view why);
+  void Refuse(double retry_ms, EndReason reason);
+  void Respond(int status, std::string_view why, EndReason reason);
   void TimeIsUp();
-  void Over();
+  void Over(EndReason reason);
+  void TellEnd(EndReason reason);
   double Left(double now_ms) const { return until_ms_ - now_ms; }
 
   RouterState& state_;
@@ -117,6 +126,8 @@
   int sends_ = 0, runs_ = 0;
   bool may_have_run_ = false;
   bool attempt_begun_ = false;
+  double sent_ms_ = 0;         // of the newest attempt
+  double first_event_ms_ = 0;  // of the answer, from the request's beginning; 0: none came
 
   Answer answer_ = Answer::kUnknown;
   http::Message head_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto kTickEvery = std::chrono::milliseconds(200);
 constexpr auto kQuotaTickEvery = std::chrono::milliseconds(50);
+constexpr auto kLoadsToldEvery = std::chrono::milliseconds(40);
+constexpr double kLoadsRefreshMs = 1000;  // after which all loads are told again
 constexpr double kQuotaToldEveryMs = 4000;
 constexpr std::size_t kUntoldRouters = 64;  // until the control machines have told how many there are
 
@@ -44,22 +46,31 @@
              {},
              {},
              [this] { QuotaChanged(); },
-             std::mt19937(static_cast<std::mt19937::result_type>(RandomNumber()))},
+             [this] { LoadsChanged(); },
+             std::mt19937(static_cast<std::mt19937::result_type>(RandomNumber())),
+             {}},
       front_(io,
              [this](http::Message message, const std::shared_ptr<Responder>& responder) {
                return RequestFlow::Begin(state_, std::move(message), responder);
              }),
       readiness_(io,
                  [this](const http::Message& message, const std::shared_ptr<Responder>& responder) {
-                   const int status = message.target != "/readyz" ? 404 : ready_ ? 200 : 503;
-                   responder->Respond(status, {}, "");
+                   AnswerProbe(message.target, *responder);
                    return std::shared_ptr<OpenRequest>();
                  }),
       tick_(io),
-      quota_tick_(io) {
+      quota_tick_(io),
+      loads_tick_(io) {
   UseRouters(kUntoldRouters);
 }
 
+void Router::AnswerProbe(std::string_view target, Responder& responder) const {
+  if (target == "/readyz") return responder.Respond(ready_ ? 200 : 503, {}, "");
+  if (target != "/metrics") return responder.Respond(404, {}, "");
+  responder.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                    state_.metrics.Text(state_.upstream.dialed()));
+}
+
 void Router::Start() {
   front_.Listen(settings_.front);
   readiness_.Listen(settings_.readiness);
@@ -86,7 +97,10 @@
   }
   if (const auto* grant = std::get_if<fleet::QuotaGrant>(&message)) {
     state_.quota.Granted(SteadyNowMs(), *grant);
-    QuotaChanged();
+    return QuotaChanged();
+  }
+  if (const auto* loads = std::get_if<fleet::ServerLoads>(&message)) {
+    state_.choice.FleetLoads(SteadyNowMs(), *loads);
   }
 }
 
@@ -112,6 +126,7 @@
 void Router::UseRouters(std::size_t count) {
   state_.quota.SetRouters(count);
   state_.budget.SetRouters(count);
+  state_.choice.SetRouters(count);
 }
 
 void Router::UseConfiguration() {
@@ -169,6 +184,23 @@
   }
 }
 
+// ---- Load ----
+
+void Router::TellLoads(bool whole) {
+  const fleet::ServerLoads loads = state_.choice.TakeLoads(whole);
+  if (agent_->link() && (whole || !loads.rows.empty())) agent_->link()->Send(loads);
+}
+
+void Router::LoadsChanged() {
+  if (loads_ticking_) return;
+  loads_ticking_ = true;
+  loads_tick_.expires_after(kLoadsToldEvery);
+  loads_tick_.async_wait([this](const boost::system::error_code& error) {
+    loads_ticking_ = false;
+    if (!error) TellLoads(/*whole=*/false);
+  });
+}
+
 // ---- Stopping ----
 
 void Router::Stop() {
@@ -183,6 +215,10 @@
   state_.quota.Tick(now_ms);
   QuotaChanged();
   TellQuotaFigures(now_ms);
+  if (now_ms - loads_refreshed_ms_ >= kLoadsRefreshMs) {
+    loads_refreshed_ms_ = now_ms;
+    TellLoads(/*whole=*/true);
+  }
   if (state_.shutdown.ClosesIdleConnections(now_ms)) front_.CloseIdle();
   if (state_.shutdown.MayEnd(now_ms, front_.sessions())) return End();
   tick_.expires_after(kTickEvery);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -32,6 +32,8 @@
  private:
   using LinkPointer = std::shared_ptr<fleet::Link>;
 
+  // `GET /readyz` and `GET /metrics`.
+  void AnswerProbe(std::string_view target, Responder& responder) const;
   void FromAgent(const LinkPointer& link, const fleet::Message& message);
   void Take(const LinkPointer& link, const fleet::FeedEntry& entry);
   void UseConfiguration();
@@ -39,6 +41,8 @@
   void CheckReady();
   void QuotaChanged();
   void TellQuotaFigures(double now_ms);
+  void TellLoads(bool whole);
+  void LoadsChanged();
   void Tick();
   void End();
 
@@ -52,6 +56,9 @@
   std::shared_ptr<fleet::Dialer> agent_;
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer quota_tick_;
+  boost::asio::steady_timer loads_tick_;
+  bool loads_ticking_ = false;
+  double loads_refreshed_ms_ = 0;
   bool quota_ticking_ = false;
   double quota_told_ms_ = 0;
   bool ready_ = false, was_fresh_ = false;
--- /dev/null
+++ b/src/router/router_metrics.cpp
@@ -0,0 +1,36 @@
+#include "router/router_metrics.h"
+
+#include <cmath>
+
+namespace bitternmux::router {
+namespace {
+
+void AddCounter(std::string& text, std::string_view name, std::uint64_t value) {
+  text.append("bitternmux_").append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+}  // namespace
+
+void RouterMetrics::FirstEvent(double expected_ms, double came_ms) {
+  ++first_events_;
+  expected_ms_ += expected_ms;
+  came_ms_ += came_ms;
+  error_ms_ += std::abs(came_ms - expected_ms);
+}
+
+std::string RouterMetrics::Text(std::uint64_t dialed) const {
+  std::string text;
+  for (std::size_t reason = 0; reason < kEndReasons; ++reason) {
+    const std::string name = "requests_ended_total{reason=\"" + std::string(kEndReasonNames[reason]) + "\"}";
+    AddCounter(text, name, ended_[reason]);
+  }
+  AddCounter(text, "requests_late_total", late_);
+  AddCounter(text, "first_events_total", first_events_);
+  AddCounter(text, "first_event_expected_ms_total", static_cast<std::uint64_t>(expected_ms_));
+  AddCounter(text, "first_event_came_ms_total", static_cast<std::uint64_t>(came_ms_));
+  AddCounter(text, "first_event_error_ms_total", static_cast<std::uint64_t>(error_ms_));
+  AddCounter(text, "server_connections_opened_total", dialed);
+  return text;
+}
+
+}  // namespace bitternmux::router
--- /dev/null
+++ b/src/router/router_metrics.h
@@ -0,0 +1,34 @@
+// Counts of a router's life, for whoever watches it: `GET /metrics` on the readiness address, in Prometheus'
+// text format. Counters only rise, and begin at 0 with each start.
+#ifndef BITTERNMUX_SRC_ROUTER_ROUTER_METRICS_H_
+#define BITTERNMUX_SRC_ROUTER_ROUTER_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "router/request_end.h"
+
+namespace bitternmux::router {
+
+class RouterMetrics {
+ public:
+  void Ended(EndReason reason) { ++ended_[static_cast<std::size_t>(reason)]; }
+  void Late() { ++late_; }
+  // The time to a first event as it was expected when the server was chosen, and as it came; milliseconds.
+  void FirstEvent(double expected_ms, double came_ms);
+
+  std::uint64_t ended(EndReason reason) const { return ended_[static_cast<std::size_t>(reason)]; }
+  // `dialed`: connections to servers that were opened.
+  std::string Text(std::uint64_t dialed) const;
+
+ private:
+  std::array<std::uint64_t, kEndReasons> ended_{};
+  std::uint64_t late_ = 0;  // served, with a first event later than the route's aim
+  std::uint64_t first_events_ = 0;
+  double expected_ms_ = 0, came_ms_ = 0, error_ms_ = 0;  // sums
+};
+
+}  // namespace bitternmux::router
+
+#endif  // BITTERNMUX_SRC_ROUTER_ROUTER_METRICS_H_
--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -2,18 +2,24 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "fleet/load/load_board.h"
 
 namespace bitternmux::router {
 namespace {
 
-constexpr double kPrefillTokensPerMs = 50;  // a usual server's
-constexpr double kRequestMs = 9;            // by which one more request in work delays a first event
-constexpr double kOtherZoneMs = 6;          // what another zone counts for: its way and its price
+constexpr double kOtherZoneMs = 6;  // what another zone counts for: its way and its price
+// What reading a prompt costs those beside it: its time, for each of them, counts by so much.
+constexpr double kBesideShare = 0.02;
+constexpr double kReadAgainShare = 2.0;
 // Time within this share of the aim costs little, and counts by as much; what is read again has its price in
 // any case.
-constexpr double kEasyShare = 0.35, kEasySlope = 0.35;
-constexpr double kWaitingMs = 60;       // by which one more waiting request does
-constexpr double kReportLifeMs = 4000;  // over which the others' share of a report fades
+constexpr double kEasyShare = 0.6, kEasySlope = 0.15;
+constexpr double kWaitingRequests = 10;       // in work, that one counts for which waits for a place
+constexpr double kReportLifeMs = 4000;        // over which the others' share of a report fades
+constexpr double kReportBesideFleetMs = 300;  // the same, where the fleet's load is known
+constexpr double kFleetLoadMs = 1600;         // for which what was told of the fleet counts
 constexpr double kAsideFirstMs = 400, kAsideMostMs = 8000;
 constexpr double kMisdirectedMs = 5000;  // another server has its address: the list will say so soon
 constexpr double kBusyShare = 1.25;      // of a server's slots, from which on it is busy
@@ -32,9 +38,12 @@
     return gone;
   });
   services_.clear();
+  by_load_key_.clear();
   for (const auto& [id, entry] : listed) {
     Server& server = servers_[id];
     server.entry = entry;
+    server.told.server = fleet::LoadKey(id);
+    by_load_key_[server.told.server].push_back(&server);
     if (server.slots <= 0) server.slots = entry.slots;
     services_[entry.service].push_back(&server);
   }
@@ -45,12 +54,27 @@
   return found != servers_.end() && !found->second.entry.draining && found->second.entry.address == address;
 }
 
-// What a report said of the others' requests fades to the mean: it is old on arrival, and a server that
-// nothing is sent to brings no newer one.
+bool ServerChoice::SeesFleet(double now_ms) const { return now_ms - loads_heard_ms_ <= kFleetLoadMs; }
+
+// What a report said of the others' requests fades, to what the fleet has there or else to the mean: it is
+// old on arrival, and a server that nothing is sent to brings no newer one.
 double ServerChoice::Queue(const Server& server, double unreported, double now_ms) const {
-  if (server.others < 0) return unreported + server.own;
-  const double kept = std::exp(-(now_ms - server.reported_ms) / kReportLifeMs);
-  return unreported + kept * (server.others - unreported) + server.own;
+  double others = unreported, life_ms = kReportLifeMs;
+  if (SeesFleet(now_ms)) {
+    others = std::max(0, server.in_fleet.requests - server.told.requests);
+    life_ms = kReportBesideFleetMs;
+  }
+  if (server.others >= 0) {
+    const double kept = std::exp(-(now_ms - server.reported_ms) / life_ms);
+    others += kept * (server.others - others);
+  }
+  return others + server.own;
+}
+
+// Tokens to be read for requests that were sent there and have not begun.
+double ServerChoice::PrefillAhead(const Server& server, double now_ms) const {
+  if (!SeesFleet(now_ms)) return server.prefill_tokens;
+  return std::max(0, server.in_fleet.prefill_tokens - server.told.prefill_tokens) + server.prefill_tokens;
 }
 
 // Of the leading parts of the prompt, the tokens that the server is believed to keep. The last part is the
@@ -63,7 +87,8 @@
     const PromptPart& part = prompt.parts[i];
     tokens += part.tokens;
     const bool of_session = i + 2 == prompt.parts.size();
-    if ((of_session && server.entry.id == home) || kept_.Keeps(now_ms, server.entry.id, part.chain))
+    if ((of_session && server.entry.id == home) || kept_.Keeps(now_ms, server.entry.id, part.chain) ||
+        kept_.KeptByAll(now_ms, part.chain, routers_for_each_))
       saved = tokens;
   }
   return saved;
@@ -103,7 +128,9 @@
   };
   const bool all_aside = std::ranges::none_of(
       of_service, [&](const Server* server) { return fits(server) && now_ms >= server->aside_until_ms; });
+  const FirstEventModel& model = models_[ask.service];
   const std::string home = ask.prompt != nullptr ? HomeOf(of_service, *ask.prompt, now_ms) : std::string();
+  routers_for_each_ = routers_ / static_cast<double>(of_service.size());
   std::vector<Ranked> ranking;
   bool busy = false;
   for (const Server* server : of_service) {
@@ -113,19 +140,21 @@
       busy = true;
       continue;
     }
-    double key = (queue + 1) * kRequestMs;
-    if (server->slots > 0 && queue >= server->slots) key += (queue - server->slots + 1) * kWaitingMs;
+    const double uncached =
+        ask.prompt == nullptr
+            ? 0
+            : std::max(0.0, ask.prompt->tokens_in - SavedTokens(*server, home, *ask.prompt, now_ms));
+    const WorkAhead work = {uncached + PrefillAhead(*server, now_ms), queue};
+    const double pace = server->pace.At(now_ms);
+    const double expected_ms = pace * model.Expected(work);
+    const double read_ms = pace * model.MsPerToken() * uncached;
+    double key = expected_ms;
+    if (server->slots > 0 && queue >= server->slots)
+      key += pace * model.MsPerRequest() * kWaitingRequests * (queue - server->slots + 1);
     if (server->entry.zone != own_zone_) key += kOtherZoneMs;
-    double uncached = 0;
-    if (ask.prompt != nullptr) {
-      const double saved = SavedTokens(*server, home, *ask.prompt, now_ms);
-      uncached = std::max(0.0, ask.prompt->tokens_in - saved);
-      key += (uncached + server->prefill_tokens) / kPrefillTokensPerMs;
-      const double easy_ms = kEasyShare * ask.aim_ms;
-      key -= (1 - kEasySlope) * std::min(key, easy_ms);
-      key += (1 - kEasySlope) * uncached / kPrefillTokensPerMs;
-    }
-    ranking.push_back({server, key, Unit(), queue, uncached});
+    key -= (1 - kEasySlope) * std::min(key, kEasyShare * ask.aim_ms);
+    key += kReadAgainShare * read_ms + kBesideShare * read_ms * queue;
+    ranking.push_back({server, key, Unit(), queue, uncached, expected_ms, work});
   }
   if (ranking.empty()) return {std::nullopt, busy ? Nothing::kAllBusy : Nothing::kNoServer};
   std::ranges::sort(ranking, [](const Ranked& one, const Ranked& other) {
@@ -140,21 +169,35 @@
       break;
     }
   }
-  return {Chosen{kept->server->entry.id, kept->server->entry.address, kept->uncached_tokens}, Nothing::kNone};
+  Chosen chosen{kept->server->entry.id,
+                kept->server->entry.address,
+                kept->uncached_tokens,
+                kept->expected_ms,
+                kept->work,
+                static_cast<int>(ranking.size())};
+  return {std::move(chosen), Nothing::kNone};
 }
 
 void ServerChoice::Sent(double now_ms, const std::string& id, const Chosen& chosen, const Prompt* prompt) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
+  loads_changed_ = true;
   ++found->second.own;
   found->second.prefill_tokens += chosen.uncached_tokens;
-  if (prompt != nullptr) kept_.Sent(now_ms, id, *prompt);
+  if (prompt == nullptr) return;
+  kept_.Asked(now_ms, *prompt);
+  kept_.Sent(now_ms, id, *prompt);
 }
 
-void ServerChoice::Begun(const std::string& id, double uncached_tokens) {
+void ServerChoice::Begun(double now_ms, const std::string& id, const Chosen& chosen, double came_ms) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
-  found->second.prefill_tokens = std::max(0.0, found->second.prefill_tokens - uncached_tokens);
+  Server& server = found->second;
+  server.prefill_tokens = std::max(0.0, server.prefill_tokens - chosen.uncached_tokens);
+  loads_changed_ = true;
+  FirstEventModel& model = models_[server.entry.service];
+  server.pace.Learn(now_ms, model.Expected(chosen.work), came_ms);
+  model.Learn(chosen.work, came_ms);
 }
 
 void ServerChoice::Ended(double now_ms, const std::string& id, bool begun, double uncached_tokens,
@@ -162,6 +205,7 @@
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
   Server& server = found->second;
+  loads_changed_ = true;
   server.own = std::max(0, server.own - 1);
   if (!begun) server.prefill_tokens = std::max(0.0, server.prefill_tokens - uncached_tokens);
   const auto aside = [&](double least_ms) {
@@ -197,4 +241,31 @@
   if (report.slots > 0) server.slots = report.slots;
 }
 
+fleet::ServerLoads ServerChoice::TakeLoads(bool whole) {
+  loads_changed_ = false;
+  fleet::ServerLoads loads;
+  loads.whole = whole;
+  for (auto& [id, server] : servers_) {
+    fleet::ServerLoad row = server.told;
+    row.requests = server.own;
+    row.prefill_tokens = static_cast<std::int32_t>(server.prefill_tokens);
+    const bool any = row.requests != 0 || row.prefill_tokens != 0;
+    if (whole ? any : row != server.told) loads.rows.push_back(row);
+    server.told = row;
+  }
+  return loads;
+}
+
+void ServerChoice::FleetLoads(double now_ms, const fleet::ServerLoads& loads) {
+  loads_heard_ms_ = now_ms;
+  if (loads.whole) {
+    for (auto& [id, server] : servers_) server.in_fleet = {};
+  }
+  for (const fleet::ServerLoad& row : loads.rows) {
+    const auto found = by_load_key_.find(row.server);
+    if (found == by_load_key_.end()) continue;
+    for (Server* server : found->second) server->in_fleet = row;
+  }
+}
+
 }  // namespace bitternmux::router
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -27,6 +27,8 @@
 #include <vector>
 
 #include "fleet/feed/feed.h"
+#include "fleet/messages/messages.h"
+#include "router/first_event_model.h"
 #include "router/prefix_index.h"
 #include "router/prompt.h"
 
@@ -63,6 +65,9 @@
   struct Chosen {
     std::string id, address;
     double uncached_tokens = 0;  // to be prefilled, as far as is known
+    double expected_ms = 0;      // until the first event
+    WorkAhead work;              // that this rests on
+    int weighed = 0;             // servers that were ranked
   };
   enum class Nothing { kNone, kNoServer, kAllBusy };
   struct Answer {
@@ -73,10 +78,19 @@
 
   // What becomes of a request that was chosen a server for. Servers that are gone are passed over.
   void Sent(double now_ms, const std::string& id, const Chosen& chosen, const Prompt* prompt);
-  void Begun(const std::string& id, double uncached_tokens);  // its first event has come
+  // Its first event has come, so long after it was sent.
+  void Begun(double now_ms, const std::string& id, const Chosen& chosen, double came_ms);
   void Ended(double now_ms, const std::string& id, bool begun, double uncached_tokens, ServerOutcome outcome);
   void Reported(double now_ms, const std::string& id, const LoadReport& report);
 
+  // What this router has in work and has not told yet; all of it if `whole`.
+  fleet::ServerLoads TakeLoads(bool whole);
+  bool loads_changed() const { return loads_changed_; }
+  // What the fleet has in work.
+  void FleetLoads(double now_ms, const fleet::ServerLoads& loads);
+  // How many routers share the servers.
+  void SetRouters(std::size_t count) { routers_ = count > 0 ? static_cast<double>(count) : 1; }
+
   // Is it listed and not draining, at that address?
   bool Serves(const std::string& id, const std::string& address) const;
   std::size_t known() const { return servers_.size(); }
@@ -87,17 +101,23 @@
     double others = -1;  // of the last report, what was not this router's; below 0: never reported
     double reported_ms = 0;
     double slots = 0;
-    int own = 0;                // requests of this router there now
-    double prefill_tokens = 0;  // of those of them that have not begun
-    int failures = 0;           // since its last answer
+    int own = 0;                 // requests of this router there now
+    double prefill_tokens = 0;   // of those of them that have not begun
+    fleet::ServerLoad told;      // of these, as this router told it last
+    fleet::ServerLoad in_fleet;  // sums over all routers
+    PaceFactor pace;
+    int failures = 0;  // since its last answer
     double aside_until_ms = 0;
   };
   struct Ranked {
     const Server* server;
-    double key, tie, queue, uncached_tokens;
+    double key, tie, queue, uncached_tokens, expected_ms;
+    WorkAhead work;
   };
 
+  bool SeesFleet(double now_ms) const;
   double Queue(const Server& server, double unreported, double now_ms) const;
+  double PrefillAhead(const Server& server, double now_ms) const;
   double SavedTokens(const Server& server, const std::string& home, const Prompt& prompt,
                      double now_ms) const;
   std::string HomeOf(const std::vector<Server*>& of_service, const Prompt& prompt, double now_ms) const;
@@ -108,7 +128,13 @@
   std::mt19937 random_;
   std::map<std::string, Server> servers_;  // by id
   std::unordered_map<std::string, std::vector<Server*>> services_;
+  std::unordered_map<std::uint32_t, std::vector<Server*>> by_load_key_;
+  std::unordered_map<std::string, FirstEventModel> models_;  // by service
   PrefixIndex kept_;
+  double loads_heard_ms_ = -1e18;
+  bool loads_changed_ = false;
+  double routers_ = 1;
+  double routers_for_each_ = 1;  // of the servers of the service that is chosen from
 };
 
 }  // namespace bitternmux::router
