Choose servers by learned times and by what the whole fleet has in work

Change: routers tell what they have in work and whom they set aside; control machines sum it up and feed it back; the time to the first event is fitted to the answers, per service, with a factor per server. Reasons for each end, and GET /metrics. Ruled out (docs/design/deciding-under-load.md): groups of servers for long prompts, parts believed to be everywhere, a strong factor per server.

--- a/src/fleet/load/load_board.cpp
+++ b/src/fleet/load/load_board.cpp
@@ -15,6 +15,7 @@
   sum.server = server;
   sum.requests += to.requests - from.requests;
   sum.prefill_tokens += to.prefill_tokens - from.prefill_tokens;
+  sum.set_aside += to.set_aside - from.set_aside;
   changed_.insert(server);
 }
 
@@ -25,7 +26,7 @@
     const auto found = rows.find(row.server);
     if (found == rows.end() && rows.size() >= kMaxRows) continue;
     Change(row.server, found == rows.end() ? ServerLoad{} : found->second, row);
-    if (row.requests == 0 && row.prefill_tokens == 0) {
+    if (row.IsNothing()) {
       rows.erase(row.server);
     } else {
       rows[row.server] = row;
@@ -45,7 +46,7 @@
   for (const std::uint32_t server : changed_) {
     const auto sum = sums_.find(server);
     changes.rows.push_back(sum->second);
-    if (sum->second.requests == 0 && sum->second.prefill_tokens == 0) sums_.erase(sum);
+    if (sum->second.IsNothing()) sums_.erase(sum);
   }
   changed_.clear();
   return changes;
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -455,10 +455,14 @@
   std::int32_t requests = 0;        // sent there and not ended
   std::int32_t prefill_tokens = 0;  // to be read for those of them that have not begun to answer
 
+  std::int32_t set_aside = 0;  // routers that it has failed lately, though it could be reached
+
+  // Nothing is in work there and nothing is told of it.
+  bool IsNothing() const { return requests == 0 && prefill_tokens == 0 && set_aside == 0; }
   bool operator==(const ServerLoad&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(server, requests, prefill_tokens);
+    archive(server, requests, prefill_tokens, set_aside);
   }
 };
 
--- a/src/router/prefix_index.cpp
+++ b/src/router/prefix_index.cpp
@@ -1,15 +1,9 @@
 #include "router/prefix_index.h"
 
 #include <algorithm>
-#include <cmath>
 #include <vector>
 
 namespace bitternmux::router {
-namespace {
-
-constexpr double kVisitsOfEach = 4;  // of a server within kKeptMs, on the mean, that leave few without one
-
-}  // namespace
 
 void PrefixIndex::Sent(double now_ms, const std::string& server, const Prompt& prompt) {
   Parts& parts = servers_[server];
@@ -27,33 +21,6 @@
   std::erase_if(parts, [limit = *middle](const auto& entry) { return entry.second < limit; });
 }
 
-double PrefixIndex::Demand::At(double now_ms) const {
-  return count * std::exp(-std::max(0.0, now_ms - at_ms) / kKeptMs);
-}
-
-void PrefixIndex::Asked(double now_ms, const Prompt& prompt) {
-  for (const PromptPart& part : prompt.parts) {
-    Demand& demand = demand_[part.chain];
-    demand = {demand.At(now_ms) + 1, now_ms};
-  }
-  if (demand_.size() > kMaxParts) TrimDemand(now_ms);
-}
-
-void PrefixIndex::TrimDemand(double now_ms) {
-  std::vector<double> counts;
-  counts.reserve(demand_.size());
-  for (const auto& [chain, demand] : demand_) counts.push_back(demand.At(now_ms));
-  const auto middle = counts.begin() + static_cast<std::ptrdiff_t>(counts.size() / 2);
-  std::ranges::nth_element(counts, middle);
-  std::erase_if(demand_,
-                [&, limit = *middle](const auto& entry) { return entry.second.At(now_ms) <= limit; });
-}
-
-bool PrefixIndex::KeptByAll(double now_ms, std::uint64_t chain, double share) const {
-  const auto found = demand_.find(chain);
-  return found != demand_.end() && found->second.At(now_ms) * share >= kVisitsOfEach;
-}
-
 bool PrefixIndex::Keeps(double now_ms, const std::string& server, std::uint64_t chain) const {
   const auto parts = servers_.find(server);
   if (parts == servers_.end()) return false;
--- a/src/router/prefix_index.h
+++ b/src/router/prefix_index.h
@@ -1,12 +1,10 @@
 // Which parts of prompts a server is believed to keep: inferred from what was sent to it, since nobody tells.
 //
-// Three sources. What this router has sent there lately; a home for each part, which all routers agree on
+// Two sources. What this router has sent there lately; and a home for each part, which all routers agree on
 // without asking, by the highest hash of the part and the server's id (rendezvous hashing): since the walk
-// prefers a home, it keeps the part; and how often the part is asked for: one that the fleet asks for often
-// enough to have reached every server is kept by all.
+// prefers a home, it keeps the part.
 //
-// Bounds: kMaxParts parts for each server, and as many that were asked for; those unused for the longest give
-// way.
+// Bounds: kMaxParts parts for each server, of which those unused for the longest give way.
 #ifndef BITTERNMUX_SRC_ROUTER_PREFIX_INDEX_H_
 #define BITTERNMUX_SRC_ROUTER_PREFIX_INDEX_H_
 
@@ -26,26 +24,15 @@
 
   void Sent(double now_ms, const std::string& server, const Prompt& prompt);
   void Forget(const std::string& server) { servers_.erase(server); }
-  // A request with that prompt has come.
-  void Asked(double now_ms, const Prompt& prompt);
-  // Has the part been asked for so often that all servers keep it? `share`: routers for each server.
-  bool KeptByAll(double now_ms, std::uint64_t chain, double share) const;
   bool Keeps(double now_ms, const std::string& server, std::uint64_t chain) const;
   // How well a server suits a part as its home: the one with the highest weight is it.
   static std::uint64_t HomeWeight(std::uint64_t chain, std::string_view server);
 
  private:
   using Parts = std::unordered_map<std::uint64_t, double>;  // chain: when it was last sent
-  // How often a part was asked for in the last kKeptMs, as a mean that fades.
-  struct Demand {
-    double count = 0, at_ms = 0;
-    double At(double now_ms) const;
-  };
   static void Trim(Parts& parts);
-  void TrimDemand(double now_ms);
 
   std::unordered_map<std::string, Parts> servers_;
-  std::unordered_map<std::uint64_t, Demand> demand_;  // by chain
 };
 
 }  // namespace bitternmux::router
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -126,7 +126,6 @@
 void Router::UseRouters(std::size_t count) {
   state_.quota.SetRouters(count);
   state_.budget.SetRouters(count);
-  state_.choice.SetRouters(count);
 }
 
 void Router::UseConfiguration() {
@@ -187,7 +186,7 @@
 // ---- Load ----
 
 void Router::TellLoads(bool whole) {
-  const fleet::ServerLoads loads = state_.choice.TakeLoads(whole);
+  const fleet::ServerLoads loads = state_.choice.TakeLoads(SteadyNowMs(), whole);
   if (agent_->link() && (whole || !loads.rows.empty())) agent_->link()->Send(loads);
 }
 
--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -21,6 +21,8 @@
 constexpr double kReportBesideFleetMs = 300;  // the same, where the fleet's load is known
 constexpr double kFleetLoadMs = 1600;         // for which what was told of the fleet counts
 constexpr double kAsideFirstMs = 400, kAsideMostMs = 8000;
+constexpr int kOthersToBelieve = 2;      // that have set a server aside
+constexpr double kOwnAnswerMs = 1000;    // for which an answer of its own goes before these
 constexpr double kMisdirectedMs = 5000;  // another server has its address: the list will say so soon
 constexpr double kBusyShare = 1.25;      // of a server's slots, from which on it is busy
 
@@ -71,6 +73,14 @@
   return others + server.own;
 }
 
+// By this router's own failures there, or by those of several others: one alone may only have a bad link, and
+// an answer that this router had a moment ago says more.
+bool ServerChoice::IsAside(const Server& server, double now_ms) const {
+  if (now_ms < server.aside_until_ms) return true;
+  if (!SeesFleet(now_ms) || now_ms - server.answered_ms < kOwnAnswerMs) return false;
+  return server.in_fleet.set_aside - server.told.set_aside >= kOthersToBelieve;
+}
+
 // Tokens to be read for requests that were sent there and have not begun.
 double ServerChoice::PrefillAhead(const Server& server, double now_ms) const {
   if (!SeesFleet(now_ms)) return server.prefill_tokens;
@@ -87,9 +97,8 @@
     const PromptPart& part = prompt.parts[i];
     tokens += part.tokens;
     const bool of_session = i + 2 == prompt.parts.size();
-    if ((of_session && server.entry.id == home) || kept_.Keeps(now_ms, server.entry.id, part.chain) ||
-        kept_.KeptByAll(now_ms, part.chain, routers_for_each_))
-      saved = tokens;
+    const bool at_home = of_session && server.entry.id == home;
+    if (at_home || kept_.Keeps(now_ms, server.entry.id, part.chain)) saved = tokens;
   }
   return saved;
 }
@@ -102,7 +111,7 @@
   std::string home;
   std::uint64_t best = 0;
   for (const Server* server : of_service) {
-    if (server->entry.draining || now_ms < server->aside_until_ms) continue;
+    if (server->entry.draining || IsAside(*server, now_ms)) continue;
     const std::uint64_t weight = PrefixIndex::HomeWeight(chain, server->entry.id);
     if (home.empty() || weight > best) {
       home = server->entry.id;
@@ -127,14 +136,13 @@
     return !server->entry.draining && std::ranges::find(ask.excluded, server->entry.id) == ask.excluded.end();
   };
   const bool all_aside = std::ranges::none_of(
-      of_service, [&](const Server* server) { return fits(server) && now_ms >= server->aside_until_ms; });
+      of_service, [&](const Server* server) { return fits(server) && !IsAside(*server, now_ms); });
   const FirstEventModel& model = models_[ask.service];
   const std::string home = ask.prompt != nullptr ? HomeOf(of_service, *ask.prompt, now_ms) : std::string();
-  routers_for_each_ = routers_ / static_cast<double>(of_service.size());
   std::vector<Ranked> ranking;
   bool busy = false;
   for (const Server* server : of_service) {
-    if (!fits(server) || (!all_aside && now_ms < server->aside_until_ms)) continue;
+    if (!fits(server) || (!all_aside && IsAside(*server, now_ms))) continue;
     const double queue = Queue(*server, unreported, now_ms);
     if (server->slots > 0 && queue >= kBusyShare * server->slots) {
       busy = true;
@@ -147,7 +155,7 @@
     const WorkAhead work = {uncached + PrefillAhead(*server, now_ms), queue};
     const double pace = server->pace.At(now_ms);
     const double expected_ms = pace * model.Expected(work);
-    const double read_ms = pace * model.MsPerToken() * uncached;
+    const double read_ms = model.MsPerToken() * uncached;
     double key = expected_ms;
     if (server->slots > 0 && queue >= server->slots)
       key += pace * model.MsPerRequest() * kWaitingRequests * (queue - server->slots + 1);
@@ -185,7 +193,6 @@
   ++found->second.own;
   found->second.prefill_tokens += chosen.uncached_tokens;
   if (prompt == nullptr) return;
-  kept_.Asked(now_ms, *prompt);
   kept_.Sent(now_ms, id, *prompt);
 }
 
@@ -216,11 +223,16 @@
   switch (outcome) {
     case ServerOutcome::kAnswered:
       server.failures = 0;
-      server.aside_until_ms = 0;
+      server.aside_until_ms = server.failed_until_ms = 0;
+      server.answered_ms = now_ms;
       return;
     case ServerOutcome::kMisdirected:
       return aside(kMisdirectedMs);
     case ServerOutcome::kFailed:
+      kept_.Forget(id);
+      aside(0);
+      server.failed_until_ms = server.aside_until_ms;
+      return;
     case ServerOutcome::kUnreachable:
       kept_.Forget(id);
       return aside(0);
@@ -241,7 +253,7 @@
   if (report.slots > 0) server.slots = report.slots;
 }
 
-fleet::ServerLoads ServerChoice::TakeLoads(bool whole) {
+fleet::ServerLoads ServerChoice::TakeLoads(double now_ms, bool whole) {
   loads_changed_ = false;
   fleet::ServerLoads loads;
   loads.whole = whole;
@@ -249,8 +261,8 @@
     fleet::ServerLoad row = server.told;
     row.requests = server.own;
     row.prefill_tokens = static_cast<std::int32_t>(server.prefill_tokens);
-    const bool any = row.requests != 0 || row.prefill_tokens != 0;
-    if (whole ? any : row != server.told) loads.rows.push_back(row);
+    row.set_aside = now_ms < server.failed_until_ms ? 1 : 0;
+    if (whole ? !row.IsNothing() : row != server.told) loads.rows.push_back(row);
     server.told = row;
   }
   return loads;
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -6,13 +6,19 @@
 // restarts, kRounds times at the most, and then takes the first.
 //
 // The figure is what the server reports to be in work and waiting, at the time of its last answer, less what
-// of it was this router's own then, plus what this router has there now. A server that has not reported
-// counts as the mean of those that have. A failure leaves the figure unchanged. For ranking the figure is
-// turned into a time: of servers of models the parts of the prompt that one keeps shorten it
-// (prefix_index.h), another zone lengthens it.
+// of it was this router's own then, plus what this router has there now. As the report gets older it fades to
+// what the other routers have told to have there (fleet/load/load_board.h), or, where that is not known, to
+// the mean of what servers report. A failure leaves the figure unchanged.
 //
-// A server that fails is set aside for a time that doubles with each failure and ends with an answer; if all
-// are set aside, none is. A draining one gets nothing new.
+// For ranking the figure is turned into the time to the first event that answers have shown
+// (first_event_model.h): by the tokens that are to be read before it, this prompt's and those of requests
+// that have not begun, and by the requests in work. Time well within the route's aim counts little. What
+// would have to be read again though another server keeps it (prefix_index.h) counts beside, and so does
+// another zone.
+//
+// A server that fails is set aside for a time that doubles with each failure and ends with an answer; it is
+// so too while several other routers have set it aside. If all are set aside, none is. A draining one gets
+// nothing new.
 //
 // Bounds: a row for each server of the list. Not thread-safe. Times are in milliseconds on one clock.
 #ifndef BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
@@ -84,12 +90,10 @@
   void Reported(double now_ms, const std::string& id, const LoadReport& report);
 
   // What this router has in work and has not told yet; all of it if `whole`.
-  fleet::ServerLoads TakeLoads(bool whole);
+  fleet::ServerLoads TakeLoads(double now_ms, bool whole);
   bool loads_changed() const { return loads_changed_; }
   // What the fleet has in work.
   void FleetLoads(double now_ms, const fleet::ServerLoads& loads);
-  // How many routers share the servers.
-  void SetRouters(std::size_t count) { routers_ = count > 0 ? static_cast<double>(count) : 1; }
 
   // Is it listed and not draining, at that address?
   bool Serves(const std::string& id, const std::string& address) const;
@@ -106,7 +110,9 @@
     fleet::ServerLoad told;      // of these, as this router told it last
     fleet::ServerLoad in_fleet;  // sums over all routers
     PaceFactor pace;
-    int failures = 0;  // since its last answer
+    int failures = 0;            // since its last answer
+    double answered_ms = -1e18;  // its last answer
+    double failed_until_ms = 0;  // set aside until then for a failure of its own, and told so
     double aside_until_ms = 0;
   };
   struct Ranked {
@@ -117,6 +123,7 @@
 
   bool SeesFleet(double now_ms) const;
   double Queue(const Server& server, double unreported, double now_ms) const;
+  bool IsAside(const Server& server, double now_ms) const;
   double PrefillAhead(const Server& server, double now_ms) const;
   double SavedTokens(const Server& server, const std::string& home, const Prompt& prompt,
                      double now_ms) const;
@@ -133,8 +140,6 @@
   PrefixIndex kept_;
   double loads_heard_ms_ = -1e18;
   bool loads_changed_ = false;
-  double routers_ = 1;
-  double routers_for_each_ = 1;  // of the servers of the service that is chosen from
 };
 
 }  // namespace bitternmux::router
--- /dev/null
+++ b/tests/router/router_metrics_test.cpp
@@ -0,0 +1,39 @@
+#include "router/router_metrics.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+namespace bitternmux::router {
+
+TEST_CASE("router metrics: each reason has a name of its own and a counter") {
+  std::set<std::string_view> names;
+  for (std::size_t reason = 0; reason < kEndReasons; ++reason)
+    names.insert(NameOf(static_cast<EndReason>(reason)));
+  CHECK(names.size() == kEndReasons);
+  CHECK_FALSE(names.contains(""));
+  RouterMetrics metrics;
+  metrics.Ended(EndReason::kQuota);
+  metrics.Ended(EndReason::kQuota);
+  metrics.Ended(EndReason::kClientLeft);
+  const std::string text = metrics.Text(17);
+  CHECK(text.find("bitternmux_requests_ended_total{reason=\"quota\"} 2\n") != std::string::npos);
+  CHECK(text.find("bitternmux_requests_ended_total{reason=\"client_left\"} 1\n") != std::string::npos);
+  CHECK(text.find("bitternmux_requests_ended_total{reason=\"served\"} 0\n") != std::string::npos);
+  CHECK(text.find("bitternmux_server_connections_opened_total 17\n") != std::string::npos);
+}
+
+TEST_CASE("router metrics: first events as expected and as they came") {
+  RouterMetrics metrics;
+  metrics.FirstEvent(100, 130);
+  metrics.FirstEvent(100, 80);
+  metrics.Late();
+  const std::string text = metrics.Text(0);
+  CHECK(text.find("bitternmux_first_events_total 2\n") != std::string::npos);
+  CHECK(text.find("bitternmux_first_event_expected_ms_total 200\n") != std::string::npos);
+  CHECK(text.find("bitternmux_first_event_came_ms_total 210\n") != std::string::npos);
+  CHECK(text.find("bitternmux_first_event_error_ms_total 50\n") != std::string::npos);
+  CHECK(text.find("bitternmux_requests_late_total 1\n") != std::string::npos);
+}
+
+}  // namespace bitternmux::router
