Replace a silent member before one that answers and asks to leave

With one member gone for good, the owner replaced a live one that was to stop by a machine that then stopped within the change: the new group lacked two of three. Now a silent member goes first, and nobody who answers is replaced while another may be gone.

--- a/src/fleet/replication/replica_membership.cpp
+++ b/src/fleet/replication/replica_membership.cpp
@@ -55,25 +55,36 @@
   return nullptr;
 }
 
-// The member that a learner should take the place of: one that asked to leave, or the one that is silent for
-// longest.
+// The member that a learner should take the place of: the one that is silent for longest, or one that asked
+// to leave. A silent one goes first, and nobody who answers is replaced while another may be gone: the
+// successor may fail within the change, and then the new group would lack two members where the old one
+// lacked one.
 std::optional<Member> Replica::MemberToReplace(double now_ms) const {
-  std::optional<Member> silent;
-  double silent_since_ms = now_ms - kMemberGoneMs;
+  const bool someone_leaves = leaving_since_ms_ != kNeverMs || !leaving_.empty();
+  const double patience_ms = someone_leaves ? kOwnerAloneMs : kMemberGoneMs;
+  std::optional<Member> silent, leaver;
+  double silent_since_ms = now_ms - patience_ms;
+  bool all_answer = true;
   for (const Member& member : accepted_.value.members) {
     if (member.internal == self_.internal) {
-      if (leaving_since_ms_ != kNeverMs) return member;
+      if (leaving_since_ms_ != kNeverMs) leaver = member;
+      continue;
+    }
+    if (leaving_.contains(member.internal)) {
+      leaver = member;
       continue;
     }
-    if (leaving_.contains(member.internal)) return member;
     const auto found = peers_.find(member.internal);
     const bool known = found != peers_.end() && found->second.store == member.store;
-    const double heard_ms = std::max(owned_ms_, known ? found->second.heard_ms : kNeverMs);
+    const double answered_ms = known ? found->second.heard_ms : kNeverMs;
+    all_answer = all_answer && now_ms - answered_ms <= kOwnerAloneMs;
+    const double heard_ms = std::max(owned_ms_, answered_ms);
     if (heard_ms >= silent_since_ms) continue;
     silent_since_ms = heard_ms;
     silent = member;
   }
-  return silent;
+  if (silent) return silent;
+  return all_answer ? leaver : std::nullopt;
 }
 
 // Begins or ends a change of members. True: there is one.
