Weigh the fleet's load by how long it lasts, as the words themselves show

Cause: 295 routers followed one sum that was some hundred ms old (5 control machines, 59 subscribers and 240 rows each: told every 460 ms at 500 bytes a ms), where a prompt is read within 50 to 160 ms. They left homes for what had long passed and read shared parts again. Now a told load counts by the correlation of one word with the next, raised to its age (load_persistence.h); the message tells its age; of a report and the sums the fresher counts. Rows are packed: 8 bytes in place of 16.

--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -11,7 +11,7 @@
 // Loads are told so often at the most, and so that they cost the subscribers of one machine no more.
 constexpr double kLoadsEveryMs = 50;
 constexpr double kLoadBytesPerMs = 500;
-constexpr double kLoadRowBytes = 16, kLoadFrameBytes = 60;
+constexpr double kLoadRowBytes = 8, kLoadFrameBytes = 60;
 constexpr double kLoadsRefreshMs = 1000;  // after which all rows are told again
 constexpr double kLoadsGoneMs = 2500;     // after which those of a silent control machine are dropped
 const char* const kOwnLoads = "";         // the source of this machine's own sums
@@ -251,6 +251,14 @@
   return now_ms - loads_told_ms_ >= std::max(kLoadsEveryMs, span_ms);
 }
 
+// The routers that this machine feeds tell it at once; what the others' routers have is as old as the word of
+// their control machine.
+float ControlCore::LoadsAgeMs(double now_ms) const {
+  double sum_ms = 0;
+  for (const auto& [address, heard_ms] : loads_heard_ms_) sum_ms += now_ms - heard_ms;
+  return static_cast<float>(sum_ms / static_cast<double>(loads_heard_ms_.size() + 1));
+}
+
 void ControlCore::TellLoads(double now_ms) {
   loads_told_ms_ = now_ms;
   std::erase_if(loads_heard_ms_, [&](const auto& entry) {
@@ -267,6 +275,7 @@
   ServerLoads fleet = fleet_loads_.TakeChanges();
   load_rows_ = fleet.rows.size();
   if (refresh) fleet = fleet_loads_.All();
+  fleet.age_ms = LoadsAgeMs(now_ms);
   if ((refresh || !fleet.rows.empty()) && !subscribers_.empty())
     output_.sends.push_back({"", 0, std::move(fleet)});
 }
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -127,6 +127,7 @@
   void TellRole();
   void TellLoads(double now_ms);
   bool LoadsDue(double now_ms) const;
+  float LoadsAgeMs(double now_ms) const;
 
   const std::vector<Member> first_seeds_;
   Replica replica_;
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -12,9 +12,11 @@
 #include <variant>
 #include <vector>
 
+#include "fleet/messages/server_loads.h"
+
 namespace bitternmux::fleet {
 
-constexpr std::uint32_t kProtocolVersion = 4;
+constexpr std::uint32_t kProtocolVersion = 5;
 
 constexpr double kNeverMs = -1e18;  // a time before all others
 
@@ -447,35 +449,6 @@
   }
 };
 
-// ---- Load ----
-
-// What is in work at one server; absolute values.
-struct ServerLoad {
-  std::uint32_t server = 0;         // LoadKey of its id
-  std::int32_t requests = 0;        // sent there and not ended
-  std::int32_t prefill_tokens = 0;  // to be read for those of them that have not begun to answer
-
-  std::int32_t set_aside = 0;  // routers that it has failed lately, though it could be reached
-
-  // Nothing is in work there and nothing is told of it.
-  bool IsNothing() const { return requests == 0 && prefill_tokens == 0 && set_aside == 0; }
-  bool operator==(const ServerLoad&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(server, requests, prefill_tokens, set_aside);
-  }
-};
-
-// A router's rows, or the sums of a control machine's routers, or those of the fleet.
-struct ServerLoads {
-  bool whole = false;  // what was told before and is not here is nothing any more
-  std::vector<ServerLoad> rows;
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(whole, rows);
-  }
-};
-
 // ---- Links ----
 
 enum class PeerRole : std::uint8_t { kControl, kAgent, kRouter };
--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -16,10 +16,9 @@
 // Time within this share of the aim costs little, and counts by as much; what is read again has its price in
 // any case.
 constexpr double kEasyShare = 0.6, kEasySlope = 0.15;
-constexpr double kWaitingRequests = 10;       // in work, that one counts for which waits for a place
-constexpr double kReportLifeMs = 4000;        // over which the others' share of a report fades
-constexpr double kReportBesideFleetMs = 300;  // the same, where the fleet's load is known
-constexpr double kFleetLoadMs = 1600;         // for which what was told of the fleet counts
+constexpr double kWaitingRequests = 10;  // in work, that one counts for which waits for a place
+constexpr double kReportLifeMs = 4000;   // over which the others' share of a report fades
+constexpr double kFleetLoadMs = 1600;    // for which what was told of the fleet counts
 constexpr double kAsideFirstMs = 400, kAsideMostMs = 8000;
 constexpr int kOthersToBelieve = 2;      // that have set a server aside
 constexpr double kOwnAnswerMs = 1000;    // for which an answer of its own goes before these
@@ -48,7 +47,9 @@
     by_load_key_[server.told.server].push_back(&server);
     if (server.slots <= 0) server.slots = entry.slots;
     services_[entry.service].push_back(&server);
+    service_loads_.try_emplace(entry.service);
   }
+  std::erase_if(service_loads_, [&](const auto& entry) { return !services_.contains(entry.first); });
 }
 
 bool ServerChoice::Serves(const std::string& id, const std::string& address) const {
@@ -61,15 +62,17 @@
 // What a report said of the others' requests fades, to what the fleet has there or else to the mean: it is
 // old on arrival, and a server that nothing is sent to brings no newer one.
 double ServerChoice::Queue(const Server& server, double unreported, double now_ms) const {
-  double others = unreported, life_ms = kReportLifeMs;
+  const double report_age_ms = now_ms - server.reported_ms;
   if (SeesFleet(now_ms)) {
-    others = std::max(0, server.in_fleet.requests - server.told.requests);
-    life_ms = kReportBesideFleetMs;
-  }
-  if (server.others >= 0) {
-    const double kept = std::exp(-(now_ms - server.reported_ms) / life_ms);
-    others += kept * (server.others - others);
+    const ServiceLoad& load = service_loads_.at(server.entry.service);
+    const double sums_age_ms = LoadsAgeMs(now_ms);
+    const bool reported = server.others >= 0 && report_age_ms < sums_age_ms;
+    const double told = reported ? server.others : OthersRequests(server);
+    const double kept = load.requests.After(reported ? report_age_ms : sums_age_ms);
+    return load.mean_requests + kept * (told - load.mean_requests) + server.own;
   }
+  double others = unreported;
+  if (server.others >= 0) others += std::exp(-report_age_ms / kReportLifeMs) * (server.others - others);
   return others + server.own;
 }
 
@@ -84,7 +87,10 @@
 // Tokens to be read for requests that were sent there and have not begun.
 double ServerChoice::PrefillAhead(const Server& server, double now_ms) const {
   if (!SeesFleet(now_ms)) return server.prefill_tokens;
-  return std::max(0, server.in_fleet.prefill_tokens - server.told.prefill_tokens) + server.prefill_tokens;
+  const ServiceLoad& load = service_loads_.at(server.entry.service);
+  const double kept = load.prefill_tokens.After(LoadsAgeMs(now_ms));
+  const double others = load.mean_prefill_tokens + kept * (OthersPrefill(server) - load.mean_prefill_tokens);
+  return others + server.prefill_tokens;
 }
 
 // Of the leading parts of the prompt, the tokens that the server is believed to keep. The last part is the
@@ -269,7 +275,11 @@
 }
 
 void ServerChoice::FleetLoads(double now_ms, const fleet::ServerLoads& loads) {
+  const double interval_ms = now_ms - loads_heard_ms_;
   loads_heard_ms_ = now_ms;
+  loads_age_ms_ = loads.age_ms;
+  std::unordered_map<const Server*, fleet::ServerLoad> earlier;
+  for (auto& [id, server] : servers_) earlier[&server] = server.in_fleet;
   if (loads.whole) {
     for (auto& [id, server] : servers_) server.in_fleet = {};
   }
@@ -278,6 +288,23 @@
     if (found == by_load_key_.end()) continue;
     for (Server* server : found->second) server->in_fleet = row;
   }
+  for (const auto& [service, of_service] : services_) {
+    ServiceLoad& load = service_loads_[service];
+    load.mean_requests = load.mean_prefill_tokens = 0;
+    std::vector<LoadPersistence::Pair> requests, prefill;
+    const auto count = static_cast<double>(of_service.size());
+    for (const Server* server : of_service) {
+      const fleet::ServerLoad& before = earlier[server];
+      load.mean_requests += OthersRequests(*server) / count;
+      load.mean_prefill_tokens += OthersPrefill(*server) / count;
+      requests.push_back(
+          {static_cast<double>(before.requests), static_cast<double>(server->in_fleet.requests)});
+      prefill.push_back(
+          {static_cast<double>(before.prefill_tokens), static_cast<double>(server->in_fleet.prefill_tokens)});
+    }
+    load.requests.Learn(interval_ms, requests);
+    load.prefill_tokens.Learn(interval_ms, prefill);
+  }
 }
 
 }  // namespace bitternmux::router
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -24,6 +24,7 @@
 #ifndef BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
 #define BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +36,7 @@
 #include "fleet/feed/feed.h"
 #include "fleet/messages/messages.h"
 #include "router/first_event_model.h"
+#include "router/load_persistence.h"
 #include "router/prefix_index.h"
 #include "router/prompt.h"
 
@@ -121,7 +123,20 @@
     WorkAhead work;
   };
 
+  // Of one service: what the servers have in work for other routers, and how long that holds.
+  struct ServiceLoad {
+    LoadPersistence requests, prefill_tokens;
+    double mean_requests = 0, mean_prefill_tokens = 0;
+  };
+  static double OthersRequests(const Server& server) {
+    return std::max(0, server.in_fleet.requests - server.told.requests);
+  }
+  static double OthersPrefill(const Server& server) {
+    return std::max(0, server.in_fleet.prefill_tokens - server.told.prefill_tokens);
+  }
+
   bool SeesFleet(double now_ms) const;
+  double LoadsAgeMs(double now_ms) const { return loads_age_ms_ + now_ms - loads_heard_ms_; }
   double Queue(const Server& server, double unreported, double now_ms) const;
   bool IsAside(const Server& server, double now_ms) const;
   double PrefillAhead(const Server& server, double now_ms) const;
@@ -138,7 +153,9 @@
   std::unordered_map<std::uint32_t, std::vector<Server*>> by_load_key_;
   std::unordered_map<std::string, FirstEventModel> models_;  // by service
   PrefixIndex kept_;
+  std::unordered_map<std::string, ServiceLoad> service_loads_;
   double loads_heard_ms_ = -1e18;
+  double loads_age_ms_ = 0;  // of what was told, when it was heard
   bool loads_changed_ = false;
 };
 
--- a/tests/router/server_choice_test.cpp
+++ b/tests/router/server_choice_test.cpp
@@ -193,6 +193,49 @@
   CHECK(choice.Choose(60'000, Ask()).chosen->id == "i0");
 }
 
+// Routers of a large fleet hear of its load late; a prompt that was to be read then has long been read.
+TEST_CASE(
+    "server choice: a sum that is old, of loads that change faster than it is told, moves nobody from home") {
+  Prompt prompt;
+  prompt.tokens_in = 9000;
+  prompt.parts = ReadPromptPrefix("aa:2500,bb:3800,cc:2700");
+  ServerAsk ask = Ask();
+  ask.prompt = &prompt;
+  const fleet::ServerMap servers = Servers(12);
+  const auto leaves_home = [&](double age_ms, bool changes) {
+    ServerChoice choice({0, 4}, "z", 8);
+    choice.Update(0, servers);
+    const std::string home = choice.Choose(1, ask).chosen->id;
+    const auto tell = [&](double now_ms, const std::string& crowded) {
+      choice.FleetLoads(now_ms,
+                        {true, {{fleet::LoadKey(crowded), 6, 60'000, 0}}, static_cast<float>(age_ms)});
+    };
+    // The crowd moves on from word to word, or stays.
+    for (int word = 0; word < 60; ++word) {
+      tell(10 + 460 * word, changes ? "i" + std::to_string(word % 12) : home);
+    }
+    tell(10 + 460 * 60, home);
+    return choice.Choose(10 + 460 * 60, ask).chosen->id != home;
+  };
+  CHECK_FALSE(leaves_home(400, /*changes=*/true));
+  CHECK(leaves_home(400, /*changes=*/false));
+  CHECK(leaves_home(0, /*changes=*/true));
+}
+
+TEST_CASE("server choice: of a report and the fleet's sums the fresher one counts") {
+  ServerChoice choice({0, 4}, "z", 11);
+  choice.Update(0, Servers(2));
+  choice.Reported(1000, "i0", {30, 0, 64});
+  const auto tell = [&](double now_ms, float age_ms) {
+    choice.FleetLoads(now_ms,
+                      {true, {{fleet::LoadKey("i0"), 2, 0, 0}, {fleet::LoadKey("i1"), 6, 0, 0}}, age_ms});
+  };
+  tell(1010, 200);
+  CHECK(choice.Choose(1010, Ask()).chosen->id == "i1");
+  tell(1300, 20);
+  CHECK(choice.Choose(1300, Ask()).chosen->id == "i0");
+}
+
 TEST_CASE("server choice: what several others have set aside is passed over, one's own answer goes before") {
   ServerChoice choice({0, 4}, "z", 10);
   choice.Update(0, Servers(3));
