Let no owner exchange a member by what it remembers from before it stood still

The owner stood still for 3.6 s; on waking it took an input from its buffers before its timers, found a member "silent" for longer than allowed and began to exchange it for a learner that had lost its disk meanwhile. It alone accepted the value. The machine that was to be replaced left, and no quorum of the new group was left that anyone could ask.

--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -125,7 +125,10 @@
   Measure& measure = world.history().measure;
   const double owner_ms = Await(world, kOwnerWithinMs, [&] { return world.ActingOwner().has_value(); });
   measure.owner_ms.push_back(owner_ms);
-  if (owner_ms > kOwnerWithinMs) world.checker().Fault(12, "no acting owner in time after trouble");
+  if (owner_ms > kOwnerWithinMs) {
+    world.TellGroup();
+    world.checker().Fault(12, "no acting owner in time after trouble");
+  }
   const double whole_ms = Await(world, kCaughtUpWithinMs, [&] { return IsWhole(world); });
   measure.caught_up_ms.push_back(owner_ms + whole_ms);
   if (owner_ms + whole_ms > kCaughtUpWithinMs + kLookEveryMs)
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -486,6 +486,33 @@
   history_.lines.push_back(std::to_string(static_cast<std::int64_t>(clock_.now_ms())) + " ms  " + line);
 }
 
+void World::TellGroup() {
+  const auto name = [](const std::vector<fleet::Member>& members) {
+    std::string names;
+    for (const fleet::Member& member : members)
+      names += " " + member.internal + "/" + std::to_string(member.store);
+    return names;
+  };
+  const auto place = [](const fleet::Position& position) {
+    return std::to_string(position.epoch.counter) + "." + std::to_string(position.sequence);
+  };
+  for (const auto& machine : controls_) {
+    const auto& content = machine->disk().content();
+    std::string line = machine->address() + (machine->removed()  ? " is removed"
+                                             : machine->frozen() ? " stands still"
+                                             : machine->up()     ? " runs"
+                                                                 : " is down");
+    if (content) {
+      const fleet::ShardValue& value = content->accepted.value;
+      line += ", store " + std::to_string(content->store) + ", promised " +
+              std::to_string(content->promised.counter) + ", accepted " + place(content->accepted.position) +
+              " by" + name(value.members);
+      if (!value.previous_members.empty()) line += ", before" + name(value.previous_members);
+    }
+    Tell(line);
+  }
+}
+
 // ---- What edge machines need ----
 
 std::optional<fleet::SubscriberId> World::FindLink(const std::string& edge, std::uint64_t number) const {
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -105,6 +105,9 @@
   // When a control machine sends a promise the next time.
   void OncePromised(std::function<void(std::size_t machine)> then) { when_promised_ = std::move(then); }
 
+  // Writes what each control machine holds into the history, for people.
+  void TellGroup();
+
   // ---- The end of trouble ----
   void Heal();  // links, disks, and all that is down comes up
 
--- a/src/fleet/replication/replica.h
+++ b/src/fleet/replication/replica.h
@@ -266,7 +266,7 @@
 
   // Membership (replica_membership.cpp).
   bool ChangeMembers(double now_ms);
-  const Learner* CaughtUpLearner(const std::string& address) const;
+  const Learner* CaughtUpLearner(double now_ms, const std::string& address) const;
   std::optional<Member> MemberToReplace(double now_ms) const;
   void HandOver(double now_ms);
   void TickLearner(double now_ms);
--- a/src/fleet/replication/replica_membership.cpp
+++ b/src/fleet/replication/replica_membership.cpp
@@ -43,14 +43,14 @@
   if (role_ == Role::kOwner && IsVoter(request.member)) leaving_[from] = now_ms;
 }
 
-// A learner that has the newest value on disk; at that address, or at any where it is empty.
-const Replica::Learner* Replica::CaughtUpLearner(const std::string& address) const {
+// A learner that answers and has the newest value on disk; at that address, or at any where it is empty.
+const Replica::Learner* Replica::CaughtUpLearner(double now_ms, const std::string& address) const {
   for (const auto& [at, learner] : learners_) {
     if ((!address.empty() && at != address) || IsVoter(learner.member)) continue;
     const auto found = peers_.find(at);
-    if (found != peers_.end() && found->second.store == learner.member.store &&
-        found->second.durable == accepted_.position)
-      return &learner;
+    if (found == peers_.end() || found->second.store != learner.member.store) continue;
+    const bool answers = now_ms - found->second.confirmed_ms <= kOwnerAloneMs;
+    if (answers && found->second.durable == accepted_.position) return &learner;
   }
   return nullptr;
 }
@@ -95,12 +95,16 @@
     Replace(now_ms, std::move(next));
     return true;
   }
-  const Learner* successor = CaughtUpLearner("");
+  // Who stood still takes its own silence for that of the others, until it has looked whether a majority
+  // still answers. A change that it alone accepted then would bind all that come after it to the successor's
+  // disk.
+  if (!MajorityConfirmed(now_ms, kOwnerAloneMs)) return false;
+  const Learner* successor = CaughtUpLearner(now_ms, "");
   if (successor == nullptr) return false;
   std::optional<Member> leaver;
   // One that has lost its disk comes back at its address: its former self is gone for certain.
   for (const Member& member : accepted_.value.members) {
-    const Learner* learner = CaughtUpLearner(member.internal);
+    const Learner* learner = CaughtUpLearner(now_ms, member.internal);
     if (learner == nullptr || learner->member.store == member.store) continue;
     leaver = member;
     successor = learner;
--- a/tests/lab/simulation/points_test.cpp
+++ b/tests/lab/simulation/points_test.cpp
@@ -248,6 +248,32 @@
   }
 }
 
+// Seed 2177: what it alone had accepted named a disk that was lost meanwhile, and nobody could be elected any
+// more.
+TEST_CASE("point 3: an owner that stood still replaces nobody by what it remembers of the others") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Started fleet(Options(seed));
+    World& world = fleet.world;
+    const std::size_t owner = fleet.Owner();
+    const std::size_t leaver = (owner + 1) % 3, silent = (owner + 2) % 3;
+    world.ReplacePlanned(leaver, 1500);
+    const std::size_t successor = world.size() - 1;
+    world.RunFor(1400);  // the successor is caught up, and nobody leaves yet
+    world.Freeze(silent, 15'000);
+    world.RunFor(50);
+    world.Freeze(owner, 3600);
+    world.PutAt(owner, 2, 1);  // lies in its buffers, before its timers or behind them
+    world.RunFor(2400);
+    world.WipeAndRestart(successor, 1500);
+    world.RunFor(1500);
+    const auto& content = world.control(owner).disk().content();
+    REQUIRE(content);
+    INFO("seed " << seed);
+    CHECK(content->accepted.value.previous_members.empty());
+    fleet.Check();
+  }
+}
+
 TEST_CASE("point 3: a member that is told to stop leaves only when its successor holds all and counts") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     Started fleet(Options(seed));
