--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -65,6 +65,8 @@
   void CutPair(std::size_t from, std::size_t to, bool both_ways, double for_ms);
   void Split(double for_ms);  // the control machines into two halves
   void CutFromPlatform(std::size_t i, double for_ms);
+  // What it reads of the platform's list arrives a second or more after it was true.
+  void SlowPlatform(std::size_t i, double for_ms);
   void SlowLink(std::size_t i, double for_ms);
   void SlowProcessor(std::size_t i, double for_ms);
   // Its connections are reset, each with even odds; what was on its way on them is lost.
@@ -194,7 +196,7 @@
   fleet::SubscriberId last_link_ = 0;
   std::vector<std::size_t> seeds_;
   std::size_t last_address_ = 0;
-  std::set<std::size_t> cut_from_platform_;
+  std::set<std::size_t> cut_from_platform_, slow_platform_;
   std::map<std::size_t, std::uint64_t> starting_;  // which start of a machine is due
   double lost_answers_ = 0;
   double demand_ = 1;
--- a/tests/fleet/feed/feed_test.cpp
+++ b/tests/fleet/feed/feed_test.cpp
@@ -156,4 +156,24 @@
   }
 }
 
+// Day 4697 of the simulation: the question after a gap was lost, and no beat asked again.
+TEST_CASE("feed: a subscriber with a gap lacks what its source has until an entry has closed it") {
+  FeedPublisher publisher(7);
+  FeedFollower follower;
+  CHECK(follower.Lacks({7, 0, true, 0, {}}));  // nothing was heard of that source yet
+  publisher.SetConfiguration(1, "{}");
+  for (const FeedEntry& entry : publisher.CatchUp(follower.Ask("a"))) follower.Apply(entry);
+  CHECK_FALSE(follower.Lacks({7, 1, true, 1, {}}));
+  CHECK(follower.Lacks({7, 2, true, 1, {}}));
+  publisher.SetConfiguration(2, "{2}");
+  publisher.SetConfiguration(3, "{3}");
+  CHECK(follower.Apply(publisher.Newest()).gap);
+  const FeedBeat beat{7, 3, true, 3, {}};
+  CHECK(follower.Lacks(beat));
+  CHECK(follower.Lacks(beat));  // as often as it is told
+  for (const FeedEntry& entry : publisher.CatchUp(follower.Ask("a"))) follower.Apply(entry);
+  CHECK_FALSE(follower.Lacks(beat));
+  CHECK(follower.state().configuration_version == 3);
+}
+
 }  // namespace bitternmux::fleet
