--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -206,7 +206,10 @@
   PublishMembers();
 }
 
+// While members are being exchanged the group of before is still needed: the new one is told once it stands
+// alone.
 void ControlCore::PublishMembers() {
+  if (!replica_.committed().value.previous_members.empty()) return;
   FleetView view = publisher_.state().fleet;
   view.control = replica_.committed().value.members;
   if (view.control.empty()) view.control = first_seeds_;
