--- a/lab/simulation/targeted_faults.cpp
+++ b/lab/simulation/targeted_faults.cpp
@@ -81,9 +81,14 @@
   world_.clock().After(700, [&disk] { disk.SetSlowness(1); });
 }
 
-std::size_t TargetedFaults::BeginExchange(const Group& group) {
-  world_.ReplacePlanned(group.third, 6000);
-  return world_.size() - 1;
+// A machine comes that is to take the place of `third`; `then` follows once it holds all.
+void TargetedFaults::WithSuccessor(std::function<void(const Group&, std::size_t successor)> then) {
+  const auto group = DrawGroup();
+  if (!group) return;
+  world_.ReplacePlanned(group->third, 6000);
+  const std::size_t successor = world_.size() - 1;
+  world_.clock().After(kCaughtUpMs,
+                       [group = *group, successor, then = std::move(then)] { then(group, successor); });
 }
 
 // When the owner begins to exchange a member for the successor, if it does so within some seconds.
@@ -97,10 +102,7 @@
 
 // The owner and the successor on one side, the other one and who is to be exchanged on the other.
 void TargetedFaults::SplitExchange() {
-  const auto group = DrawGroup();
-  if (!group) return;
-  const std::size_t successor = BeginExchange(*group);
-  world_.clock().After(kCaughtUpMs, [this, group = *group, successor] {
+  WithSuccessor([this](const Group& group, std::size_t successor) {
     world_.CutPair(group.third, group.owner, /*both_ways=*/true, 5000);
     world_.CutPair(group.third, successor, /*both_ways=*/true, 5000);
     OnceExchanging(group, successor, [this, group, successor] {
@@ -113,10 +115,7 @@
 
 // Only the owner has accepted the exchange when its successor goes for good; then another disk is lost.
 void TargetedFaults::LoseSuccessor() {
-  const auto group = DrawGroup();
-  if (!group) return;
-  const std::size_t successor = BeginExchange(*group);
-  world_.clock().After(kCaughtUpMs, [this, group = *group, successor] {
+  WithSuccessor([this](const Group& group, std::size_t successor) {
     OnceExchanging(group, successor, [this, group, successor] {
       world_.Isolate(group.owner, 400);
       world_.Replace(successor, 1500);
@@ -129,10 +128,7 @@
 // The owner stands still, with an order in its buffers, and the successor goes for good meanwhile. If the
 // owner begins the exchange all the same, it loses its disk.
 void TargetedFaults::LoseSuccessorInStandstill() {
-  const auto group = DrawGroup();
-  if (!group) return;
-  const std::size_t successor = BeginExchange(*group);
-  world_.clock().After(kCaughtUpMs, [this, group = *group, successor] {
+  WithSuccessor([this](const Group& group, std::size_t successor) {
     world_.Freeze(group.third, 5000);
     world_.Freeze(group.owner, 2500);
     PutAtOwner(group);
@@ -149,10 +145,7 @@
 // The value that ends an exchange is on its way when its owner, whose disk is slow, loses power; the owner
 // and who was exchanged on one side, the other two on the other.
 void TargetedFaults::LoseEndOfExchange() {
-  const auto group = DrawGroup();
-  if (!group) return;
-  const std::size_t successor = BeginExchange(*group);
-  world_.clock().After(kCaughtUpMs, [this, group = *group, successor] {
+  WithSuccessor([this](const Group& group, std::size_t successor) {
     world_.Freeze(group.third, 2200);
     Disk& disk = world_.control(group.owner).disk();
     OnceExchanging(group, successor, [this, group, successor, &disk] {
--- a/lab/simulation/targeted_faults.h
+++ b/lab/simulation/targeted_faults.h
@@ -24,8 +24,7 @@
     std::size_t owner, second, third;
   };
   std::optional<Group> DrawGroup();
-  // Has the owner exchange `third` for a machine that comes; that machine's number.
-  std::size_t BeginExchange(const Group& group);
+  void WithSuccessor(std::function<void(const Group&, std::size_t successor)> then);
   void OnceExchanging(const Group& group, std::size_t successor, std::function<void()> then);
   void PutAtOwner(const Group& group);
 
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -22,6 +22,8 @@
 
 namespace bitternmux::lab::simulation {
 
+constexpr std::size_t kMostSeeds = 3;  // that settings name
+
 struct WorldOptions {
   std::uint64_t seed = 1;
   std::size_t machines = 3;  // control machines
--- a/tests/lab/fleet/relay_stories.cpp
+++ b/tests/lab/fleet/relay_stories.cpp
@@ -50,6 +50,13 @@
   }
 };
 
+// All that the control machine has written so far.
+std::string LogOf(FleetStand& fleet, std::size_t machine) {
+  constexpr int kMoment = 50;
+  fleet.control(machine).Says("what no program says", kMoment);
+  return fleet.control(machine).log();
+}
+
 bool IsClear(const Reply& reply) { return reply.status != 0 && reply.status < 500; }
 
 std::string LargeConfiguration(std::uint64_t version) {
@@ -130,7 +137,9 @@
   REQUIRE(fleet.control(world.second).Says("role=follower"));
   REQUIRE(fleet.control(world.second).Says("replica.members"));
   fleet.KillControl(world.owner);
-  CHECK(fleet.PutAnywhere(FleetStand::Configuration(7), 6).status == 200);
+  const int status = fleet.PutAnywhere(FleetStand::Configuration(7), 6).status;
+  INFO("the new one: " << LogOf(fleet, kNew) << "\nthe one that came back: " << LogOf(fleet, world.second));
+  CHECK(status == 200);
   CHECK(world.ReadsSoon(kNew, FleetStand::Configuration(7)));
   CHECK(world.ReadsSoon(world.second, FleetStand::Configuration(7)));
 }
