Look at a service's told load once for each choice, not for each of its servers

Two powers for each of 240 servers and each request stood on the way of every request. No change of what is chosen (17 tests of the choice and of the persistence pass).

--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -59,21 +59,28 @@
 
 bool ServerChoice::SeesFleet(double now_ms) const { return now_ms - loads_heard_ms_ <= kFleetLoadMs; }
 
-// What a report said of the others' requests fades, to what the fleet has there or else to the mean: it is
-// old on arrival, and a server that nothing is sent to brings no newer one.
-double ServerChoice::Queue(const Server& server, double unreported, double now_ms) const {
+ServerChoice::LoadSight ServerChoice::See(const std::string& service, double now_ms) const {
+  const auto found = service_loads_.find(service);
+  if (found == service_loads_.end() || !SeesFleet(now_ms)) return {};
+  const ServiceLoad& load = found->second;
+  const double age_ms = loads_age_ms_ + now_ms - loads_heard_ms_;
+  return {&load, age_ms, load.requests.After(age_ms), load.prefill_tokens.After(age_ms)};
+}
+
+// Of the server's own report and the fleet's sums the fresher one counts, as far as it lasts. Where the fleet
+// is not seen, the report fades to the mean: a server that nothing is sent to brings no newer one.
+double ServerChoice::Queue(const Server& server, const LoadSight& sight, double unreported, double now_ms) {
   const double report_age_ms = now_ms - server.reported_ms;
-  if (SeesFleet(now_ms)) {
-    const ServiceLoad& load = service_loads_.at(server.entry.service);
-    const double sums_age_ms = LoadsAgeMs(now_ms);
-    const bool reported = server.others >= 0 && report_age_ms < sums_age_ms;
-    const double told = reported ? server.others : OthersRequests(server);
-    const double kept = load.requests.After(reported ? report_age_ms : sums_age_ms);
-    return load.mean_requests + kept * (told - load.mean_requests) + server.own;
+  const bool has_reported = server.others >= 0;
+  if (sight.load == nullptr) {
+    if (!has_reported) return unreported + server.own;
+    return unreported + std::exp(-report_age_ms / kReportLifeMs) * (server.others - unreported) + server.own;
   }
-  double others = unreported;
-  if (server.others >= 0) others += std::exp(-report_age_ms / kReportLifeMs) * (server.others - others);
-  return others + server.own;
+  const double mean = sight.load->mean_requests;
+  const bool report_counts = has_reported && report_age_ms < sight.age_ms;
+  const double others = report_counts ? server.others : OthersRequests(server);
+  const double kept = report_counts ? sight.load->requests.After(report_age_ms) : sight.requests_kept;
+  return mean + kept * (others - mean) + server.own;
 }
 
 // By this router's own failures there, or by those of several others: one alone may only have a bad link, and
@@ -85,12 +92,10 @@
 }
 
 // Tokens to be read for requests that were sent there and have not begun.
-double ServerChoice::PrefillAhead(const Server& server, double now_ms) const {
-  if (!SeesFleet(now_ms)) return server.prefill_tokens;
-  const ServiceLoad& load = service_loads_.at(server.entry.service);
-  const double kept = load.prefill_tokens.After(LoadsAgeMs(now_ms));
-  const double others = load.mean_prefill_tokens + kept * (OthersPrefill(server) - load.mean_prefill_tokens);
-  return others + server.prefill_tokens;
+double ServerChoice::PrefillAhead(const Server& server, const LoadSight& sight) {
+  if (sight.load == nullptr) return server.prefill_tokens;
+  const double mean = sight.load->mean_prefill_tokens;
+  return mean + sight.prefill_kept * (OthersPrefill(server) - mean) + server.prefill_tokens;
 }
 
 // Of the leading parts of the prompt, the tokens that the server is believed to keep. The last part is the
@@ -144,12 +149,13 @@
   const bool all_aside = std::ranges::none_of(
       of_service, [&](const Server* server) { return fits(server) && !IsAside(*server, now_ms); });
   const FirstEventModel& model = models_[ask.service];
+  const LoadSight sight = See(ask.service, now_ms);
   const std::string home = ask.prompt != nullptr ? HomeOf(of_service, *ask.prompt, now_ms) : std::string();
   std::vector<Ranked> ranking;
   bool busy = false;
   for (const Server* server : of_service) {
     if (!fits(server) || (!all_aside && IsAside(*server, now_ms))) continue;
-    const double queue = Queue(*server, unreported, now_ms);
+    const double queue = Queue(*server, sight, unreported, now_ms);
     if (server->slots > 0 && queue >= kBusyShare * server->slots) {
       busy = true;
       continue;
@@ -158,7 +164,7 @@
         ask.prompt == nullptr
             ? 0
             : std::max(0.0, ask.prompt->tokens_in - SavedTokens(*server, home, *ask.prompt, now_ms));
-    const WorkAhead work = {uncached + PrefillAhead(*server, now_ms), queue};
+    const WorkAhead work = {uncached + PrefillAhead(*server, sight), queue};
     const double pace = server->pace.At(now_ms);
     const double expected_ms = pace * model.Expected(work);
     const double read_ms = model.MsPerToken() * uncached;
@@ -288,19 +294,24 @@
     if (found == by_load_key_.end()) continue;
     for (Server* server : found->second) server->in_fleet = row;
   }
+  LearnLoads(interval_ms, earlier);
+}
+
+// Compares what was told now with what was told before.
+void ServerChoice::LearnLoads(double interval_ms,
+                              const std::unordered_map<const Server*, fleet::ServerLoad>& earlier) {
+  const auto number = [](std::int32_t value) { return static_cast<double>(value); };
   for (const auto& [service, of_service] : services_) {
     ServiceLoad& load = service_loads_[service];
     load.mean_requests = load.mean_prefill_tokens = 0;
     std::vector<LoadPersistence::Pair> requests, prefill;
     const auto count = static_cast<double>(of_service.size());
     for (const Server* server : of_service) {
-      const fleet::ServerLoad& before = earlier[server];
+      const fleet::ServerLoad& before = earlier.at(server);
       load.mean_requests += OthersRequests(*server) / count;
       load.mean_prefill_tokens += OthersPrefill(*server) / count;
-      requests.push_back(
-          {static_cast<double>(before.requests), static_cast<double>(server->in_fleet.requests)});
-      prefill.push_back(
-          {static_cast<double>(before.prefill_tokens), static_cast<double>(server->in_fleet.prefill_tokens)});
+      requests.push_back({number(before.requests), number(server->in_fleet.requests)});
+      prefill.push_back({number(before.prefill_tokens), number(server->in_fleet.prefill_tokens)});
     }
     load.requests.Learn(interval_ms, requests);
     load.prefill_tokens.Learn(interval_ms, prefill);
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -6,9 +6,11 @@
 // restarts, kRounds times at the most, and then takes the first.
 //
 // The figure is what the server reports to be in work and waiting, at the time of its last answer, less what
-// of it was this router's own then, plus what this router has there now. As the report gets older it fades to
-// what the other routers have told to have there (fleet/load/load_board.h), or, where that is not known, to
-// the mean of what servers report. A failure leaves the figure unchanged.
+// of it was this router's own then, plus what this router has there now. Where what the other routers have
+// told to have there (fleet/load/load_board.h) is fresher than the report, it takes the report's place.
+// Either counts as far as loads last so long (load_persistence.h), and the service's mean for the rest; where
+// nothing was told, the report fades to the mean of what servers report. A failure leaves the figure
+// unchanged.
 //
 // For ranking the figure is turned into the time to the first event that answers have shown
 // (first_event_model.h): by the tokens that are to be read before it, this prompt's and those of requests
@@ -123,23 +125,30 @@
     WorkAhead work;
   };
 
-  // Of one service: what the servers have in work for other routers, and how long that holds.
+  // Of one service: what its servers have in work for other routers, on the mean, and how long it lasts.
   struct ServiceLoad {
     LoadPersistence requests, prefill_tokens;
     double mean_requests = 0, mean_prefill_tokens = 0;
   };
+  // What is known of that at one moment.
+  struct LoadSight {
+    const ServiceLoad* load = nullptr;  // null: nothing that counts was told
+    double age_ms = 0;
+    double requests_kept = 0, prefill_kept = 0;  // shares that are left of what was told
+  };
+
   static double OthersRequests(const Server& server) {
     return std::max(0, server.in_fleet.requests - server.told.requests);
   }
   static double OthersPrefill(const Server& server) {
     return std::max(0, server.in_fleet.prefill_tokens - server.told.prefill_tokens);
   }
-
   bool SeesFleet(double now_ms) const;
-  double LoadsAgeMs(double now_ms) const { return loads_age_ms_ + now_ms - loads_heard_ms_; }
-  double Queue(const Server& server, double unreported, double now_ms) const;
+  LoadSight See(const std::string& service, double now_ms) const;
+  static double Queue(const Server& server, const LoadSight& sight, double unreported, double now_ms);
+  static double PrefillAhead(const Server& server, const LoadSight& sight);
+  void LearnLoads(double interval_ms, const std::unordered_map<const Server*, fleet::ServerLoad>& earlier);
   bool IsAside(const Server& server, double now_ms) const;
-  double PrefillAhead(const Server& server, double now_ms) const;
   double SavedTokens(const Server& server, const std::string& home, const Prompt& prompt,
                      double now_ms) const;
   std::string HomeOf(const std::vector<Server*>& of_service, const Prompt& prompt, double now_ms) const;
