Keep nothing of one attempt for the next: an object for each attempt of a request

Callers of resumable streams got an event that no server's run had made, the torn first event of one server joined to another's.

Cause: what belongs to one attempt (its server, head, body, rest of a torn event, whether it has begun) stood in the request and was reset by hand, in some paths. A stream that broke off before anything of it had been passed on went through Failed, which left the torn bytes in front of the next server's. The class: state of one try kept by the owner of all tries.

An Attempt holds all of that now, is made anew for each server and taken out at its end; what the client has of the stream is a StreamPosition of the request. So there is no path on which bytes could be left over.

--- a/src/router/event_stream.cpp
+++ b/src/router/event_stream.cpp
@@ -10,19 +10,19 @@
 
 }  // namespace
 
-std::string EventStream::Take(std::string_view bytes) {
+std::string EventCutter::Take(std::string_view bytes) {
   rest_.append(bytes);
   const auto end = rest_.rfind(kEventEnd);
   if (end == std::string::npos) return {};
   const std::size_t size = end + kEventEnd.size();
   std::string events = rest_.substr(0, size);
   rest_.erase(0, size);
-  NoteIds(events);
-  any_ = true;
   return events;
 }
 
-void EventStream::NoteIds(std::string_view events) {
+std::string EventCutter::TakeRest() { return std::exchange(rest_, {}); }
+
+void StreamPosition::Advance(std::string_view events) {
   while (!events.empty()) {
     const auto end = events.find('\n');
     std::string_view line = events.substr(0, end);
@@ -35,6 +35,4 @@
   }
 }
 
-std::string EventStream::TakeRest() { return std::exchange(rest_, {}); }
-
 }  // namespace bitternmux::router
--- a/src/router/event_stream.h
+++ b/src/router/event_stream.h
@@ -1,32 +1,42 @@
-// Cuts a stream of events (text/event-stream) at the ends of its events and knows the id of the last whole
-// one, so that a stream that breaks off inside an event can be continued behind the last one that the client
-// has.
+// Streams of events (text/event-stream) on their way through the router.
+//
+// An EventCutter belongs to one attempt: it cuts what that server sends at the ends of its events, so that
+// only whole ones are passed on. A StreamPosition belongs to the request: it knows how far the client has the
+// stream, so that a stream that breaks off can be continued at another server behind the last event that the
+// client has.
 #ifndef BITTERNMUX_SRC_ROUTER_EVENT_STREAM_H_
 #define BITTERNMUX_SRC_ROUTER_EVENT_STREAM_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace bitternmux::router {
 
-class EventStream {
+class EventCutter {
  public:
-  // Takes bytes in and returns the whole events that they complete.
+  // Takes bytes in and returns the whole events that they complete, as they came.
   std::string Take(std::string_view bytes);
   // What came after the last whole event, which is then forgotten.
   std::string TakeRest();
   // Bytes of the event that is not whole yet.
   std::size_t unfinished() const { return rest_.size(); }
-  // Empty: no event with an id has passed.
-  const std::string& last_id() const { return last_id_; }
-  bool any() const { return any_; }
 
  private:
-  void NoteIds(std::string_view events);
-
   std::string rest_;
+};
+
+class StreamPosition {
+ public:
+  // Whole events are about to be passed on.
+  void Advance(std::string_view events);
+  // Of the last event that named one; empty: none did.
+  const std::string& last_id() const { return last_id_; }
+  // Another server can go on behind the last event that the client has.
+  bool CanContinue() const { return !last_id_.empty(); }
+
+ private:
   std::string last_id_;
-  bool any_ = false;
 };
 
 }  // namespace bitternmux::router
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -1,6 +1,7 @@
 // How a request is sent to servers, one after the other, and what each of these attempts comes to.
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "events/fleet_catalogue.h"
 #include "router/request_flow.h"
@@ -44,10 +45,10 @@
   headers.emplace_back("Host", std::string(message_.Find("host").value_or("")));
   headers.emplace_back("X-Request-Id", request_id_);
   for (const auto& [name, value] : message_.headers) {
-    const bool resumes = name == "last-event-id" && !events_.last_id().empty();
+    const bool resumes = name == "last-event-id" && !position_.last_id().empty();
     if (IsPassedOn(name) && !resumes) headers.emplace_back(name, value);
   }
-  if (!events_.last_id().empty()) headers.emplace_back("Last-Event-Id", events_.last_id());
+  if (!position_.last_id().empty()) headers.emplace_back("Last-Event-Id", position_.last_id());
   const double left_ms = std::max(1.0, std::floor(Left(SteadyNowMs())));
   headers.emplace_back("X-Deadline-Ms", std::to_string(static_cast<std::int64_t>(left_ms)));
   headers.emplace_back("X-Expected-Instance", chosen.id);
@@ -58,102 +59,103 @@
 
 void RequestFlow::SendTo(const ServerChoice::Chosen& chosen) {
   phase_ = Phase::kSent;
-  chosen_ = chosen;
-  answer_ = Answer::kUnknown;
-  attempt_begun_ = false;
-  buffered_.clear();
   ++sends_;
-  sent_ms_ = SteadyNowMs();
   excluded_.push_back(chosen.id);
-  NoteInheritedBytes(chosen.id);
-  state_.choice.Sent(sent_ms_, chosen.id, chosen, prompt_ ? &*prompt_ : nullptr);
-  attempt_ = state_.upstream.Begin({chosen.id, chosen.address, request_id_, HeadFor(chosen), body_},
-                                   shared_from_this());
+  Attempt& attempt = attempt_.emplace();
+  attempt.server = chosen;
+  attempt.sent_ms = SteadyNowMs();
+  state_.choice.Sent(attempt.sent_ms, chosen.id, chosen, prompt_ ? &*prompt_ : nullptr);
+  attempt.connection = state_.upstream.Begin({chosen.id, chosen.address, request_id_, HeadFor(chosen), body_},
+                                             shared_from_this());
   state_.loads_changed();
 }
 
-void RequestFlow::AttemptOver(ServerOutcome outcome) {
+Attempt RequestFlow::TakeAttempt() {
+  Attempt attempt = std::move(*attempt_);
   attempt_.reset();
-  if (!chosen_) return;
-  state_.choice.Ended(SteadyNowMs(), chosen_->id, attempt_begun_, chosen_->uncached_tokens, outcome);
+  return attempt;
+}
+
+void RequestFlow::AttemptOver(const Attempt& attempt, ServerOutcome outcome) {
+  const ServerChoice::Chosen& server = attempt.server;
+  state_.choice.Ended(SteadyNowMs(), server.id, attempt.begun, server.uncached_tokens, outcome);
   state_.loads_changed();
-  state_.events.Write(fleet_events::kServerTrouble,
-                      {{"server", chosen_->id}, {"outcome", static_cast<int>(outcome)}});
-  chosen_.reset();
+  state_.events.Write(fleet_events::kServerTrouble, {{"id", request_id_},
+                                                     {"attempt", sends_},
+                                                     {"server", server.id},
+                                                     {"outcome", static_cast<int>(outcome)}});
 }
 
 void RequestFlow::OnHead(const http::Message& head) {
-  if (const auto load = ReadLoad(head)) state_.choice.Reported(SteadyNowMs(), chosen_->id, *load);
-  head_ = head;
-  head_.body.clear();
+  Attempt& attempt = *attempt_;
+  if (const auto load = ReadLoad(head)) state_.choice.Reported(SteadyNowMs(), attempt.server.id, *load);
+  attempt.head = head;
+  attempt.head.body.clear();
   if (head.status == 421) {
-    answer_ = Answer::kMisdirected;
+    attempt.answer = Attempt::Answer::kMisdirected;
   } else if (head.Find("x-not-executed")) {
-    answer_ = Answer::kNotRun;
+    attempt.answer = Attempt::Answer::kNotRun;
   } else if (head.status / 100 == 2 && head.Find("x-response-seal") &&
              route_->type == fleet::RouteType::kStreaming) {
-    answer_ = Answer::kStream;
+    attempt.answer = Attempt::Answer::kStream;
   } else {
-    answer_ = Answer::kBuffered;
+    attempt.answer = Attempt::Answer::kBuffered;
   }
 }
 
 void RequestFlow::OnBody(std::string bytes) {
-  if (answer_ != Answer::kStream) {
-    buffered_ += bytes;
+  Attempt& attempt = *attempt_;
+  if (attempt.answer != Attempt::Answer::kStream) {
+    attempt.body += bytes;
     return;
   }
-  const std::string events = events_.Take(bytes);
+  const std::string events = attempt.events.Take(bytes);
   if (events.empty()) return;
-  if (!attempt_begun_) {
-    NoteFirstEvent();
-  }
+  position_.Advance(events);
+  if (!attempt.begun) NoteFirstEvent();
   const auto responder = responder_.lock();
   if (!responder) return;
-  if (!passing_) PassHead(head_);
+  if (!passing_) PassHead(attempt.head);
   responder->Piece(events);
-  if (attempt_ && responder->Unsent() > kMostUnsent) Upstream::Pause(attempt_, true);
+  if (responder->Unsent() > kMostUnsent) Upstream::Pause(attempt.connection, true);
 }
 
 // The first event, or an answer that is none of events.
 void RequestFlow::NoteFirstEvent() {
   const double now_ms = SteadyNowMs();
-  attempt_begun_ = true;
-  state_.choice.Begun(now_ms, chosen_->id, *chosen_, now_ms - sent_ms_);
+  Attempt& attempt = *attempt_;
+  const ServerChoice::Chosen& server = attempt.server;
+  const double came_ms = now_ms - attempt.sent_ms;
+  attempt.begun = true;
+  state_.choice.Begun(now_ms, server.id, server, came_ms);
   state_.loads_changed();
-  state_.metrics.FirstEvent(chosen_->expected_ms, now_ms - sent_ms_);
+  state_.metrics.FirstEvent(server.expected_ms, came_ms);
   if (first_event_ms_ == 0) first_event_ms_ = now_ms - began_ms_;
   state_.events.Write(fleet_events::kFirstEvent, {{"id", request_id_},
-                                                  {"server", chosen_->id},
-                                                  {"weighed", chosen_->weighed},
-                                                  {"uncached", chosen_->uncached_tokens},
-                                                  {"expected_ms", chosen_->expected_ms},
-                                                  {"came_ms", now_ms - sent_ms_}});
+                                                  {"server", server.id},
+                                                  {"weighed", server.weighed},
+                                                  {"uncached", server.uncached_tokens},
+                                                  {"expected_ms", server.expected_ms},
+                                                  {"came_ms", came_ms}});
 }
 
 // An attempt has ended inside an event.
-void RequestFlow::NoteTornEvent(AttemptEnd end) {
-  if (events_.unfinished() == 0 || !chosen_) return;
-  state_.metrics.AttemptTorn(events_.unfinished());
+void RequestFlow::NoteTornEvent(const Attempt& attempt, AttemptEnd end) {
+  const std::size_t bytes = attempt.events.unfinished();
+  if (bytes == 0) return;
+  state_.metrics.AttemptTorn(bytes);
   state_.events.Write(fleet_events::kAttemptTorn, {{"id", request_id_},
                                                    {"attempt", sends_},
-                                                   {"server", chosen_->id},
-                                                   {"bytes", events_.unfinished()},
-                                                   {"closed", end == AttemptEnd::kComplete},
-                                                   {"last_id", events_.last_id()}});
-}
-
-// The bytes in front of a new attempt's are those of an earlier one.
-void RequestFlow::NoteInheritedBytes(const std::string& server) {
-  if (events_.unfinished() == 0) return;
-  state_.events.Write(
-      fleet_events::kAttemptInherits,
-      {{"id", request_id_}, {"attempt", sends_}, {"server", server}, {"bytes", events_.unfinished()}});
+                                                   {"server", attempt.server.id},
+                                                   {"bytes", bytes},
+                                                   {"closed", end != AttemptEnd::kBroken},
+                                                   {"last_id", position_.last_id()}});
 }
 
 void RequestFlow::ClientTook() {
   const auto responder = responder_.lock();
-  if (attempt_ && responder && responder->Unsent() <= kMostUnsent / 2) Upstream::Pause(attempt_, false);
+  if (attempt_ && responder && responder->Unsent() <= kMostUnsent / 2)
+    Upstream::Pause(attempt_->connection, false);
 }
 
 void RequestFlow::PassHead(const http::Message& head) {
@@ -162,49 +164,58 @@
 }
 
 void RequestFlow::OnEnd(AttemptEnd end) {
-  if (phase_ == Phase::kOver) return;
-  NoteTornEvent(end);
+  if (phase_ == Phase::kOver || !attempt_) return;
+  const auto answer = attempt_->answer;
+  const bool success = attempt_->head.status / 100 == 2 && attempt_->head.Find("x-response-seal");
+  const bool whole = end == AttemptEnd::kComplete;
+  if (whole && answer == Attempt::Answer::kBuffered && success && !attempt_->begun) NoteFirstEvent();
+  Attempt attempt = TakeAttempt();
+  NoteTornEvent(attempt, end);
   if (end == AttemptEnd::kUnreachable) {
-    AttemptOver(ServerOutcome::kUnreachable);
+    AttemptOver(attempt, ServerOutcome::kUnreachable);
     return Failed(/*reached=*/false);
   }
-  if (answer_ == Answer::kNotRun || answer_ == Answer::kMisdirected) {
-    AttemptOver(answer_ == Answer::kNotRun ? ServerOutcome::kRejected : ServerOutcome::kMisdirected);
+  if (answer == Attempt::Answer::kNotRun || answer == Attempt::Answer::kMisdirected) {
+    AttemptOver(attempt,
+                answer == Attempt::Answer::kNotRun ? ServerOutcome::kRejected : ServerOutcome::kMisdirected);
     return NotRun();
   }
   may_have_run_ = true;
   ++runs_;
-  if (end == AttemptEnd::kBroken) {
-    AttemptOver(ServerOutcome::kFailed);
+  if (!whole) {
+    AttemptOver(attempt, ServerOutcome::kFailed);
     return passing_ ? StreamBroke() : Failed(/*reached=*/true);
   }
-  PassAnswer();
+  answer == Attempt::Answer::kStream ? PassStreamEnd(attempt) : PassAnswer(attempt);
 }
 
-// The answer came whole.
-void RequestFlow::PassAnswer() {
+// A stream came to its end.
+void RequestFlow::PassStreamEnd(Attempt& attempt) {
+  AttemptOver(attempt, ServerOutcome::kAnswered);
   const auto responder = responder_.lock();
-  const bool sealed = head_.Find("x-response-seal").has_value();
-  if (answer_ == Answer::kStream) {
-    AttemptOver(ServerOutcome::kAnswered);
-    if (!responder) return Over(EndReason::kClientLeft);
-    if (!passing_) PassHead(head_);
-    responder->Piece(events_.TakeRest());
-    responder->EndStream();
-    return Over(EndReason::kServed);
-  }
-  const bool success = head_.status / 100 == 2 && sealed;
-  if (success && chosen_ && !attempt_begun_) NoteFirstEvent();
-  AttemptOver(success || head_.status / 100 == 4 || head_.status == 504 ? ServerOutcome::kAnswered
-                                                                        : ServerOutcome::kFailed);
+  if (!responder) return Over(EndReason::kClientLeft);
+  if (!passing_) PassHead(attempt.head);
+  responder->Piece(attempt.events.TakeRest());
+  responder->EndStream();
+  Over(EndReason::kServed);
+}
+
+// Any other answer came whole.
+void RequestFlow::PassAnswer(const Attempt& attempt) {
+  const http::Message& head = attempt.head;
+  const bool sealed = head.Find("x-response-seal").has_value();
+  const bool success = head.status / 100 == 2 && sealed;
+  AttemptOver(attempt, success || head.status / 100 == 4 || head.status == 504 ? ServerOutcome::kAnswered
+                                                                               : ServerOutcome::kFailed);
   if (!success && passing_) return StreamBroke();
-  if (!success && head_.status / 100 != 4 && route_->Repeatable() && MayRepeat(SteadyNowMs()))
+  if (!success && head.status / 100 != 4 && route_->Repeatable() && MayRepeat(SteadyNowMs()))
     return Dispatch();
+  const auto responder = responder_.lock();
   if (!responder) return Over(EndReason::kClientLeft);
-  const bool unclear = head_.status / 100 == 2 && !sealed;
-  if (unclear || (PromisesNotRun(head_.status) && !route_->Repeatable()))
+  const bool unclear = head.status / 100 == 2 && !sealed;
+  if (unclear || (PromisesNotRun(head.status) && !route_->Repeatable()))
     return Respond(502, "the server's answer is none", EndReason::kUnclearAnswer);
-  responder->Respond(head_.status, PassedBack(head_), buffered_);
+  responder->Respond(head.status, PassedBack(head), attempt.body);
   Over(success ? EndReason::kServed : EndReason::kServerFailed);
 }
 
@@ -239,8 +250,7 @@
 // A stream has begun for the client. Where it may be resumed another server goes on behind the last whole
 // event.
 void RequestFlow::StreamBroke() {
-  events_.TakeRest();
-  if (route_->resumable && !events_.last_id().empty() && MayRepeat(SteadyNowMs())) {
+  if (route_->resumable && position_.CanContinue() && MayRepeat(SteadyNowMs())) {
     state_.metrics.StreamResumed();
     return Dispatch();
   }
--- a/src/router/request_ending.cpp
+++ b/src/router/request_ending.cpp
@@ -27,11 +27,11 @@
 
 void RequestFlow::TimeIsUp() {
   if (phase_ == Phase::kOver) return;
-  const bool sent = attempt_ != nullptr;
-  if (sent) {
-    Upstream::Cancel(attempt_);
+  if (attempt_) {
+    Upstream::Cancel(attempt_->connection);
     may_have_run_ = true;
-    AttemptOver(attempt_begun_ ? ServerOutcome::kLeft : ServerOutcome::kFailed);
+    const Attempt attempt = TakeAttempt();
+    AttemptOver(attempt, attempt.begun ? ServerOutcome::kLeft : ServerOutcome::kFailed);
   }
   if (passing_) {
     if (const auto responder = responder_.lock()) responder->BreakOff();
@@ -43,9 +43,9 @@
 void RequestFlow::ClientLeft() {
   if (phase_ == Phase::kOver) return;
   if (attempt_) {
-    Upstream::Cancel(attempt_);
+    Upstream::Cancel(attempt_->connection);
     may_have_run_ = true;
-    AttemptOver(ServerOutcome::kLeft);
+    AttemptOver(TakeAttempt(), ServerOutcome::kLeft);
   }
   Over(EndReason::kClientLeft);
 }
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -21,6 +21,7 @@
 
 #include "events/event.h"
 #include "fleet/quota/quota_ledger.h"
+#include "router/attempt.h"
 #include "router/event_stream.h"
 #include "router/front.h"
 #include "router/prompt.h"
@@ -75,7 +76,6 @@
 
  private:
   enum class Phase { kBegun, kWaitsForTable, kWaitsForQuota, kSent, kOver };
-  enum class Answer { kUnknown, kStream, kBuffered, kNotRun, kMisdirected };
 
   void Admit();
   void WaitForTable();
@@ -90,11 +90,13 @@
   bool MayRepeat(double now_ms);
   void StreamBroke();
   void NoteFirstEvent();
-  void NoteTornEvent(AttemptEnd end);
-  void NoteInheritedBytes(const std::string& server);
-  void AttemptOver(ServerOutcome outcome);
+  void NoteTornEvent(const Attempt& attempt, AttemptEnd end);
+  // The attempt under way, which is none any more.
+  Attempt TakeAttempt();
+  void AttemptOver(const Attempt& attempt, ServerOutcome outcome);
   void PassHead(const http::Message& head);
-  void PassAnswer();
+  void PassStreamEnd(Attempt& attempt);
+  void PassAnswer(const Attempt& attempt);
   void Refuse(double retry_ms, EndReason reason);
   void Respond(int status, std::string_view why, EndReason reason);
   void TimeIsUp();
@@ -122,20 +124,15 @@
   double charged_ms_ = 0;
   double until_ms_ = 0;
 
-  std::shared_ptr<Upstream::Connection> attempt_;
-  std::optional<ServerChoice::Chosen> chosen_;
-  std::vector<std::string> excluded_;
+  std::optional<Attempt> attempt_;     // under way
+  std::vector<std::string> excluded_;  // servers that it was sent to
   int sends_ = 0, runs_ = 0;
   bool may_have_run_ = false;
-  bool attempt_begun_ = false;
-  double sent_ms_ = 0;         // of the newest attempt
-  double first_event_ms_ = 0;  // of the answer, from the request's beginning; 0: none came
-
-  Answer answer_ = Answer::kUnknown;
-  http::Message head_;
-  std::string buffered_;
-  EventStream events_;
-  bool passing_ = false;  // a stream's head has gone to the client
+
+  // What the client has of the answer, over all attempts.
+  double first_event_ms_ = 0;  // from the request's beginning; 0: none came
+  bool passing_ = false;       // a stream's head has gone to it
+  StreamPosition position_;
 };
 
 double SteadyNowMs();
