Take a stream without a length that ends inside an event for what it is: broken off

Callers got half an event as the last piece of a stream that looked complete, or no continuation where there should have been one.

Cause: an answer without a length ends with its connection, and a plain end was taken for the end of the answer whatever had come before. Events end with an empty line: what ends inside one is not whole. The end of such an answer is told as one of its own now (kCompleteByClose); a stream with an unfinished event then goes on at another server where that is allowed and breaks off where not. One that ends between two events cannot be told from a whole one.

--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -167,7 +167,7 @@
   if (phase_ == Phase::kOver || !attempt_) return;
   const auto answer = attempt_->answer;
   const bool success = attempt_->head.status / 100 == 2 && attempt_->head.Find("x-response-seal");
-  const bool whole = end == AttemptEnd::kComplete;
+  const bool whole = end == AttemptEnd::kComplete || end == AttemptEnd::kCompleteByClose;
   if (whole && answer == Attempt::Answer::kBuffered && success && !attempt_->begun) NoteFirstEvent();
   Attempt attempt = TakeAttempt();
   NoteTornEvent(attempt, end);
@@ -182,7 +182,9 @@
   }
   may_have_run_ = true;
   ++runs_;
-  if (!whole) {
+  // A server that is gone in the middle of an event ends its connection too.
+  const bool torn = end == AttemptEnd::kCompleteByClose && attempt.events.unfinished() > 0;
+  if (!whole || torn) {
     AttemptOver(attempt, ServerOutcome::kFailed);
     return passing_ ? StreamBroke() : Failed(/*reached=*/true);
   }
--- a/src/router/upstream.cpp
+++ b/src/router/upstream.cpp
@@ -165,7 +165,7 @@
     if (state_ == State::kIdle) return Close();  // its end, or what nobody asked for
     if (error) {
       const bool whole = error == asio::error::eof && !surplus_ && head_told_ && parser_.EndsWhole();
-      return End(whole ? AttemptEnd::kComplete : AttemptEnd::kBroken);
+      return End(whole ? AttemptEnd::kCompleteByClose : AttemptEnd::kBroken);
     }
     buffer_.Commit(size);
     Parse();
--- a/src/router/upstream.h
+++ b/src/router/upstream.h
@@ -19,9 +19,11 @@
 namespace bitternmux::router {
 
 enum class AttemptEnd {
-  kComplete,     // the answer came whole
-  kUnreachable,  // no connection came up: nothing was sent
-  kBroken,       // after the first byte may have been sent: it may have run
+  kComplete,         // the answer came whole
+  kCompleteByClose,  // the answer has no length and its connection ended in order: whole as far as HTTP can
+                     // tell
+  kUnreachable,      // no connection came up: nothing was sent
+  kBroken,           // after the first byte may have been sent: it may have run
 };
 
 // Who made the attempt. No call comes from within Upstream::Begin, and none after Cancel or OnEnd.
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -245,4 +245,35 @@
   CHECK(passed == "id: 0\ndata: whole\n\n");
 }
 
+// A client got half an event as the last one of a stream that looked complete.
+TEST_CASE("request flow: a stream without a length that ends inside an event is not complete") {
+  Stand stand;
+  ALLOW_CALL(stand.responder(), Unsent()).RETURN(0u);
+  std::string passed;
+  ALLOW_CALL(stand.responder(), BeginStream(200, _));
+  ALLOW_CALL(stand.responder(), Piece(_)).LR_SIDE_EFFECT(passed += _1);
+  SECTION("it goes on at another server where that is allowed") {
+    bool ended = false;
+    REQUIRE_CALL(stand.responder(), EndStream()).LR_SIDE_EFFECT(ended = true);
+    const auto flow = stand.Ask("/again/1", 4000);
+    const auto first = stand.Accept();
+    Send(*first, kHeadWithoutLength + "id: 0\ndata: a\n\nid: 1\nda");
+    first->close();
+    const auto second = stand.Accept();
+    Send(*second, kStreamHead + Chunk("id: 1\ndata: b\n\n") + "0\r\n\r\n");
+    REQUIRE(stand.Until([&] { return ended; }));
+    CHECK(passed == "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+  }
+  SECTION("it breaks off where not") {
+    bool broke = false;
+    REQUIRE_CALL(stand.responder(), BreakOff()).LR_SIDE_EFFECT(broke = true);
+    const auto flow = stand.Ask("/stream/1", 4000);
+    const auto first = stand.Accept();
+    Send(*first, kHeadWithoutLength + "id: 0\ndata: a\n\nid: 1\nda");
+    first->close();
+    REQUIRE(stand.Until([&] { return broke; }));
+    CHECK(passed == "id: 0\ndata: a\n\n");
+  }
+}
+
 }  // namespace bitternmux::router
--- a/tests/router/upstream_test.cpp
+++ b/tests/router/upstream_test.cpp
@@ -421,7 +421,7 @@
   });
   const auto attempt = stage.Begin("a");
   stage.Await(*attempt);
-  CHECK(attempt->end == (says_so ? AttemptEnd::kComplete : AttemptEnd::kBroken));
+  CHECK(attempt->end == (says_so ? AttemptEnd::kCompleteByClose : AttemptEnd::kBroken));
 }
 
 TEST_CASE("upstream: an answer without a length that is reset is not whole") {
