Cut streams by the format of events: any line end, ids as it has them, only where they go on

Callers of a stream whose lines end with CRLF or CR got it all at its end, and never a continuation; behind events without an id of their own, or from a server that began the stream anew, they would have got events twice.

Cause: an event's end was two LF, its id a line that begins with 'id:'. EventCutter knows the format's three line ends now (a CR ends its line at once only where lines of this stream end so), and StreamPosition the field rules: no space needed, one with a NUL counts for nothing, an event with data and no id cannot be gone on behind. The first id of an attempt that continues has to be behind the last one (ids ascend); else the attempt is broken off (stream.not_continued).

Found by reading, as the same class as the incident's: joining two runs where they do not fit.

--- a/src/events/fleet_catalogue.h
+++ b/src/events/fleet_catalogue.h
@@ -32,6 +32,7 @@
 inline constexpr EventKind kConfigurationUnreadable{"configuration.unreadable", Severity::kError};
 inline constexpr EventKind kReadinessChanged{"router.readiness", Severity::kInfo};
 inline constexpr EventKind kAttemptTorn{"attempt.torn", Severity::kInfo};
+inline constexpr EventKind kStreamNotContinued{"stream.not_continued", Severity::kWarning};
 inline constexpr EventKind kServerTrouble{"server.trouble", Severity::kDebug};
 inline constexpr EventKind kFirstEvent{"request.first_event", Severity::kDebug};
 inline constexpr EventKind kRequestEnded{"request.ended", Severity::kDebug};
--- a/src/router/event_stream.cpp
+++ b/src/router/event_stream.cpp
@@ -1,38 +1,135 @@
 #include "router/event_stream.h"
 
+#include <optional>
 #include <utility>
 
+#include "http/parser.h"
+
 namespace bitternmux::router {
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
-constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kIdField = "id";
+constexpr std::string_view kDataField = "data";
+
+// The first line of the text, which is cut off with its end.
+std::string_view TakeLine(std::string_view& text) {
+  const auto end = text.find_first_of("\r\n");
+  const std::string_view line = text.substr(0, end);
+  if (end == text.npos) {
+    text = {};
+    return line;
+  }
+  const bool both = text.substr(end).starts_with("\r\n");
+  text.remove_prefix(end + (both ? 2 : 1));
+  return line;
+}
+
+struct EventField {
+  std::string_view name, value;
+};
+
+EventField FieldOf(std::string_view line) {
+  const auto colon = line.find(':');
+  if (colon == line.npos) return {line, {}};
+  std::string_view value = line.substr(colon + 1);
+  if (value.starts_with(' ')) value.remove_prefix(1);
+  return {line.substr(0, colon), value};
+}
+
+// An id that the line gives; none if it gives none. One with a NUL counts for nothing.
+std::optional<std::string_view> IdOf(const EventField& field) {
+  if (field.name != kIdField || field.value.find('\0') != field.value.npos) return std::nullopt;
+  return field.value;
+}
+
+std::optional<std::string_view> FirstId(std::string_view events) {
+  while (!events.empty()) {
+    const auto id = IdOf(FieldOf(TakeLine(events)));
+    if (id) return id;
+  }
+  return std::nullopt;
+}
+
+// Ids ascend; such as are no whole numbers cannot be compared.
+bool IsBehind(std::string_view id, std::string_view last) {
+  const auto number = http::WholeNumber(id), last_number = http::WholeNumber(last);
+  return !number || !last_number || *number > *last_number;
+}
 
 }  // namespace
 
 std::string EventCutter::Take(std::string_view bytes) {
   rest_.append(bytes);
-  const auto end = rest_.rfind(kEventEnd);
-  if (end == std::string::npos) return {};
-  const std::size_t size = end + kEventEnd.size();
-  std::string events = rest_.substr(0, size);
-  rest_.erase(0, size);
+  for (; scanned_ < rest_.size(); ++scanned_) TakeByte(rest_[scanned_]);
+  if (whole_ == 0) return {};
+  std::string events = rest_.substr(0, whole_);
+  rest_.erase(0, whole_);
+  scanned_ -= whole_;
+  whole_ = 0;
   return events;
 }
 
-std::string EventCutter::TakeRest() { return std::exchange(rest_, {}); }
+// A CR ends its line at once only where lines end so: else its LF, which belongs to it, may still be on its
+// way.
+void EventCutter::TakeByte(char byte) {
+  if (after_cr_) {
+    after_cr_ = false;
+    const bool over = std::exchange(line_over_, false);
+    if (byte == '\n') {
+      if (!over) LineEnds(scanned_ + 1);
+      return;
+    }
+    lone_cr_ = true;
+    if (!over) LineEnds(scanned_);
+  }
+  if (byte == '\n') return LineEnds(scanned_ + 1);
+  if (byte != '\r') {
+    line_has_bytes_ = true;
+    return;
+  }
+  after_cr_ = true;
+  line_over_ = lone_cr_;
+  if (line_over_) LineEnds(scanned_ + 1);
+}
+
+// Empty lines in front of an event belong to it.
+void EventCutter::LineEnds(std::size_t at) {
+  if (line_has_bytes_) {
+    event_has_lines_ = true;
+  } else if (event_has_lines_) {
+    event_has_lines_ = false;
+    whole_ = at;
+  }
+  line_has_bytes_ = false;
+}
+
+std::string EventCutter::TakeRest() {
+  scanned_ = whole_ = 0;
+  line_has_bytes_ = event_has_lines_ = after_cr_ = line_over_ = false;
+  return std::exchange(rest_, {});
+}
 
-void StreamPosition::Advance(std::string_view events) {
+bool StreamPosition::Advance(std::string_view events) {
+  if (continuing_) {
+    const auto first = FirstId(events);
+    if (first && !IsBehind(*first, last_id_)) return false;
+    continuing_ = !first;
+  }
+  bool has_id = false, has_data = false;
   while (!events.empty()) {
-    const auto end = events.find('\n');
-    std::string_view line = events.substr(0, end);
-    events = end == events.npos ? std::string_view() : events.substr(end + 1);
-    if (!line.starts_with(kIdField)) continue;
-    line.remove_prefix(kIdField.size());
-    if (line.starts_with(' ')) line.remove_prefix(1);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    last_id_ = line;
+    const std::string_view line = TakeLine(events);
+    const EventField field = FieldOf(line);
+    if (const auto id = IdOf(field)) {
+      last_id_ = *id;
+      has_id = true;
+    }
+    has_data = has_data || field.name == kDataField;
+    if (!line.empty()) continue;
+    unnamed_ = has_id ? false : unnamed_ || has_data;
+    has_data_ = has_data_ || has_data;
+    has_id = has_data = false;
   }
+  return true;
 }
 
 }  // namespace bitternmux::router
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -61,6 +61,7 @@
   phase_ = Phase::kSent;
   ++sends_;
   excluded_.push_back(chosen.id);
+  position_.BeginAttempt();
   Attempt& attempt = attempt_.emplace();
   attempt.server = chosen;
   attempt.sent_ms = SteadyNowMs();
@@ -111,7 +112,7 @@
   }
   const std::string events = attempt.events.Take(bytes);
   if (events.empty()) return;
-  position_.Advance(events);
+  if (!position_.Advance(events)) return RefuseEvents();
   if (!attempt.begun) NoteFirstEvent();
   const auto responder = responder_.lock();
   if (!responder) return;
@@ -152,6 +153,22 @@
                                                    {"last_id", position_.last_id()}});
 }
 
+// A server that was to continue a stream sends what the client has already. The session may let go of this
+// request in here.
+void RequestFlow::RefuseEvents() {
+  const auto self = shared_from_this();
+  Upstream::Cancel(attempt_->connection);
+  const Attempt attempt = TakeAttempt();
+  may_have_run_ = true;
+  ++runs_;
+  state_.events.Write(fleet_events::kStreamNotContinued, {{"id", request_id_},
+                                                          {"attempt", sends_},
+                                                          {"server", attempt.server.id},
+                                                          {"last_id", position_.last_id()}});
+  AttemptOver(attempt, ServerOutcome::kFailed);
+  StreamBroke();
+}
+
 void RequestFlow::ClientTook() {
   const auto responder = responder_.lock();
   if (attempt_ && responder && responder->Unsent() <= kMostUnsent / 2)
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -91,6 +91,7 @@
   void StreamBroke();
   void NoteFirstEvent();
   void NoteTornEvent(const Attempt& attempt, AttemptEnd end);
+  void RefuseEvents();
   // The attempt under way, which is none any more.
   Attempt TakeAttempt();
   void AttemptOver(const Attempt& attempt, ServerOutcome outcome);
--- a/tests/lab/wire/router_cuts_test.cpp
+++ b/tests/lab/wire/router_cuts_test.cpp
@@ -107,9 +107,10 @@
 // A plain end of the connection between two events looks like the end of an answer without a length.
 bool LooksWhole(const AnswerPlan& plan, const std::string& bytes) {
   if (plan.framing != Framing::kUntilClose || plan.ending != Ending::kClose) return false;
-  const std::string sent = bytes.substr(0, *plan.cut_at);
-  const auto head = bytes.find("\r\n\r\n") + 4;
-  return sent.size() == head || (sent.size() > head && sent.ends_with("\n\n"));
+  const std::size_t head = bytes.find("\r\n\r\n") + 4;
+  const std::string_view sent = std::string_view(bytes).substr(0, *plan.cut_at);
+  if (sent.size() <= head) return sent.size() == head;
+  return sent.ends_with("\n\n") || sent.ends_with("\r\r") || sent.ends_with("\r\n\r\n");
 }
 
 struct CutKind {
@@ -117,19 +118,23 @@
   Framing framing;
   Grouping grouping;
   std::size_t write_bytes;
+  LineEnd line_end = LineEnd::kLf;
 };
 constexpr CutKind kChunkForEach{"a chunk for each event", Framing::kChunked, Grouping::kEventEach, 0};
 constexpr CutKind kOneChunk{"one chunk", Framing::kChunked, Grouping::kAllInOne, 0};
 constexpr CutKind kWithLength{"a length", Framing::kLength, Grouping::kAllInOne, 0};
 constexpr CutKind kUntilClose{"no length", Framing::kUntilClose, Grouping::kAllInOne, 0};
 constexpr CutKind kSlowWrites{"a byte at a time", Framing::kChunked, Grouping::kEventEach, 1};
+constexpr CutKind kCrLfLines{"CRLF", Framing::kUntilClose, Grouping::kAllInOne, 0, LineEnd::kCrLf};
+constexpr CutKind kCrLines{"CR", Framing::kUntilClose, Grouping::kAllInOne, 0, LineEnd::kCr};
 
 }  // namespace
 
 // A client got an event that no server's run had made: the torn one of one attempt, joined to another
 // attempt's.
 TEST_CASE("router cuts: a resumable stream that is cut at any byte of any attempt reaches its client whole") {
-  const CutKind kind = GENERATE(kChunkForEach, kOneChunk, kWithLength, kUntilClose, kSlowWrites);
+  const CutKind kind =
+      GENERATE(kChunkForEach, kOneChunk, kWithLength, kUntilClose, kSlowWrites, kCrLfLines, kCrLines);
   const Ending ending = GENERATE(Ending::kClose, Ending::kReset);
   const std::size_t cut_attempt = GENERATE(0, 1, 2);
   CAPTURE(kind.name, ending, cut_attempt);
@@ -138,6 +143,7 @@
   cut.framing = kind.framing;
   cut.grouping = kind.grouping;
   cut.write_bytes = kind.write_bytes;
+  cut.line_end = kind.line_end;
   cut.ending = ending;
   const std::string bytes = play.WireBytes(cut);
   const std::size_t body = bytes.find("\r\n\r\n") + 4;
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -3,6 +3,7 @@
 // crossings).
 #include "router/request_flow.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
@@ -99,9 +100,21 @@
     }));
     REQUIRE(Until([&] { return socket->available() > 0; }));
     std::array<char, 4096> piece;
-    socket->read_some(asio::buffer(piece));
+    request_.assign(piece.data(), socket->read_some(asio::buffer(piece)));
     return socket;
   }
+  // The newest one, as its server read it.
+  const std::string& request() const { return request_; }
+
+  // Has the router dialed a server that has not accepted yet?
+  bool IsAsked() {
+    return std::ranges::any_of(listeners_, [&](const auto& listener) {
+      boost::system::error_code error;
+      tcp::socket socket(io_);
+      listener->accept(socket, error);
+      return !error;
+    });
+  }
 
   // Reads until the router has ended the connection.
   bool Ends(tcp::socket& socket) {
@@ -114,6 +127,14 @@
     });
   }
 
+  // May the router repeat so many more requests?
+  bool MayRepeatMore(int count) {
+    for (int i = 0; i < count; ++i) {
+      if (!state_.budget.Spend(SteadyNowMs(), "s")) return false;
+    }
+    return true;
+  }
+
   MockResponder& responder() { return *responder_; }
   const std::array<int, kServers>& asked() const { return asked_; }
   void RunWhatIsDue() {
@@ -125,6 +146,7 @@
   asio::io_context io_;
   std::array<std::unique_ptr<tcp::acceptor>, kServers> listeners_;
   std::array<int, kServers> asked_{};
+  std::string request_;
   std::shared_ptr<MockResponder> responder_ = std::make_shared<MockResponder>();
   RouterState state_{io_,
                      Unheard(),
@@ -276,4 +298,68 @@
   }
 }
 
+// Events whose lines end with CRLF or CR were kept until the end of their stream, and could not be resumed.
+TEST_CASE("request flow: events pass as they come, whatever their lines end with") {
+  const std::string end = GENERATE("\n", "\r\n", "\r");
+  Stand stand;
+  ALLOW_CALL(stand.responder(), Unsent()).RETURN(0u);
+  std::string passed;
+  bool ended = false;
+  REQUIRE_CALL(stand.responder(), BeginStream(200, _));
+  ALLOW_CALL(stand.responder(), Piece(_)).LR_SIDE_EFFECT(passed += _1);
+  REQUIRE_CALL(stand.responder(), EndStream()).LR_SIDE_EFFECT(ended = true);
+  const std::string first_event = "id: 0" + end + "data: a" + end + end;
+  const std::string second_event = "id: 1" + end + "data: b" + end + end;
+  const auto flow = stand.Ask("/again/1", 4000);
+  const auto first = stand.Accept();
+  Send(*first, kStreamHead + Chunk(first_event));
+  REQUIRE(stand.Until([&] { return passed == first_event; }));
+  Send(*first, Chunk(second_event.substr(0, 9)));
+  first->close();
+  const auto second = stand.Accept();
+  CHECK(stand.request().find("Last-Event-Id: 0\r\n") != std::string::npos);
+  Send(*second, kStreamHead + Chunk(second_event) + "0\r\n\r\n");
+  REQUIRE(stand.Until([&] { return ended; }));
+  CHECK(passed == first_event + second_event);
+}
+
+// A client got events twice: the server that continued its stream began behind the last id, and events
+// without an id of their own had passed since.
+TEST_CASE(
+    "request flow: a stream breaks off where no server could go on exactly behind what its client has") {
+  Stand stand;
+  ALLOW_CALL(stand.responder(), Unsent()).RETURN(0u);
+  std::string passed;
+  bool broke = false;
+  REQUIRE_CALL(stand.responder(), BeginStream(200, _));
+  ALLOW_CALL(stand.responder(), Piece(_)).LR_SIDE_EFFECT(passed += _1);
+  REQUIRE_CALL(stand.responder(), BreakOff()).LR_SIDE_EFFECT(broke = true);
+  const auto flow = stand.Ask("/again/1", 4000);
+  const auto first = stand.Accept();
+  Send(*first, kStreamHead + Chunk("id: 0\ndata: a\n\ndata: b\n\n"));
+  first->close();
+  REQUIRE(stand.Until([&] { return broke; }));
+  CHECK(passed == "id: 0\ndata: a\n\ndata: b\n\n");
+  CHECK_FALSE(stand.IsAsked());
+}
+
+// A client got events twice: a server that was to continue its stream began it anew.
+TEST_CASE("request flow: a server that begins a stream anew in place of continuing it is not listened to") {
+  Stand stand;
+  ALLOW_CALL(stand.responder(), Unsent()).RETURN(0u);
+  std::string passed;
+  bool broke = false;
+  REQUIRE_CALL(stand.responder(), BeginStream(200, _));
+  ALLOW_CALL(stand.responder(), Piece(_)).LR_SIDE_EFFECT(passed += _1);
+  REQUIRE_CALL(stand.responder(), BreakOff()).LR_SIDE_EFFECT(broke = true);
+  const auto flow = stand.Ask("/again/1", 4000);
+  const auto first = stand.Accept();
+  Send(*first, kStreamHead + Chunk("id: 0\ndata: a\n\nid: 1\ndata: b\n\n"));
+  first->close();
+  const auto second = stand.Accept();
+  Send(*second, kStreamHead + Chunk("id: 0\ndata: a\n\nid: 1\ndata: b\n\n") + "0\r\n\r\n");
+  REQUIRE(stand.Until([&] { return broke; }));
+  CHECK(passed == "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+}
+
 }  // namespace bitternmux::router
