Break a stream off once no server is left for it, in place of asking the retry budget again

One broken stream used up all that its router may repeat for a service in the next seconds, so that requests of other callers were not repeated.

Cause: where no server was left, Refuse led back to StreamBroke, which took from the retry budget and looked for a server again, until the budget was spent; each round a call deeper. A stream that cannot go on is broken off in one place now.

Found while reading the paths of the incident. Evidence: the case of request_flow_test fails before (after one such stream not ten repeats are left of the stand's budget) and passes now.

--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -244,7 +244,6 @@
   const bool again =
       sends_ < kMostSends && Left(now_ms) > kLeastTimeMs && state_.budget.Spend(now_ms, service_);
   if (again) return Dispatch();
-  if (passing_) return StreamBroke();
   Refuse(kBusyRetryMs, EndReason::kRejected);
 }
 
@@ -253,7 +252,6 @@
   const double now_ms = SteadyNowMs();
   if (!reached) {
     if (sends_ < kMostSends && Left(now_ms) > kLeastTimeMs) return Dispatch();
-    if (passing_) return StreamBroke();
     return Refuse(kBusyRetryMs, EndReason::kUnreachable);
   }
   if (route_->Repeatable() && MayRepeat(now_ms)) return Dispatch();
@@ -273,8 +271,7 @@
     state_.metrics.StreamResumed();
     return Dispatch();
   }
-  if (const auto responder = responder_.lock()) responder->BreakOff();
-  Over(EndReason::kStreamBroke);
+  BreakOff(EndReason::kStreamBroke);
 }
 
 }  // namespace bitternmux::router
--- a/src/router/request_ending.cpp
+++ b/src/router/request_ending.cpp
@@ -7,7 +7,7 @@
 
 namespace bitternmux::router {
 void RequestFlow::Refuse(double retry_ms, EndReason reason) {
-  if (passing_) return StreamBroke();
+  if (passing_) return BreakOff(EndReason::kStreamBroke);
   if (may_have_run_ && !route_->Repeatable()) return Respond(502, "it may have run", reason);
   http::Headers headers = {{"X-Request-Id", request_id_}};
   if (retry_ms > 0) {
@@ -25,6 +25,12 @@
   Over(reason);
 }
 
+// The client's stream ends here, and does not look whole.
+void RequestFlow::BreakOff(EndReason reason) {
+  if (const auto responder = responder_.lock()) responder->BreakOff();
+  Over(reason);
+}
+
 void RequestFlow::TimeIsUp() {
   if (phase_ == Phase::kOver) return;
   if (attempt_) {
@@ -33,10 +39,7 @@
     const Attempt attempt = TakeAttempt();
     AttemptOver(attempt, attempt.begun ? ServerOutcome::kLeft : ServerOutcome::kFailed);
   }
-  if (passing_) {
-    if (const auto responder = responder_.lock()) responder->BreakOff();
-    return Over(EndReason::kOutOfTime);
-  }
+  if (passing_) return BreakOff(EndReason::kOutOfTime);
   may_have_run_ ? Respond(504, "out of time", EndReason::kOutOfTime) : Refuse(0, EndReason::kNoTime);
 }
 
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -100,6 +100,7 @@
   void PassAnswer(const Attempt& attempt);
   void Refuse(double retry_ms, EndReason reason);
   void Respond(int status, std::string_view why, EndReason reason);
+  void BreakOff(EndReason reason);
   void TimeIsUp();
   void Over(EndReason reason);
   void TellEnd(EndReason reason);
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -362,4 +362,23 @@
   CHECK(passed == "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
 }
 
+// One broken stream for which no server was left took all that the router may repeat in the next seconds.
+TEST_CASE("request flow: a stream that no server is left for does not use up what others may repeat") {
+  Stand stand;
+  ALLOW_CALL(stand.responder(), Unsent()).RETURN(0u);
+  bool broke = false;
+  REQUIRE_CALL(stand.responder(), BeginStream(200, _));
+  ALLOW_CALL(stand.responder(), Piece(_));
+  REQUIRE_CALL(stand.responder(), BreakOff()).LR_SIDE_EFFECT(broke = true);
+  const auto flow = stand.Ask("/again/1", 4000);
+  for (std::size_t i = 0; i < kServers; ++i) {
+    const auto server = stand.Accept();
+    Send(*server, kStreamHead + Chunk("id: " + std::to_string(i) + "\ndata: a\n\n"));
+    REQUIRE(stand.Until([&] { return server->available() == 0; }));
+    server->close();
+  }
+  REQUIRE(stand.Until([&] { return broke; }));
+  CHECK(stand.MayRepeatMore(10));
+}
+
 }  // namespace bitternmux::router
