Let agents listen at another address: several edge machines on one host

A stand with several real routers on loopback needs an address for each agent; until now an agent listened at the first internal port of 127.0.0.1, which control machines share with it. bitternmux.agent_listen names another; without it nothing changes. Tested in node_settings_test.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -24,7 +24,7 @@
     : io_(io),
       events_(events),
       node_name_(settings.node_name),
-      listen_("127.0.0.1:" + std::to_string(settings.first_internal_port)),
+      listen_(settings.agent_listen),
       internal_port_(settings.first_internal_port),
       publisher_(RandomNumber()),
       source_(RandomNumber()),
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -96,7 +96,10 @@
     file.Fail("internal_ports", "are not two rising ports");
   out.first_internal_port = ports[0];
   out.last_internal_port = ports[1];
-  out.internal_listen = file.Section("bitternmux").Address("internal_listen");
+  const Reader own = file.Section("bitternmux");
+  out.internal_listen = own.Address("internal_listen");
+  out.agent_listen = own.Address("agent_listen");
+  if (out.agent_listen.empty()) out.agent_listen = "127.0.0.1:" + std::to_string(out.first_internal_port);
   out.seeds = file.Get<std::vector<std::string>>("seeds", {});
   for (const std::string& seed : out.seeds) file.CheckAddress("seeds", seed);
   out.bootstrap = file.Get<bool>("bootstrap", false);
--- a/src/fleet/settings/node_settings.h
+++ b/src/fleet/settings/node_settings.h
@@ -24,6 +24,9 @@
   // Where a control machine listens for links, if others reach it at another address than its own: behind a
   // forwarded port. Empty: at `control`'s address and the first internal port.
   std::string internal_listen;
+  // Where the agent of an edge machine listens for the router beside it (ip:port): loopback at the first
+  // internal port, unless several edge machines share a host.
+  std::string agent_listen;
   std::vector<std::string> seeds;  // control addresses
   bool bootstrap = false;
   std::string data_dir;  // empty: no disk
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -83,8 +83,7 @@
     FromAgent(link, message);
   };
   handlers.lost = [] {};
-  const std::string address = "127.0.0.1:" + std::to_string(settings_.first_internal_port);
-  agent_ = std::make_shared<fleet::Dialer>(io_, address, std::move(handlers));
+  agent_ = std::make_shared<fleet::Dialer>(io_, settings_.agent_listen, std::move(handlers));
   agent_->Start();
   Tick();
 }
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -77,6 +77,7 @@
   CHECK(read.quota_slack == 110000);
   CHECK(read.drain_ms == 3000);
   CHECK(read.internal_listen.empty());
+  CHECK(read.agent_listen == "127.0.0.1:7680");
 }
 
 TEST_CASE("node settings: links may be listened for at another address than the one others reach") {
@@ -84,6 +85,10 @@
   CHECK(ReadNodeSettings(file.path()).internal_listen == "127.0.0.1:7680");
   const File faulty(std::string(kGood) + "bitternmux:\n  internal_listen: \"7680\"\n");
   CHECK_THROWS_WITH(ReadNodeSettings(faulty.path()), Catch::Contains("bitternmux.internal_listen"));
+  const File shared_host(std::string(kGood) + "bitternmux:\n  agent_listen: \"127.0.0.9:7681\"\n");
+  CHECK(ReadNodeSettings(shared_host.path()).agent_listen == "127.0.0.9:7681");
+  const File faulty_agent(std::string(kGood) + "bitternmux:\n  agent_listen: \"7681\"\n");
+  CHECK_THROWS_WITH(ReadNodeSettings(faulty_agent.path()), Catch::Contains("bitternmux.agent_listen"));
 }
 
 TEST_CASE("node settings: a fault names file, key and value") {
