--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <filesystem>
@@ -22,7 +23,7 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr int kAnswerSeconds = 20;
-constexpr std::size_t kPlatform = 20, kEdge = 10, kFirstServer = 30, kFirstBackend = 60;
+constexpr std::size_t kPlatform = 20, kFirstServer = 30, kFirstBackend = 60, kFirstEdge = 100;
 constexpr std::size_t kServersOfEach = 2;
 
 // An address of this process's own block of loopback, so that tests run beside each other.
@@ -84,13 +85,16 @@
   return reply;
 }
 
-FleetStand::FleetStand(Programs programs, Ways ways) : programs_(std::move(programs)) {
+FleetStand::FleetStand(Programs programs, Ways ways, std::size_t edges) : programs_(std::move(programs)) {
   std::string folder = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
   if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no folder");
   folder_ = folder;
   port_ = FreePort();
-  front_ = Ip(kEdge) + ":" + std::to_string(port_ + 2);
-  readiness_ = Ip(kEdge) + ":" + std::to_string(port_ + 3);
+  if (edges == 0 || edges > kMostEdges) throw std::invalid_argument("1 to 40 edge machines");
+  for (std::size_t i = 0; i < edges; ++i) {
+    const std::string ip = Ip(kFirstEdge + i) + ":";
+    edges_.push_back({ip + std::to_string(port_ + 2), ip + std::to_string(port_ + 3), nullptr, nullptr});
+  }
   const auto add = [this](const std::string& service, std::size_t number) {
     const std::string id = service + "-" + std::to_string(number);
     auto server = std::make_unique<Server>();
@@ -113,8 +117,7 @@
 }
 
 FleetStand::~FleetStand() {
-  router_.reset();
-  agent_.reset();
+  edges_.clear();
   for (auto& control : controls_) control.reset();
   std::filesystem::remove_all(folder_);
 }
@@ -152,9 +155,11 @@
   return path;
 }
 
-std::string FleetStand::EdgeSettings() {
-  return "ip: \"" + Ip(kEdge) + "\"\nlisten:\n  front: \"" + front_ + "\"\n  readiness: \"" + readiness_ +
-         "\"\n";
+std::string FleetStand::EdgeSettings(std::size_t edge) {
+  const std::string ip = Ip(kFirstEdge + edge);
+  return "ip: \"" + ip + "\"\nlisten:\n  front: \"" + edges_[edge].front + "\"\n  readiness: \"" +
+         edges_[edge].readiness + "\"\nbitternmux:\n  agent_listen: \"" + ip + ":" +
+         std::to_string(port_ + 4) + "\"\n";
 }
 
 std::string FleetStand::ControlSettings(std::size_t i, bool bootstrap) {
@@ -165,11 +170,13 @@
          (relay_ ? "bitternmux:\n  internal_listen: \"" + BackendAddress(i) + "\"\n" : "");
 }
 
-void FleetStand::StartRouter() {
-  router_ = std::make_unique<Process>(programs_.router, WriteSettings("router", EdgeSettings()));
+void FleetStand::StartRouter(std::size_t edge) {
+  const std::string settings = WriteSettings("router-" + std::to_string(edge), EdgeSettings(edge));
+  edges_[edge].router = std::make_unique<Process>(programs_.router, settings);
 }
-void FleetStand::StartAgent() {
-  agent_ = std::make_unique<Process>(programs_.agent, WriteSettings("agent", EdgeSettings()));
+void FleetStand::StartAgent(std::size_t edge) {
+  const std::string settings = WriteSettings("agent-" + std::to_string(edge), EdgeSettings(edge));
+  edges_[edge].agent = std::make_unique<Process>(programs_.agent, settings);
 }
 void FleetStand::StartControl(std::size_t i, bool bootstrap) {
   const std::string name = "control-" + std::to_string(i);
@@ -182,14 +189,18 @@
 
 bool FleetStand::Start() {
   for (std::size_t i = 0; i < kControls; ++i) StartControl(i, true);
-  StartAgent();
-  StartRouter();
+  for (std::size_t edge = 0; edge < edges_.size(); ++edge) {
+    StartAgent(edge);
+    StartRouter(edge);
+  }
   for (std::size_t i = 0; i < kControls; ++i) {
     if (!controls_[i]->Says("process.started")) return false;
   }
   // Until then there is nobody to take it.
   if (!controls_[0]->Says("role=owner")) return false;
-  return PutAnywhere(Configuration(4), 0).status == 200 && router_->Says("router.readiness ready=true");
+  if (PutAnywhere(Configuration(4), 0).status != 200) return false;
+  return std::ranges::all_of(edges_,
+                             [](Edge& edge) { return edge.router->Says("router.readiness ready=true"); });
 }
 
 // ---- The configuration and the list ----
@@ -228,9 +239,23 @@
       .dump();
 }
 
+void FleetStand::ListOnly(std::vector<ListedServer> servers) {
+  const std::lock_guard lock(mutex_);
+  listed_only_ = std::move(servers);
+}
+
 std::string FleetStand::List() {
   const std::lock_guard lock(mutex_);
   Json instances = Json::array();
+  for (const ListedServer& server : listed_only_) {
+    instances.push_back({{"id", server.id},
+                         {"service", server.service},
+                         {"address", server.address},
+                         {"zone", "z"},
+                         {"slots", 64},
+                         {"state", "ready"}});
+  }
+  if (!listed_only_.empty()) return Json{{"instances", instances}, {"next_token", nullptr}}.dump();
   for (const auto& [id, server] : servers_) {
     instances.push_back({{"id", id},
                          {"service", server->service},
@@ -336,7 +361,7 @@
   if (!request.key.empty()) headers.emplace_back("X-Api-Key", request.key);
   if (!request.token_count.empty()) headers.emplace_back("X-Token-Count", request.token_count);
   if (!request.prompt_prefix.empty()) headers.emplace_back("X-Prompt-Prefix", request.prompt_prefix);
-  return RoundTrip(front_, http::WriteRequest("POST", request.path, headers, request.body));
+  return RoundTrip(front(), http::WriteRequest("POST", request.path, headers, request.body));
 }
 
 }  // namespace bitternmux::lab::fleet
--- a/lab/fleet/fleet_stand.h
+++ b/lab/fleet/fleet_stand.h
@@ -1,5 +1,5 @@
-// A small fleet on loopback: three control machines and one edge machine as processes of the built programs,
-// between a platform, servers, an operator and clients of our own. Each machine has an address of
+// A small fleet on loopback: three control machines and one edge machine or more as processes of the built
+// programs, between a platform, servers, an operator and clients of our own. Each machine has an address of
 // 127.0.0.0/8.
 #ifndef BITTERNMUX_LAB_FLEET_FLEET_STAND_H_
 #define BITTERNMUX_LAB_FLEET_FLEET_STAND_H_
@@ -35,21 +35,29 @@
   std::string token_count, prompt_prefix;
 };
 
+// A server that somebody else has started.
+struct ListedServer {
+  std::string id, service, address;
+};
+
 class FleetStand {
  public:
   static constexpr std::size_t kControls = 3;  // that the fleet starts with
   static constexpr std::size_t kSpares = 1;    // that may be started later
+  static constexpr std::size_t kMostEdges = 40;
   static constexpr const char* kHost = "desk.example";
 
   // How machines reach the control machines' internal addresses.
   enum class Ways { kDirect, kRelayed };
 
-  // Two servers of the service "model" and two of the service "sheets".
-  explicit FleetStand(Programs programs, Ways ways = Ways::kDirect);
+  // Two servers of the service "model" and two of the service "sheets". At most kMostEdges edge machines.
+  explicit FleetStand(Programs programs, Ways ways = Ways::kDirect, std::size_t edges = 1);
   ~FleetStand();
 
-  // Starts all programs, has the first configuration taken, and waits until the router is ready. False: it is
-  // not.
+  // The platform lists these in place of the stand's own servers.
+  void ListOnly(std::vector<ListedServer> servers);
+  // Starts all programs, has the first configuration taken, and waits until the routers are ready. False:
+  // they are not.
   bool Start();
   // A configuration of that version: /quote/ (streaming, resumable), /draft/ (streaming, once), /sheet/
   // (once) and /read/ (safe), keys "key-a" and "key-b".
@@ -71,7 +79,8 @@
   void CutOff(std::size_t i);
 
   Reply Ask(const ClientRequest& request);
-  std::string front() const { return front_; }
+  std::string front(std::size_t edge = 0) const { return edges_[edge].front; }
+  std::string readiness(std::size_t edge = 0) const { return edges_[edge].readiness; }
 
   // A server's usual script: checks what it is sent, runs it, and answers with a stamp.
   ScriptedServer::Script Usual(const std::string& id);
@@ -82,17 +91,18 @@
   // The platform's list shows it as draining.
   void Drain(const std::string& id);
 
-  Process& router() { return *router_; }
-  Process& agent() { return *agent_; }
+  std::size_t edges() const { return edges_.size(); }
+  Process& router(std::size_t edge = 0) { return *edges_[edge].router; }
+  Process& agent(std::size_t edge = 0) { return *edges_[edge].agent; }
   Process& control(std::size_t i) { return *controls_[i]; }
-  void StartRouter();
-  void StartAgent();
+  void StartRouter(std::size_t edge = 0);
+  void StartAgent(std::size_t edge = 0);
   void StartControl(std::size_t i, bool bootstrap);
   void KillControl(std::size_t i);
   // The folder of its data, whether it runs or not.
   std::string DataFolder(std::size_t i) const;
-  void KillRouter() { router_.reset(); }
-  void KillAgent() { agent_.reset(); }
+  void KillRouter(std::size_t edge = 0) { edges_[edge].router.reset(); }
+  void KillAgent(std::size_t edge = 0) { edges_[edge].agent.reset(); }
 
  private:
   struct Server {
@@ -102,7 +112,7 @@
   };
   std::string List();
   std::string WriteSettings(const std::string& name, const std::string& text);
-  std::string EdgeSettings();
+  std::string EdgeSettings(std::size_t edge);
   std::string ControlSettings(std::size_t i, bool bootstrap);
   std::string BackendAddress(std::size_t i) const;
   Reply Operate(const std::string& method, const std::string& address, const std::string& path,
@@ -111,14 +121,18 @@
   const Programs programs_;
   std::string folder_;
   std::uint16_t port_ = 0;  // of all control interfaces; internal ones follow
-  std::string front_, readiness_;
+  struct Edge {
+    std::string front, readiness;
+    std::unique_ptr<Process> router, agent;
+  };
+  std::vector<Edge> edges_;
   std::mutex mutex_;  // guards what the servers' threads share
   std::map<std::string, std::unique_ptr<Server>> servers_;
+  std::vector<ListedServer> listed_only_;
   std::map<std::string, int> runs_;
   std::unique_ptr<ScriptedServer> platform_;
   std::unique_ptr<LinkRelay> relay_;  // null: the ways are direct
   std::array<std::unique_ptr<Process>, kControls + kSpares> controls_;
-  std::unique_ptr<Process> router_, agent_;
 };
 
 // Sends bytes to an address and reads one answer to its end.
--- a/lab/wire/answer_plan.cpp
+++ b/lab/wire/answer_plan.cpp
@@ -1,7 +1,6 @@
 #include "lab/wire/answer_plan.h"
 
 #include <array>
-#include <string_view>
 
 #include "http/writer.h"
 
@@ -66,6 +65,14 @@
   return event.append(end).append(end);
 }
 
+std::uint64_t CountEvents(std::string_view bytes) {
+  std::uint64_t count = 0;
+  for (const std::string_view end : {"\n\n", "\r\n\r\n", "\r\r"}) {
+    for (auto at = bytes.find(end); at != bytes.npos; at = bytes.find(end, at + end.size())) ++count;
+  }
+  return count;
+}
+
 std::string AnswerBytes(const AnswerPlan& plan, const Run& run) {
   http::Headers headers = {{"X-Request-Id", run.request_id}};
   if (!run.seal.empty()) headers.emplace_back("X-Response-Seal", run.seal);
--- a/lab/wire/answer_plan.h
+++ b/lab/wire/answer_plan.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "lab/wire/history.h"
 
@@ -33,6 +34,9 @@
 // An event of that number, marked as made by that run.
 std::string MakeEvent(std::uint64_t number, const std::string& run, LineEnd line_end);
 
+// Events made so that stand whole in the bytes.
+std::uint64_t CountEvents(std::string_view bytes);
+
 // Head and body of the whole answer of a run. Of an answer of Kind::kAnswer the run's events, or its body,
 // are sent.
 std::string AnswerBytes(const AnswerPlan& plan, const Run& run);
--- a/lab/wire/history.h
+++ b/lab/wire/history.h
@@ -26,6 +26,7 @@
   std::uint64_t first_event = 0;    // of a stream: the number of the first event
   std::vector<std::string> events;  // of a stream: as they were made, each whole
   std::string answer;               // the body of any other answer
+  bool sound = true;                // the server sent its answer whole
 };
 
 // One request as its client sent it, and what the client got.
@@ -37,10 +38,11 @@
   std::uint64_t event_count = 0;  // of a stream: how many there are in all
   int status = 0;                 // 0: no head came
   std::string seal;
-  std::string bytes;      // of the body, as far as it came
-  bool complete = false;  // the answer has ended as its framing says
-  bool left = false;      // the client gave it up
-  std::string surplus;    // bytes behind a complete answer, with no request open
+  std::string bytes;               // of the body, as far as it came
+  bool complete = false;           // the answer has ended as its framing says
+  bool left = false;               // the client gave it up
+  bool router_in_trouble = false;  // its router was killed or stood still while it was open
+  std::string surplus;             // bytes behind a complete answer, with no request open
 };
 
 struct History {
--- a/lab/wire/history_checker.cpp
+++ b/lab/wire/history_checker.cpp
@@ -37,6 +37,7 @@
 
   void Check() {
     CheckRuns();
+    CheckLost();
     if (!received_.surplus.empty())
       Find(Rule::kMixed, "bytes with no request open: " + Shown(received_.surplus));
     if (received_.status == 0) return;
@@ -73,6 +74,16 @@
     }
   }
 
+  // Sound servers ran it, and the router's connection ended without a whole answer.
+  void CheckLost() {
+    if (received_.complete || received_.left || received_.router_in_trouble) return;
+    const auto executed = std::ranges::count_if(runs_, [](const Run* run) { return run->executed; });
+    const auto sound =
+        std::ranges::count_if(runs_, [](const Run* run) { return run->executed && run->sound; });
+    if (executed > 0 && sound == executed)
+      Find(Rule::kLost, "its connection ended though its servers answered");
+  }
+
   void CheckFailure() {
     const Run* const run = RunOf(received_.seal);
     if (!received_.seal.empty() && (run == nullptr || run->status != received_.status))
@@ -146,6 +157,8 @@
       return "REFUSED";
     case Rule::kBudget:
       return "BUDGET";
+    case Rule::kLost:
+      return "LOST";
     case Rule::kOrder:
       break;
   }
--- a/lab/wire/history_checker.h
+++ b/lab/wire/history_checker.h
@@ -1,5 +1,5 @@
 // Judges a history by the users' rules of requests, answers and streams: MIXED, UNASKED, TWICE, REFUSED,
-// BUDGET and ORDER. A function of the history alone; it knows nothing of the router.
+// BUDGET, LOST and ORDER. A function of the history alone; it knows nothing of the router.
 #ifndef BITTERNMUX_LAB_WIRE_HISTORY_CHECKER_H_
 #define BITTERNMUX_LAB_WIRE_HISTORY_CHECKER_H_
 
@@ -12,7 +12,7 @@
 
 namespace bitternmux::lab::wire {
 
-enum class Rule : std::uint8_t { kMixed, kUnasked, kTwice, kRefused, kBudget, kOrder };
+enum class Rule : std::uint8_t { kMixed, kUnasked, kTwice, kRefused, kBudget, kOrder, kLost };
 
 std::string_view NameOf(Rule rule);
 
--- a/lab/wire/hostile_server.cpp
+++ b/lab/wire/hostile_server.cpp
@@ -79,6 +79,7 @@
     out_ = AnswerBytes(plan_, run);
     if (plan_.answers_twice) out_ += std::string(out_);
     if (plan_.cut_at) out_.resize(std::min(out_.size(), *plan_.cut_at));
+    run.sound = !plan_.cut_at && plan_.kind == AnswerPlan::Kind::kAnswer;
     state_->recorder.Add(std::move(run));
     written_ = 0;
     Write();
--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -161,6 +161,7 @@
   const Attempt attempt = TakeAttempt();
   may_have_run_ = true;
   ++runs_;
+  state_.metrics.StreamNotContinued();
   state_.events.Write(fleet_events::kStreamNotContinued, {{"id", request_id_},
                                                           {"attempt", sends_},
                                                           {"server", attempt.server.id},
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -33,6 +33,7 @@
   AddCounter(text, "attempts_torn_total", attempts_torn_);
   AddCounter(text, "attempts_torn_bytes_total", torn_bytes_);
   AddCounter(text, "streams_resumed_total", streams_resumed_);
+  AddCounter(text, "streams_not_continued_total", streams_not_continued_);
   AddCounter(text, "first_events_total", first_events_);
   AddCounter(text, "first_event_expected_ms_total", static_cast<std::uint64_t>(expected_ms_));
   AddCounter(text, "first_event_came_ms_total", static_cast<std::uint64_t>(came_ms_));
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -20,6 +20,8 @@
   void AttemptTorn(std::size_t bytes);
   // A stream goes on at another server, behind the last event that its client has.
   void StreamResumed() { ++streams_resumed_; }
+  // A server that was to continue a stream sent what its client has.
+  void StreamNotContinued() { ++streams_not_continued_; }
   // The time to a first event as it was expected when the server was chosen, and as it came; milliseconds.
   void FirstEvent(double expected_ms, double came_ms);
 
@@ -29,7 +31,7 @@
  private:
   std::array<std::uint64_t, kEndReasons> ended_{};
   std::uint64_t late_ = 0;  // served, with a first event later than the route's aim
-  std::uint64_t attempts_torn_ = 0, torn_bytes_ = 0, streams_resumed_ = 0;
+  std::uint64_t attempts_torn_ = 0, torn_bytes_ = 0, streams_resumed_ = 0, streams_not_continued_ = 0;
   std::uint64_t first_events_ = 0;
   double expected_ms_ = 0, came_ms_ = 0, error_ms_ = 0;  // sums
 };
--- a/tests/lab/wire/history_checker_test.cpp
+++ b/tests/lab/wire/history_checker_test.cpp
@@ -74,6 +74,7 @@
     History history = ResumedStream();
     history.received[0].bytes = history.runs[0].events[0];
     history.received[0].complete = false;
+    history.runs[1].sound = false;
     CHECK(Check(history).empty());
   }
   SECTION("a client that left inside an event") {
@@ -109,6 +110,7 @@
   SECTION("it ends inside an event") {
     received.bytes = first[0] + first[1] + second[0] + second[1].substr(0, 9);
     received.complete = GENERATE(true, false);
+    history.runs[1].sound = false;
   }
   SECTION("a byte of an event is another one") { received.bytes[12] ^= 1; }
   CHECK(Breaks(history, Rule::kOrder));
@@ -133,6 +135,31 @@
   CHECK(Breaks(history, Rule::kMixed));
 }
 
+TEST_CASE("history checker: LOST") {
+  History history = OnceAnswered();
+  history.received[0].complete = false;
+  history.received[0].bytes.clear();
+  history.received[0].seal.clear();
+  history.received[0].status = 0;
+  SECTION("a sound server had it") { CHECK(Breaks(history, Rule::kLost)); }
+  SECTION("its server broke off") {
+    history.runs[0].sound = false;
+    CHECK(Check(history).empty());
+  }
+  SECTION("its client left") {
+    history.received[0].left = true;
+    CHECK(Check(history).empty());
+  }
+  SECTION("its router was killed") {
+    history.received[0].router_in_trouble = true;
+    CHECK(Check(history).empty());
+  }
+  SECTION("it was not passed on") {
+    history.runs.clear();
+    CHECK(Check(history).empty());
+  }
+}
+
 TEST_CASE("history checker: runs") {
   History history = OnceAnswered();
   SECTION("twice") {
--- a/tests/router/router_metrics_test.cpp
+++ b/tests/router/router_metrics_test.cpp
@@ -42,10 +42,13 @@
   metrics.AttemptTorn(13);
   metrics.AttemptTorn(4);
   metrics.StreamResumed();
+  metrics.StreamNotContinued();
+  metrics.StreamNotContinued();
   const std::string text = metrics.Text({});
   CHECK(text.find("bitternmux_attempts_torn_total 2\n") != std::string::npos);
   CHECK(text.find("bitternmux_attempts_torn_bytes_total 17\n") != std::string::npos);
   CHECK(text.find("bitternmux_streams_resumed_total 1\n") != std::string::npos);
+  CHECK(text.find("bitternmux_streams_not_continued_total 2\n") != std::string::npos);
 }
 
 }  // namespace bitternmux::router
