--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,20 @@
 	.ci/install
 	lab/simulation/mutations/run.sh all
 
+# The fleet's programs between hostile servers and clients; one router in one process between them.
+ROUTERS ?= 3
+.PHONY: torture wire-play
+torture:
+	.ci/install
+	cmake -B build-demo -DCMAKE_BUILD_TYPE=Release -DCARTSPRING_LAB=ON
+	cmake --build build-demo -j$$(nproc) --target fleet_torture
+	build-demo/fleet-torture --seeds=$(SEEDS) --first=$(FIRST) --routers=$(ROUTERS)
+wire-play:
+	.ci/install
+	cmake -B build-demo -DCMAKE_BUILD_TYPE=Release -DCARTSPRING_LAB=ON
+	cmake --build build-demo -j$$(nproc) --target fleet_wire_play
+	build-demo/fleet-wire-play --seeds=$(SEEDS) --first=$(FIRST)
+
 # Whether deploy/system.toml lists all Debian packages that the fleet's build uses.
 packages:
 	.ci/install
--- a/lab/torture/hostile_traffic.cpp
+++ b/lab/torture/hostile_traffic.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t kWireBytes = 700;  // more than an answer takes, so that some cuts lie behind its end
 constexpr std::size_t kMostBody = 9000;
 constexpr int kMostResumptions = 3;
-constexpr const char* kDeadlineMs = "1500";
+constexpr int kDeadlineMs = 1500;
+constexpr auto kOutOfTime = std::chrono::milliseconds(kDeadlineMs * 9 / 10);
 
 std::size_t Draw(std::mt19937_64& random, std::size_t most) {
   return std::uniform_int_distribution<std::size_t>(0, most)(random);
@@ -127,7 +128,7 @@
   ask.rules = route.rules;
   ask.event_count = EventsOf(ask.request_id);
   ask.headers = options_.headers;
-  ask.headers.emplace_back("X-Deadline-Ms", kDeadlineMs);
+  ask.headers.emplace_back("X-Deadline-Ms", std::to_string(kDeadlineMs));
   client->resumptions = 0;
   Ask(client, ask);
 }
@@ -143,7 +144,9 @@
   }
   const ClientHabits habits = hostile_ ? DrawHabits(random) : ClientHabits();
   const std::uint64_t begun = troubles_->open(client->router) ? 0 : 1 + troubles_->begun(client->router);
-  client->connection->Ask(ask, habits, [this, client, ask, begun](Received received) {
+  const auto sent = std::chrono::steady_clock::now();
+  client->connection->Ask(ask, habits, [this, client, ask, begun, sent](Received received) {
+    received.out_of_time = std::chrono::steady_clock::now() - sent >= kOutOfTime;
     Answered(client, ask, begun, std::move(received));
   });
 }
--- a/lab/wire/answer_plan.h
+++ b/lab/wire/answer_plan.h
@@ -19,6 +19,9 @@
 enum class Grouping : std::uint8_t { kEventEach, kAllInOne, kByteEach };  // of a stream's bytes in chunks
 enum class Ending : std::uint8_t { kClose, kReset, kSilence };  // of a connection whose answer is cut
 
+// Whether a whole answer is sent once more: right behind the first, or in front of the connection's next one.
+enum class SecondAnswer : std::uint8_t { kNone, kAtOnce, kBeforeNext };
+
 struct AnswerPlan {
   enum class Kind : std::uint8_t { kAnswer, kFailure, kNotExecuted, kMisdirected };
   Kind kind = Kind::kAnswer;
@@ -28,7 +31,7 @@
   std::size_t write_bytes = 0;        // in one write; 0: all
   std::optional<std::size_t> cut_at;  // so many bytes are sent, head included; none: all
   Ending ending = Ending::kClose;     // only where it is cut
-  bool answers_twice = false;         // the whole answer is sent once more, behind the first
+  SecondAnswer second_answer = SecondAnswer::kNone;
 };
 
 // An event of that number, marked as made by that run.
@@ -41,6 +44,10 @@
 // are sent.
 std::string AnswerBytes(const AnswerPlan& plan, const Run& run);
 
+// Of a plan that cuts an answer of these bytes: a plain end looks like the end of an answer without a length,
+// of a stream if it comes between two events.
+bool LooksWhole(const AnswerPlan& plan, std::string_view bytes, bool streaming);
+
 // Any plan, more often whole than cut; `size` is what the whole answer takes, at the least.
 AnswerPlan DrawPlan(std::mt19937_64& random, std::size_t size);
 
--- a/lab/wire/history.h
+++ b/lab/wire/history.h
@@ -41,6 +41,7 @@
   std::string bytes;               // of the body, as far as it came
   bool complete = false;           // the answer has ended as its framing says
   bool left = false;               // the client gave it up
+  bool out_of_time = false;        // it ended when its deadline was reached
   bool router_in_trouble = false;  // its router was killed or stood still while it was open
   std::string surplus;             // bytes behind a complete answer, with no request open
 };
--- a/tests/lab/wire/router_stand.h
+++ b/lab/wire_play/router_stand.h
@@ -1,7 +1,7 @@
-// A router's data plane in the test's own process: its clients' side, its requests and its connections to
+// A router's data plane in this process: its clients' side, its requests and its connections to
 // servers, on real sockets, with a configuration and a list that do not change.
-#ifndef BITTERNMUX_TESTS_LAB_WIRE_ROUTER_STAND_H_
-#define BITTERNMUX_TESTS_LAB_WIRE_ROUTER_STAND_H_
+#ifndef BITTERNMUX_LAB_WIRE_PLAY_ROUTER_STAND_H_
+#define BITTERNMUX_LAB_WIRE_PLAY_ROUTER_STAND_H_
 
 #include <boost/asio.hpp>
 #include <memory>
@@ -110,4 +110,4 @@
 
 }  // namespace bitternmux::lab::wire
 
-#endif  // BITTERNMUX_TESTS_LAB_WIRE_ROUTER_STAND_H_
+#endif  // BITTERNMUX_LAB_WIRE_PLAY_ROUTER_STAND_H_
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -25,6 +25,7 @@
   // The time to a first event as it was expected when the server was chosen, and as it came; milliseconds.
   void FirstEvent(double expected_ms, double came_ms);
 
+  std::uint64_t streams_not_continued() const { return streams_not_continued_; }
   std::uint64_t ended(EndReason reason) const { return ended_[static_cast<std::size_t>(reason)]; }
   std::string Text(const Upstream::Figures& upstream) const;
 
--- a/tests/lab/wire/history_checker_test.cpp
+++ b/tests/lab/wire/history_checker_test.cpp
@@ -150,6 +150,10 @@
     history.received[0].left = true;
     CHECK(Check(history).empty());
   }
+  SECTION("its time was over") {
+    history.received[0].out_of_time = true;
+    CHECK(Check(history).empty());
+  }
   SECTION("its router was killed") {
     history.received[0].router_in_trouble = true;
     CHECK(Check(history).empty());
