--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -142,6 +142,10 @@
   Input(life, [this, id, request] { core_->FromSubscriber(clock_.now_ms(), id, request); });
 }
 
+void ControlMachine::LoadsTold(std::uint64_t life, fleet::SubscriberId id, const fleet::ServerLoads& loads) {
+  Input(life, [this, id, loads] { core_->LoadsTold(id, loads); });
+}
+
 void ControlMachine::ListRead(std::uint64_t life, const std::optional<fleet::ServerMap>& servers) {
   Input(life, [this, servers] { core_->ListRead(clock_.now_ms(), servers); });
 }
--- a/lab/simulation/control_machine.h
+++ b/lab/simulation/control_machine.h
@@ -79,6 +79,7 @@
   void Subscribed(std::uint64_t life, fleet::SubscriberId id, const fleet::Subscribe& subscribe);
   void Unsubscribed(std::uint64_t life, fleet::SubscriberId id);
   void FromSubscriber(std::uint64_t life, fleet::SubscriberId id, const fleet::QuotaRequest& request);
+  void LoadsTold(std::uint64_t life, fleet::SubscriberId id, const fleet::ServerLoads& loads);
   void ListRead(std::uint64_t life, const std::optional<fleet::ServerMap>& servers);
   // A call of the operator; an order, or a read where there is none.
   void Call(std::uint64_t life, const std::optional<fleet::Order>& order, Answered answered);
--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -15,6 +16,7 @@
 constexpr double kStartMs = 4000;
 constexpr double kTroubleMs = 26'000;
 constexpr double kLookEveryMs = 50;
+constexpr double kLoadsSettleMs = 2500;      // until the requests that were under way have ended
 constexpr std::uint64_t kSlowDisksEach = 8;  // day that ends so
 
 // Tokens are asked for and the list changes all day.
@@ -23,7 +25,7 @@
   for (std::size_t i = 0; i < world.edges(); ++i) {
     world.edge(i).Request(TheTenant(), clock.Between(5, 60) * world.demand());
   }
-  if (clock.Chance(0.05)) world.platform().Change();
+  if (!world.holding() && clock.Chance(0.05)) world.platform().Change();
   clock.After(clock.Between(60, 120), [&world] { KeepBusy(world); });
 }
 
@@ -95,6 +97,54 @@
   return std::nullopt;
 }
 
+using Loads = std::map<std::uint32_t, fleet::ServerLoad>;  // by server; nothing is as good as no row
+
+// What all routers have in work, as they know it themselves.
+Loads LoadsInWork(World& world) {
+  Loads sums;
+  for (std::size_t i = 0; i < world.edges(); ++i) {
+    for (const fleet::ServerLoad& row : world.edge(i).OwnLoads().rows) {
+      fleet::ServerLoad& sum = sums[row.server];
+      sum.server = row.server;
+      sum.requests += row.requests;
+      sum.prefill_tokens += row.prefill_tokens;
+      sum.set_aside += row.set_aside;
+    }
+  }
+  return sums;
+}
+
+Loads LoadsTold(World& world, std::size_t edge) {
+  Loads told = world.edge(edge).fleet_loads();
+  std::erase_if(told, [](const auto& row) { return row.second.IsNothing(); });
+  return told;
+}
+
+std::string Describe(const Loads& loads) {
+  std::string rows;
+  for (const auto& [server, load] : loads)
+    rows += " " + std::to_string(server) + ": " + std::to_string(load.requests);
+  return rows;
+}
+
+// What routers have in work does not change any more; then all are told the same, and that it is so.
+void CheckLoads(World& world) {
+  world.HoldRequests();
+  world.RunFor(kLoadsSettleMs);
+  const auto all_know = [&] {
+    const Loads in_work = LoadsInWork(world);
+    for (std::size_t i = 0; i < world.edges(); ++i) {
+      if (LoadsTold(world, i) != in_work) return false;
+    }
+    return true;
+  };
+  if (Await(world, kLoadsWithinMs, all_know) <= kLoadsWithinMs) return;
+  std::string what = "there is in work" + Describe(LoadsInWork(world));
+  for (std::size_t i = 0; i < world.edges(); ++i)
+    what += "; " + world.edge(i).name() + " is told" + Describe(LoadsTold(world, i));
+  world.checker().Fault(16, what);
+}
+
 void CheckChange(World& world) {
   const auto version = ChangeOnce(world, world.clock().now_ms() + kAcknowledgedWithinMs);
   if (!version) {
@@ -153,7 +203,7 @@
   }
   CheckList(world);
   CheckChange(world);
-  world.RunFor(1000);
+  CheckLoads(world);
 }
 
 void CheckAll(World& world) {
--- a/lab/simulation/day.h
+++ b/lab/simulation/day.h
@@ -17,6 +17,7 @@
 constexpr double kListWithinMs = 3000;
 constexpr double kVersionWithinMs = 2000;
 constexpr double kAcknowledgedWithinMs = 4000;
+constexpr double kLoadsWithinMs = 6000;
 
 WorldOptions DrawOptions(std::uint64_t seed);
 // Plays the day of that seed.
--- a/lab/simulation/edge_machine.cpp
+++ b/lab/simulation/edge_machine.cpp
@@ -22,8 +22,10 @@
 
 void EdgeMachine::BootRouter() {
   router_ = std::make_unique<Router>(
-      fleet::QuotaLedger::Options{1 + clock_.Below(1'000'000'000), clock_.now_ms(), bounds_});
+      fleet::QuotaLedger::Options{1 + clock_.Below(1'000'000'000), clock_.now_ms(), bounds_},
+      clock_.Below(1'000'000'000));
   ++router_life_;
+  TickLoads(router_life_);
   if (up()) FeedRouter();
 }
 
@@ -36,6 +38,12 @@
   link_ = 0;
 }
 
+// What it had in work is nobody's any more.
+void EdgeMachine::KillRouter() {
+  router_.reset();
+  TellLoads({true, {}, 0});
+}
+
 void EdgeMachine::Freeze(double for_ms) {
   frozen_until_ms_ = clock_.now_ms() + for_ms;
   clock_.At(frozen_until_ms_, [this, life = life_] {
@@ -110,6 +118,7 @@
       router_->ledger.Granted(clock_.now_ms(), *grant);
       return QuotaChanged();
     }
+    if (const auto* loads = std::get_if<fleet::ServerLoads>(&message)) return TakeFleetLoads(*loads);
     const auto* beat = std::get_if<fleet::FeedBeat>(&message);
     if (beat == nullptr) return;
     agent_->choice.Beat(clock_.now_ms(), *beat, agent_->follower.state());
@@ -137,6 +146,7 @@
   const fleet::FeedFollower::Applied applied = router_->follower.Apply(entry);
   const std::size_t routers = router_->follower.state().fleet.routers;
   if (applied.fleet && routers > 0) router_->ledger.SetRouters(routers);
+  if (applied.servers) router_->choice.Update(clock_.now_ms(), router_state().servers);
   if (applied.gap) FeedRouter();
 }
 
@@ -152,6 +162,7 @@
   switch (router_->ledger.Ask(clock_.now_ms(), id, tenant, tokens)) {
     case fleet::QuotaAnswer::kAdmitted:
       surroundings_.Admitted(name_, tokens);
+      if (!holding_) Serve();
       break;
     case fleet::QuotaAnswer::kWait:
       router_->waiting[id] = tokens;
@@ -185,4 +196,60 @@
   QuotaChanged();
 }
 
+// ---- Load ----
+
+// A server begins to answer and ends, or hangs for good while requests are held.
+void EdgeMachine::Serve() {
+  constexpr double kMostTokens = 5000, kBeginsWithinMs = 300, kMostMs = 1500;
+  router::ServerAsk ask;
+  ask.service = "model";
+  auto answer = router_->choice.Choose(clock_.now_ms(), ask);
+  if (!answer.chosen) return;
+  router::ServerChoice::Chosen chosen = std::move(*answer.chosen);
+  chosen.uncached_tokens = clock_.Between(0, kMostTokens);
+  surroundings_.Chosen(name_, chosen.id);
+  router_->choice.Sent(clock_.now_ms(), chosen.id, chosen, nullptr);
+  if (holding_) return;
+  const double begins_ms = clock_.Between(1, kBeginsWithinMs);
+  const auto mine = [this, life = router_life_] { return router_up() && router_life_ == life; };
+  clock_.After(begins_ms, [this, mine, chosen, begins_ms] {
+    if (mine()) router_->choice.Begun(clock_.now_ms(), chosen.id, chosen, begins_ms);
+  });
+  clock_.After(begins_ms + clock_.Between(1, kMostMs), [this, mine, chosen] {
+    const auto answered = router::ServerOutcome::kAnswered;
+    if (mine()) router_->choice.Ended(clock_.now_ms(), chosen.id, /*begun=*/true, 0, answered);
+  });
+}
+
+void EdgeMachine::HoldRequests() {
+  constexpr int kHeld = 2;
+  holding_ = true;
+  for (int i = 0; i < kHeld && router_up(); ++i) Serve();
+}
+
+fleet::ServerLoads EdgeMachine::OwnLoads() {
+  return router_->choice.TakeLoads(clock_.now_ms(), /*whole=*/true);
+}
+
+void EdgeMachine::TickLoads(std::uint64_t router_life) {
+  if (!router_up() || router_life != router_life_) return;
+  const bool whole = clock_.now_ms() - router_->loads_refreshed_ms >= kLoadsRefreshMs;
+  if (whole) router_->loads_refreshed_ms = clock_.now_ms();
+  if (whole || router_->choice.loads_changed()) TellLoads(router_->choice.TakeLoads(clock_.now_ms(), whole));
+  clock_.After(kLoadsTickMs, [this, router_life] { TickLoads(router_life); });
+}
+
+void EdgeMachine::TellLoads(const fleet::ServerLoads& loads) {
+  Input(life_, [this, loads] {
+    if (connected_) surroundings_.ToSource(name_, link_, loads);
+  });
+}
+
+void EdgeMachine::TakeFleetLoads(const fleet::ServerLoads& loads) {
+  if (!router_up()) return;
+  router_->choice.FleetLoads(clock_.now_ms(), loads);
+  if (loads.whole) router_->fleet_loads.clear();
+  for (const fleet::ServerLoad& row : loads.rows) router_->fleet_loads[row.server] = row;
+}
+
 }  // namespace bitternmux::lab::simulation
--- a/lab/simulation/edge_machine.h
+++ b/lab/simulation/edge_machine.h
@@ -1,5 +1,6 @@
 // An edge machine in simulated time: the agent's deciders (which control machine feeds it, what it holds,
-// what it publishes), and beside it the router's end of the feed and its ledger of quotas.
+// what it publishes), and beside it the router's end of the feed, its ledger of quotas and its choice of
+// servers.
 #ifndef BITTERNMUX_LAB_SIMULATION_EDGE_MACHINE_H_
 #define BITTERNMUX_LAB_SIMULATION_EDGE_MACHINE_H_
 
@@ -13,8 +14,10 @@
 
 #include "fleet/feed/feed.h"
 #include "fleet/feed/source_choice.h"
+#include "fleet/messages/messages.h"
 #include "fleet/quota/quota_ledger.h"
 #include "lab/simulation/clock.h"
+#include "router/server_choice.h"
 
 namespace bitternmux::lab::simulation {
 
@@ -29,6 +32,8 @@
   virtual void Granted(const std::string& edge, const fleet::QuotaGrant& grant) = 0;
   // The router has let a request of so many tokens through.
   virtual void Admitted(const std::string& edge, double tokens) = 0;
+  // The router sends a request to that server.
+  virtual void Chosen(const std::string& edge, const std::string& server) = 0;
 };
 
 class EdgeMachine {
@@ -48,7 +53,7 @@
   void Boot(std::vector<std::string> seeds);
   void BootRouter();
   void KillAgent();
-  void KillRouter() { router_.reset(); }
+  void KillRouter();
   // Both processes: killed, or without power.
   void KillBoth() {
     KillAgent();
@@ -58,6 +63,11 @@
   void Unfreeze();
   // A client's request at the router.
   void Request(const fleet::Tenant& tenant, double tokens);
+  // Two more requests, which never end, and none after them.
+  void HoldRequests();
+  // What the router has in work, and what it was told that all routers have.
+  fleet::ServerLoads OwnLoads();
+  const std::map<std::uint32_t, fleet::ServerLoad>& fleet_loads() const { return router_->fleet_loads; }
 
   void Connected(std::uint64_t life, std::uint64_t link);
   void DialFailed(std::uint64_t life, std::uint64_t link);
@@ -72,14 +82,19 @@
     fleet::SourceChoice choice;
   };
   struct Router {
-    explicit Router(const fleet::QuotaLedger::Options& options) : ledger(options) {}
+    Router(const fleet::QuotaLedger::Options& options, std::uint64_t seed)
+        : ledger(options), choice({}, "z", seed) {}
     fleet::FeedFollower follower;
     fleet::QuotaLedger ledger;
     std::map<std::uint64_t, double> waiting;  // tokens of requests that wait for a grant
     bool ticking = false;
+    router::ServerChoice choice;
+    std::map<std::uint32_t, fleet::ServerLoad> fleet_loads;
+    double loads_refreshed_ms = 0;
   };
   static constexpr double kTickMs = 100;
   static constexpr double kQuotaTickMs = 50;
+  static constexpr double kLoadsTickMs = 40, kLoadsRefreshMs = 1000;
 
   void Input(std::uint64_t life, std::function<void()> input);
   void Tick(std::uint64_t life);
@@ -90,6 +105,10 @@
   void Apply(const fleet::FeedEntry& entry);
   void QuotaChanged();
   void TickQuota(std::uint64_t router_life);
+  void Serve();
+  void TickLoads(std::uint64_t router_life);
+  void TellLoads(const fleet::ServerLoads& loads);
+  void TakeFleetLoads(const fleet::ServerLoads& loads);
 
   Clock& clock_;
   EdgeSurroundings& surroundings_;
@@ -100,6 +119,7 @@
   std::unique_ptr<Router> router_;
   std::uint64_t life_ = 0, router_life_ = 0, link_ = 0, last_link_ = 0, last_request_ = 0;
   bool connected_ = false;
+  bool holding_ = false;
   std::string source_;
   double frozen_until_ms_ = 0;
   std::deque<std::function<void()>> buffered_;
--- a/lab/simulation/targeted_faults.cpp
+++ b/lab/simulation/targeted_faults.cpp
@@ -35,7 +35,7 @@
 
 void TargetedFaults::Strike(double left_ms) {
   Clock& clock = world_.clock();
-  const std::size_t kind = clock.Below(6);
+  const std::size_t kind = clock.Below(7);
   if (kind == 0) return LosePromise();
   if (kind == 1) return LoseOwnersWrite();
   if (left_ms < kNeededMs) return;
@@ -43,6 +43,7 @@
   if (kind == 3) LoseSuccessor();
   if (kind == 4) LoseSuccessorInStandstill();
   if (kind == 5) LoseEndOfExchange();
+  if (kind == 6) ReplaceByUnknown();
 }
 
 // The owner hands over, and does not hear that another one has been elected; who has promised to follow that
@@ -91,6 +92,12 @@
                        [group = *group, successor, then = std::move(then)] { then(group, successor); });
 }
 
+// Nobody but the members can tell the successor of the group.
+void TargetedFaults::ReplaceByUnknown() {
+  const auto group = DrawGroup();
+  if (group) world_.ReplaceByUnknown(group->third, world_.clock().Between(1500, 3000));
+}
+
 // When the owner begins to exchange a member for the successor, if it does so within some seconds.
 void TargetedFaults::OnceExchanging(const Group& group, std::size_t successor, std::function<void()> then) {
   const double until_ms = world_.clock().now_ms() + kBeginsWithinMs;
--- a/lab/simulation/targeted_faults.h
+++ b/lab/simulation/targeted_faults.h
@@ -28,6 +28,7 @@
   void OnceExchanging(const Group& group, std::size_t successor, std::function<void()> then);
   void PutAtOwner(const Group& group);
 
+  void ReplaceByUnknown();
   void LosePromise();
   void LoseOwnersWrite();
   void SplitExchange();
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double kDialTimeoutMs = 600;
+constexpr double kLinkTimeoutMs = 2500;
 
 }  // namespace
 
@@ -262,10 +263,12 @@
   const Link link = links_.at(*id);
   links_.erase(*id);
   if (!link.open) return;
-  network_.Send(edge, link.control, 40, [this, id, link] {
+  const auto closed = [this, id, link] {
     if (ControlMachine* const machine = FindControl(link.control))
       machine->Unsubscribed(link.control_life, *id);
-  });
+  };
+  network_.Send(edge, link.control, 40, closed);
+  clock_.After(kLinkTimeoutMs, closed);  // by itself, where a cut has taken the word with it
 }
 
 void World::ToSource(const std::string& edge, std::uint64_t number, const fleet::Message& message) {
@@ -279,6 +282,8 @@
       machine->Subscribed(link.control_life, *id, *subscribe);
     } else if (const auto* request = std::get_if<fleet::QuotaRequest>(&message)) {
       machine->FromSubscriber(link.control_life, *id, *request);
+    } else if (const auto* loads = std::get_if<fleet::ServerLoads>(&message)) {
+      machine->LoadsTold(link.control_life, *id, *loads);
     }
   });
 }
@@ -295,4 +300,16 @@
 
 void World::Admitted(const std::string&, double tokens) { checker_.Admitted(tokens); }
 
+void World::Chosen(const std::string& edge, const std::string& server) {
+  const fleet::ServerMap& listed = FindEdge(edge)->router_state().servers;
+  const auto found = listed.find(server);
+  if (found == listed.end() || found->second.draining)
+    checker_.Fault(16, edge + " has chosen " + server + ", which its list does not offer");
+}
+
+void World::HoldRequests() {
+  holding_ = true;
+  for (const auto& edge : edges_) edge->HoldRequests();
+}
+
 }  // namespace bitternmux::lab::simulation
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -61,6 +61,8 @@
   void KillForGood(std::size_t i);
   // The new machine comes first, then the old one is told to stop.
   void ReplacePlanned(std::size_t i, double before_ms);
+  // The same, and the settings of all machines name the new one alone: it knows nobody.
+  void ReplaceByUnknown(std::size_t i, double before_ms);
   // All processes, or all machines, at once. `everyone`: edge machines too.
   void KillAll(double down_ms, bool power, bool everyone);
   void Isolate(std::size_t i, double for_ms);
@@ -91,6 +93,9 @@
   // Requests of the one tenant at all routers from now on, `times` as many tokens as its limit allows.
   void SetDemand(double times) { demand_ = times; }
   double demand() const { return demand_; }
+  // From now on what routers have in work stays as it is, and the list too.
+  void HoldRequests();
+  bool holding() const { return holding_; }
 
   // ---- Operators ----
   // Sends an order, or a read, until it has a clear answer or `most_ms` are over.
@@ -160,8 +165,10 @@
   void ObserveEdge(const std::string& edge) override;
   void Granted(const std::string& edge, const fleet::QuotaGrant& grant) override;
   void Admitted(const std::string& edge, double tokens) override;
+  void Chosen(const std::string& edge, const std::string& server) override;
 
   void AddControl();
+  void ComePlanned(std::size_t i, std::size_t successor, double before_ms);
   void RemoveWhenBorne(std::size_t i);
   void DropSeed(std::size_t i);
   // Of the newest committed value, and of those on disks that may become committed.
@@ -202,6 +209,7 @@
   std::map<std::size_t, std::uint64_t> starting_;  // which start of a machine is due
   double lost_answers_ = 0;
   double demand_ = 1;
+  bool holding_ = false;
   bool calm_ = false;  // faults that were planned before do not strike any more
   std::set<std::size_t> open_calls_;
   std::map<std::size_t, fleet::Order> orders_;
--- a/lab/simulation/world_faults.cpp
+++ b/lab/simulation/world_faults.cpp
@@ -102,6 +102,20 @@
   AddControl();
   const std::size_t successor = controls_.size() - 1;
   std::ranges::replace(seeds_, i, successor);
+  ComePlanned(i, successor, before_ms);
+}
+
+void World::ReplaceByUnknown(std::size_t i, double before_ms) {
+  if (calm_) return;
+  Tell(controls_[i]->address() + " is to be replaced by one that knows nobody");
+  AddControl();
+  seeds_ = {controls_.size() - 1};
+  ComePlanned(i, controls_.size() - 1, before_ms);
+}
+
+// All settings name the new machine, which comes at once; the old one is told to stop after that time.
+void World::ComePlanned(std::size_t i, std::size_t successor, double before_ms) {
+  for (const auto& machine : controls_) machine->Reseed(Seeds());
   Boot(successor, false);
   clock_.After(before_ms, [this, i] {
     ++starting_[i];
