Let go of requests under way when a router ends

Cause: a request and the connection to its server hold each other until one of them ends; a router whose grace was over ended without that. Nothing was lost but memory of a process that ends. Its clients' connections are closed first now, as if the clients had left, which cancels the attempts and tells the servers.

--- a/lab/torture/torture.cpp
+++ b/lab/torture/torture.cpp
@@ -1,5 +1,6 @@
 #include "lab/torture/torture.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -132,6 +133,15 @@
     }
   }
 
+  void AwaitEnd(std::size_t router) {
+    constexpr std::size_t kShownLog = 6000;  // bytes at its end
+    const int code = fleet_.router(router).Wait();
+    if (code == kUsualEnd) return;
+    const std::string& log = fleet_.router(router).log();
+    Fault("router " + std::to_string(router) + " ended with " + std::to_string(code) + ": " +
+          log.substr(log.size() - std::min(log.size(), kShownLog)));
+  }
+
   void Restart(std::size_t router) {
     fleet_.StartRouter(router);
     if (!fleet_.router(router).Says("router.readiness ready=true", kReadyMs))
@@ -144,8 +154,7 @@
     fleet_.router(router).Signal(SIGTERM);
     fleet_.router(router).Signal(SIGHUP);
     fleet_.router(router).Signal(SIGTERM);
-    const int code = fleet_.router(router).Wait();
-    if (code != kUsualEnd) Fault("router " + std::to_string(router) + " ended with " + std::to_string(code));
+    AwaitEnd(router);
     Restart(router);
   }
 
@@ -233,10 +242,7 @@
 
   void End() {
     for (std::size_t i = 0; i < options_.routers; ++i) fleet_.router(i).Signal(SIGTERM);
-    for (std::size_t i = 0; i < options_.routers; ++i) {
-      const int code = fleet_.router(i).Wait();
-      if (code != kUsualEnd) Fault("router " + std::to_string(i) + " ended with " + std::to_string(code));
-    }
+    for (std::size_t i = 0; i < options_.routers; ++i) AwaitEnd(i);
   }
 
   const TortureOptions options_;
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -54,6 +54,8 @@
       Close();
   }
 
+  void End() { Left(); }
+
   // ---- The answer to the request that is served ----
 
   void Respond(int status, const http::Headers& headers, std::string_view body) {
@@ -317,6 +319,11 @@
   for (const auto& session : sessions) session->CloseIfIdle();
 }
 
+void Front::CloseAll() {
+  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) session->End();
+}
+
 void Front::StopListening() {
   error_code ignored;
   pause_.cancel();
--- a/src/router/front.h
+++ b/src/router/front.h
@@ -54,6 +54,8 @@
   // Ends the connections that wait for a request.
   void CloseIdle();
   void StopListening();
+  // Ends all connections; requests under way are told that their clients have left.
+  void CloseAll();
   std::size_t sessions() const { return sessions_.size(); }
 
  private:
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -225,7 +225,9 @@
   });
 }
 
+// A request under way and its connection to a server hold each other until one of them ends.
 void Router::End() {
+  front_.CloseAll();
   agent_->Stop();
   io_.stop();
 }
