Tell refused calls of control machines in the log, and count all answers in /status

The logs of the incident could not tell a call that is not served from one that came too late: a control machine wrote nothing of a refusal. The event operator.refused names call, path and status; api_calls in /status counts answers by call and status.

--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -344,6 +344,10 @@
   return Operate("GET", ControlAddress(control), path, "", 0);
 }
 
+Reply FleetStand::Post(const std::string& path, const std::string& body, std::size_t control) {
+  return Operate("POST", ControlAddress(control), path, body, 0);
+}
+
 std::size_t FleetStand::Owner() {
   for (std::size_t i = 0; i < kControls; ++i) {
     const Reply reply = Get("/status", i);
--- a/lab/fleet/fleet_stand.h
+++ b/lab/fleet/fleet_stand.h
@@ -68,6 +68,7 @@
   // The same, from one machine to the next until there is a clear answer.
   Reply PutAnywhere(const std::string& body, std::uint64_t if_match);
   Reply Get(const std::string& path, std::size_t control = 0);
+  Reply Post(const std::string& path, const std::string& body, std::size_t control = 0);
   // The control machine that answers for the configuration; kControls if none does.
   std::size_t Owner();
   std::string ControlAddress(std::size_t i) const;
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -139,7 +139,7 @@
         asio::post(io_,
                    [this, servers = std::move(servers), why = std::move(why)] { ListRead(servers, why); });
       });
-  operator_service_ = std::make_unique<OperatorService>(*core_, [this] { return Status(); });
+  operator_service_ = std::make_unique<OperatorService>(*core_, events_, [this] { return Status(); });
   api_ = std::make_unique<OperatorApi>(
       settings_.control, kMaxBodyBytes, [this](ApiRequest request, ApiRespond respond) {
         asio::post(io_, [this, request = std::move(request), respond = std::move(respond)]() mutable {
@@ -241,7 +241,8 @@
                         {"servers", core_->publisher().state().servers.size()},
                         {"reads_platform_list", core_->list_reader().acting()},
                         {"platform_list_age_ms", NowMs() - core_->list().heard_ms()},
-                        {"subscribers", core_->subscribers()}}
+                        {"subscribers", core_->subscribers()},
+                        {"api_calls", operator_service_->counts()}}
       .dump();
 }
 
--- a/src/control/operator_service.cpp
+++ b/src/control/operator_service.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "events/fleet_catalogue.h"
 #include "fleet/validation/validation.h"
 
 namespace bitternmux::control {
@@ -36,7 +37,25 @@
 
 }  // namespace
 
+// Answers come on this thread, and the service outlives its calls.
 void OperatorService::Serve(double now_ms, ApiRequest request, const ApiRespond& respond) {
+  const std::string path = request.path;
+  const std::string what = request.method + " " + path.substr(0, path.find('/', 1));
+  Route(now_ms, std::move(request), [this, what, path, respond](ApiResponse response) {
+    Count(what, path, response.status);
+    respond(std::move(response));
+  });
+}
+
+void OperatorService::Count(const std::string& what, const std::string& path, int status) {
+  constexpr std::size_t kMostRows = 64;  // a caller chooses the paths
+  const std::string row = what + " " + std::to_string(status);
+  if (counts_.size() < kMostRows || counts_.contains(row)) ++counts_[row];
+  if (status / 100 == 4)
+    events_.Write(fleet_events::kCallRefused, {{"call", what}, {"path", path}, {"status", status}});
+}
+
+void OperatorService::Route(double now_ms, ApiRequest request, const ApiRespond& respond) {
   if (request.path == "/status" && request.method == "GET") return respond({200, status_(), "", 0});
   if (request.path != "/config") return respond(Fault(404, "no such path; there is /config, and /status"));
   if (request.method == "PUT") return ServePut(now_ms, std::move(request), respond);
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "control/operator_api.h"
+#include "events/event.h"
 #include "fleet/control/control_core.h"
 
 namespace bitternmux::control {
@@ -15,19 +16,25 @@
 class OperatorService {
  public:
   // `status`: the body of GET /status.
-  OperatorService(fleet::ControlCore& core, std::function<std::string()> status)
-      : core_(core), status_(std::move(status)) {}
+  OperatorService(fleet::ControlCore& core, EventSink& events, std::function<std::string()> status)
+      : core_(core), events_(events), status_(std::move(status)) {}
 
   void Serve(double now_ms, ApiRequest request, const ApiRespond& respond);
   void Answer(const fleet::CallAnswer& answer);
+  // Answers since the start, by "METHOD /first-part-of-the-path status".
+  const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
 
  private:
+  void Route(double now_ms, ApiRequest request, const ApiRespond& respond);
+  void Count(const std::string& what, const std::string& path, int status);
   void ServePut(double now_ms, ApiRequest request, const ApiRespond& respond);
 
   fleet::ControlCore& core_;
+  EventSink& events_;
   const std::function<std::string()> status_;
   std::uint64_t last_call_ = 0;
   std::map<std::uint64_t, ApiRespond> open_;
+  std::map<std::string, std::uint64_t> counts_;
 };
 
 }  // namespace bitternmux::control
--- a/src/events/fleet_catalogue.h
+++ b/src/events/fleet_catalogue.h
@@ -19,6 +19,7 @@
 inline constexpr EventKind kStorageUnavailable{"storage.unavailable", Severity::kWarning};
 inline constexpr EventKind kStorageUnreadable{"storage.unreadable", Severity::kError};
 inline constexpr EventKind kOrderDecided{"operator.order", Severity::kInfo};
+inline constexpr EventKind kCallRefused{"operator.refused", Severity::kInfo};
 inline constexpr EventKind kListRoleTaken{"platform_list.role_taken", Severity::kInfo};
 inline constexpr EventKind kQuotaRoleTaken{"quota.role_taken", Severity::kInfo};
 inline constexpr EventKind kQuotaRefusals{"quota.refusals", Severity::kInfo};
