--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -13,10 +13,11 @@
 #include <vector>
 
 #include "fleet/messages/server_loads.h"
+#include "fleet/messages/tally_messages.h"
 
 namespace bitternmux::fleet {
 
-constexpr std::uint32_t kProtocolVersion = 5;
+constexpr std::uint32_t kProtocolVersion = 6;
 
 constexpr double kNeverMs = -1e18;  // a time before all others
 
@@ -83,12 +84,13 @@
   std::uint64_t version = 0;  // of the configuration; 0: none yet
   std::string configuration;  // as the operator sent it
   std::vector<TakenOrder> history;
-  std::vector<std::string> drained;  // tenants whose quota may be used up (quota_grantor.h), by name
+  std::vector<std::string> drained;    // tenants whose quota may be used up (quota_grantor.h), by name
+  std::vector<std::string> evacuated;  // zones whose servers are to get nothing more, by name
 
   bool operator==(const ShardValue&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(members, previous_members, version, configuration, history, drained);
+    archive(members, previous_members, version, configuration, history, drained, evacuated);
   }
 };
 
@@ -252,11 +254,12 @@
   std::string id, service, address, zone;
   std::int32_t slots = 0;
   bool draining = false;
+  bool cold = false;  // it has started a moment ago, and bears few requests
 
   bool operator==(const ServerEntry&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, service, address, zone, slots, draining);
+    archive(id, service, address, zone, slots, draining, cold);
   }
 };
 
@@ -297,6 +300,18 @@
   }
 };
 
+// The zones whose servers are to get nothing more.
+struct Evacuations {
+  Position position;  // of the committed value that they stand in; only rises
+  std::vector<std::string> zones;
+
+  bool operator==(const Evacuations&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(position, zones);
+  }
+};
+
 // Who takes part, for shares of limits that hold over the whole fleet.
 struct FleetView {
   std::vector<Member> control;
@@ -331,9 +346,10 @@
   std::optional<ConfigurationChange> configuration;
   std::optional<ServersChange> servers;
   std::optional<FleetView> fleet;
+  std::optional<Evacuations> evacuations;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(feed, offset, snapshot, configuration, servers, fleet);
+    archive(feed, offset, snapshot, configuration, servers, fleet, evacuations);
   }
 };
 
@@ -465,10 +481,11 @@
   }
 };
 
-using Message = std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply,
-                             Heartbeat, HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow,
-                             Subscribe, FeedEntry, FeedBeat, ListAssignment, ListReport, ListReading,
-                             ListRequest, FeedLoad, QuotaRequest, QuotaGrant, ServerLoads>;
+using Message =
+    std::variant<Hello, PreVote, PreVoteReply, Prepare, Promise, ValuePiece, PieceReply, Heartbeat,
+                 HeartbeatReply, JoinRequest, JoinReply, LeaveRequest, StandNow, Subscribe, FeedEntry,
+                 FeedBeat, ListAssignment, ListReport, ListReading, ListRequest, FeedLoad, QuotaRequest,
+                 QuotaGrant, ServerLoads, TallyState, TallyStored, TallyFetch, TallyPiece>;
 
 }  // namespace bitternmux::fleet
 
