Keep tallies at every control machine: logs by origin, answered once enough disks have an add

The decider of docs/design/apart.md (TallyLedger, TallyFold), its place in ControlCore, and the calls POST and GET /tallies/NAME. A call that was handed over and changes something is answered 504 and not 503 when its machine stops: 503 promises that nothing was done.

--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -34,6 +34,7 @@
 // One request from its first header to its answer. Shared by the server's thread and whoever answers.
 struct Call {
   ApiRequest request;
+  bool changes = false;  // it is no read
   bool too_large = false;
   bool handed_over = false;
   std::mutex mutex;  // guards what follows
@@ -91,7 +92,7 @@
       const std::lock_guard lock(mutex_);
       stopping_ = true;
       for (const std::weak_ptr<Call>& weak : resting_) {
-        if (const auto call = weak.lock()) Respond(call, Stopping());
+        if (const auto call = weak.lock()) Respond(call, Stopping(*call));
       }
     }
     MHD_stop_daemon(daemon_);
@@ -102,7 +103,12 @@
  private:
   using CallPointer = std::shared_ptr<Call>;
 
-  static ApiResponse Stopping() { return {503, R"({"error":"this machine stops; go elsewhere"})", "", 0}; }
+  // A call that was handed over may be carried out: 503 would promise that it is not.
+  static ApiResponse Stopping(const Call& call) {
+    if (call.changes && call.handed_over)
+      return {504, R"({"error":"this machine stops; it may be done; send the same elsewhere"})", "", 0};
+    return {503, R"({"error":"this machine stops; go elsewhere"})", "", 0};
+  }
 
   static void Respond(const CallPointer& call, ApiResponse response) {
     const std::lock_guard lock(call->mutex);
@@ -127,6 +133,7 @@
     if (context == nullptr) {
       auto call = std::make_shared<Call>();
       call->request.method = method;
+      call->changes = call->request.method != "GET";
       call->request.path = url;
       ReadIfMatch(connection, call->request);
       context = new CallPointer(std::move(call));
@@ -151,7 +158,7 @@
     const std::lock_guard all(mutex_);
     const std::lock_guard lock(call->mutex);
     if (call->response) return Queue(connection, *call->response);
-    if (stopping_) return Queue(connection, Stopping());
+    if (stopping_) return Queue(connection, Stopping(*call));
     call->suspended = connection;
     MHD_suspend_connection(connection);
     std::erase_if(resting_, [](const std::weak_ptr<Call>& weak) { return weak.expired(); });
--- a/src/control/operator_service.cpp
+++ b/src/control/operator_service.cpp
@@ -57,7 +57,9 @@
 
 void OperatorService::Route(double now_ms, ApiRequest request, const ApiRespond& respond) {
   if (request.path == "/status" && request.method == "GET") return respond({200, status_(), "", 0});
-  if (request.path != "/config") return respond(Fault(404, "no such path; there is /config, and /status"));
+  if (request.path.starts_with(TallyService::kPathPrefix)) return tallies_.Serve(now_ms, request, respond);
+  if (request.path != "/config")
+    return respond(Fault(404, "no such path; there are /config, /tallies/NAME and /status"));
   if (request.method == "PUT") return ServePut(now_ms, std::move(request), respond);
   if (request.method != "GET") return respond(Fault(405, "GET or PUT"));
   const std::uint64_t id = ++last_call_;
--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -16,6 +16,11 @@
 constexpr double kLoadsGoneMs = 2500;     // after which those of a silent control machine are dropped
 const char* const kOwnLoads = "";         // the source of this machine's own sums
 
+bool IsAboutTallies(const Message& message) {
+  return std::holds_alternative<TallyState>(message) || std::holds_alternative<TallyStored>(message) ||
+         std::holds_alternative<TallyFetch>(message) || std::holds_alternative<TallyPiece>(message);
+}
+
 }  // namespace
 
 const char* NameOf(Replica::Role role) {
@@ -38,8 +43,10 @@
       calls_(replica_),
       list_reader_(options.replica.self.internal, options.replica.incarnation),
       publisher_(options.replica.incarnation),
-      grantor_(options.quota) {
+      grantor_(options.quota),
+      tallies_(options.tallies, std::move(options.loaded_tallies), now_ms) {
   PublishMembers();
+  UseTallyPeers(now_ms);
 }
 
 void ControlCore::ToControl(const std::string& address, Message message) {
@@ -62,6 +69,8 @@
   TendList(now_ms);
   if (now_ms - beat_ms_ >= kFeedBeatMs) Beat(now_ms);
   if (LoadsDue(now_ms)) TellLoads(now_ms);
+  UseTallyPeers(now_ms);
+  tallies_.Tick(now_ms);
 }
 
 void ControlCore::FromControl(double now_ms, const std::string& address, const Message& message) {
@@ -88,6 +97,7 @@
     loads_heard_ms_[address] = now_ms;
     return fleet_loads_.Set(address, *loads);
   }
+  if (IsAboutTallies(message)) return tallies_.Receive(now_ms, address, message);
   replica_.Receive(now_ms, address, message);
 }
 
@@ -159,6 +169,7 @@
     if (answer.reply.outcome == CallOutcome::kRead) answer.configuration = committed.configuration;
     output_.answers.push_back(std::move(answer));
   }
+  TakeTallies();
   TellRole();
   // Who waits for contact with an owner is told at once that there is one.
   const bool fresh = replica_.Fresh(now_ms);
@@ -167,6 +178,31 @@
   return std::exchange(output_, {});
 }
 
+// ---- Tallies ----
+
+void ControlCore::UseTallyPeers(double now_ms) {
+  std::vector<std::string> addresses;
+  for (const Member& peer : replica_.Peers()) addresses.push_back(peer.internal);
+  tallies_.SetPeers(now_ms, addresses);
+}
+
+void ControlCore::AddToTally(double now_ms, std::uint64_t call, TallyAdd add) {
+  tallies_.Add(now_ms, call, std::move(add));
+}
+
+void ControlCore::ReadTally(double now_ms, std::uint64_t call, const std::string& tally) {
+  tallies_.Read(now_ms, call, tally);
+}
+
+void ControlCore::TalliesStored(double now_ms, std::uint64_t ticket) { tallies_.Stored(now_ms, ticket); }
+
+void ControlCore::TakeTallies() {
+  TallyOutput decided = tallies_.TakeOutput();
+  for (auto& [to, message] : decided.sends) ToControl(to, std::move(message));
+  output_.tally_writes = std::move(decided.writes);
+  output_.tally_answers = std::move(decided.answers);
+}
+
 void ControlCore::TellRole() {
   if (replica_.epoch() == told_epoch_ && replica_.role() == told_role_) return;
   told_epoch_ = replica_.epoch();
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -1,7 +1,7 @@
 // All that a control machine decides, without I/O, clock or thread: the replica of the configuration shard,
-// the operator's calls, the reading of the platform's list, the feed for agents and the granting of quota.
-// The program (src/control/) carries out what it says on sockets, the simulation (lab/simulation/) in
-// simulated time.
+// the operator's calls, the reading of the platform's list, the feed for agents, the granting of quota and
+// the tallies. The program (src/control/) carries out what it says on sockets, the simulation
+// (lab/simulation/) in simulated time.
 //
 // Bounds: those of its parts; a row for each subscriber.
 #ifndef BITTERNMUX_SRC_FLEET_CONTROL_CONTROL_CORE_H_
@@ -23,6 +23,7 @@
 #include "fleet/operations/operator_calls.h"
 #include "fleet/quota/quota_grantor.h"
 #include "fleet/replication/replica.h"
+#include "fleet/tallies/tally_ledger.h"
 
 namespace bitternmux::fleet {
 
@@ -62,6 +63,8 @@
   std::vector<ControlSend> sends;  // in this order
   std::optional<std::pair<std::uint64_t, DurableState>> save;
   std::vector<CallAnswer> answers;
+  std::vector<TallyWrite> tally_writes;  // in this order, beside `save`
+  std::vector<TallyAnswer> tally_answers;
   std::vector<ControlNotice> notices;
   bool read_list = false;  // a reading of the platform's list is to begin
 };
@@ -73,6 +76,8 @@
   struct Options {
     Replica::Options replica;
     QuotaBounds quota;
+    TallyLedger::Options tallies;
+    std::vector<TallyAdds> loaded_tallies;  // what the disk holds of them
   };
 
   ControlCore(Options options, std::optional<DurableState> loaded, double now_ms);
@@ -89,6 +94,9 @@
   void Put(double now_ms, std::uint64_t call, Order order);
   void Get(double now_ms, std::uint64_t call);
   void Saved(double now_ms, std::uint64_t ticket);
+  void AddToTally(double now_ms, std::uint64_t call, TallyAdd add);
+  void ReadTally(double now_ms, std::uint64_t call, const std::string& tally);
+  void TalliesStored(double now_ms, std::uint64_t ticket);
   // A reading has ended; none: it failed.
   void ListRead(double now_ms, std::optional<ServerMap> servers);
   void Leave(double now_ms);
@@ -99,6 +107,7 @@
   const FeedPublisher& publisher() const { return publisher_; }
   const ListReader& list_reader() const { return list_reader_; }
   const ListView& list() const { return list_; }
+  const TallyLedger& tallies() const { return tallies_; }
   std::size_t subscribers() const { return subscribers_.size(); }
   std::size_t open_calls() const { return calls_.open(); }
 
@@ -124,6 +133,8 @@
   void TakeGrantingOver(double now_ms);
   void TellDrained(double now_ms);
   void GrantQuota(const QuotaGrant& grant);
+  void UseTallyPeers(double now_ms);
+  void TakeTallies();
   void TellRole();
   void TellLoads(double now_ms);
   bool LoadsDue(double now_ms) const;
@@ -146,6 +157,7 @@
   double loads_told_ms_ = kNeverMs, loads_refreshed_ms_ = kNeverMs;
   std::size_t load_rows_ = 0;  // that were told last
   QuotaGrantor grantor_;
+  TallyLedger tallies_;
   std::optional<std::vector<std::string>> wanted_drained_;  // as told to the replica in this epoch
   std::optional<Epoch> granting_epoch_;                     // in which this machine began to grant
   std::map<SubscriberId, std::string> subscribers_;         // their names
--- a/src/fleet/messages/tally_messages.h
+++ b/src/fleet/messages/tally_messages.h
@@ -46,30 +46,28 @@
   }
 };
 
-// What the sender holds; told to every other control machine at a steady pace.
+// What the sender holds; told to every other control machine at a steady pace, and answered by TallyStored.
 struct TallyState {
-  std::uint64_t origin = 0;  // of the sender's own log
-  std::uint64_t round = 0;   // rises with each state of this life, from 1
-  // The round of the newest state that the sender has from the receiver's life `echo_origin`; 0: none.
-  std::uint64_t echo_origin = 0, echo_round = 0;
+  std::uint64_t origin = 0;       // of the sender's own log
+  std::uint64_t round = 0;        // rises with each state of this life, from 1
   std::vector<TallyExtent> held;  // in memory, by rising origin
-  // How much of the log `echo_origin` is on the sender's disk.
-  std::uint64_t stored = 0;
-  bool settled = false;  // the sender answers reads
+  bool settled = false;           // the sender answers reads
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(origin, round, echo_origin, echo_round, held, stored, settled);
+    archive(origin, round, held, settled);
   }
 };
 
-// So much of the receiver's log is on the sender's disk.
+// So much of the receiver's log is on the sender's disk: the answer to TallyState, and sent unasked once
+// there is more.
 struct TallyStored {
   std::uint64_t origin = 0;  // the log's
+  std::uint64_t round = 0;   // of the state that it answers; 0: unasked
   std::uint64_t length = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(origin, length);
+    archive(origin, round, length);
   }
 };
 
--- /dev/null
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -0,0 +1,260 @@
+#include "fleet/tallies/tally_ledger.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bitternmux::fleet {
+
+TallyLedger::TallyLedger(Options options, std::vector<TallyAdds> loaded, double now_ms)
+    : options_(options), started_ms_(now_ms) {
+  for (TallyAdds& adds : loaded) fold_.Take(std::move(adds));
+  for (const TallyExtent& extent : fold_.Extents()) stored_[extent.origin] = extent.length;
+}
+
+// Whoever is new counts as reached until it could have answered.
+void TallyLedger::SetPeers(double now_ms, const std::vector<std::string>& addresses) {
+  const std::set<std::string> named(addresses.begin(), addresses.end());
+  std::erase_if(peers_, [&](const auto& entry) { return !named.contains(entry.first); });
+  for (const std::string& address : named) {
+    const auto [at, is_new] = peers_.try_emplace(address);
+    if (is_new) at->second.answered_ms = now_ms;
+  }
+}
+
+// ---- Calls ----
+
+void TallyLedger::Answer(std::uint64_t call, TallyOutcome outcome, std::int64_t total) {
+  output_.answers.push_back({call, outcome, total});
+}
+
+void TallyLedger::Read(double now_ms, std::uint64_t call, const std::string& tally) {
+  Settle(now_ms);
+  if (!settled_) return Answer(call, TallyOutcome::kUnavailable);
+  Answer(call, TallyOutcome::kTotal, fold_.Total(tally));
+}
+
+// What stands in the log of another process is appended here too: the answer then rests on disks that this
+// process has heard of itself.
+void TallyLedger::Add(double now_ms, std::uint64_t call, TallyAdd add) {
+  if (waiting_calls_ >= kMaxTallyCalls) return Answer(call, TallyOutcome::kUnavailable);
+  const auto known = own_numbers_.find(add.id);
+  std::uint64_t number = known == own_numbers_.end() ? 0 : known->second;
+  if (number == 0 || fold_.At(options_.origin, number) != add) {
+    if (fold_.adds() >= kMaxAdds) return Answer(call, TallyOutcome::kFull);
+    number = fold_.Append(options_.origin, add);
+    own_numbers_[add.id] = number;
+    QueueWrite({options_.origin, number, {std::move(add)}});
+  }
+  const auto place = std::ranges::lower_bound(pending_, number, {}, &Pending::number);
+  const bool waits = place != pending_.end() && place->number == number;
+  const auto pending = waits ? place : pending_.insert(place, {number, now_ms, {}});
+  pending->since_ms = now_ms;
+  pending->calls.push_back(call);
+  ++waiting_calls_;
+  AnswerPending(now_ms);
+}
+
+bool TallyLedger::IsStoredByAllReached(double now_ms, std::uint64_t number) const {
+  return std::ranges::all_of(peers_, [&](const auto& entry) {
+    return !IsReached(entry.second, now_ms) || entry.second.stored >= number;
+  });
+}
+
+bool TallyLedger::IsStored(double now_ms, std::uint64_t number) const {
+  const auto own = stored_.find(options_.origin);
+  const bool here = own != stored_.end() && own->second >= number;
+  const auto others =
+      std::ranges::count_if(peers_, [&](const auto& entry) { return entry.second.stored >= number; });
+  if (static_cast<std::size_t>(others) + (here ? 1 : 0) >= options_.copies) return true;
+  return here && IsStoredByAllReached(now_ms, number);
+}
+
+// Later adds are stored later, but calls for an earlier one may have come last.
+void TallyLedger::AnswerPending(double now_ms) {
+  std::erase_if(pending_, [&](const Pending& pending) {
+    const bool stored = IsStored(now_ms, pending.number);
+    if (!stored && now_ms - pending.since_ms < kAddMs) return false;
+    for (const std::uint64_t call : pending.calls)
+      Answer(call, stored ? TallyOutcome::kAdded : TallyOutcome::kUndecided);
+    waiting_calls_ -= pending.calls.size();
+    return true;
+  });
+}
+
+// ---- The disk ----
+
+void TallyLedger::QueueWrite(TallyAdds adds) {
+  if (adds.adds.empty()) return;
+  const bool continues = !unwritten_.empty() && unwritten_.back().origin == adds.origin;
+  if (!continues) return unwritten_.push_back(std::move(adds));
+  std::ranges::move(adds.adds, std::back_inserter(unwritten_.back().adds));
+}
+
+void TallyLedger::FlushWrite() {
+  if (unwritten_.empty()) return;
+  Writing writing{++last_ticket_, {}};
+  for (const TallyAdds& adds : unwritten_)
+    writing.until.push_back({adds.origin, adds.first + adds.adds.size() - 1});
+  writing_.push_back(std::move(writing));
+  output_.writes.push_back({last_ticket_, std::exchange(unwritten_, {})});
+}
+
+void TallyLedger::Stored(double now_ms, std::uint64_t ticket) {
+  std::set<std::uint64_t> grown;
+  while (!writing_.empty() && writing_.front().ticket <= ticket) {
+    for (const TallyExtent& extent : writing_.front().until) {
+      stored_[extent.origin] = extent.length;
+      grown.insert(extent.origin);
+    }
+    writing_.pop_front();
+  }
+  for (const auto& [address, peer] : peers_) {
+    if (grown.contains(peer.origin)) Send(address, TallyStored{peer.origin, 0, stored_.at(peer.origin)});
+  }
+  AnswerPending(now_ms);
+}
+
+// ---- The others ----
+
+void TallyLedger::Send(const std::string& to, Message message) {
+  output_.sends.emplace_back(to, std::move(message));
+}
+
+void TallyLedger::Receive(double now_ms, const std::string& from, const Message& message) {
+  std::visit([&](const auto& typed) { On(now_ms, from, typed); }, message);
+}
+
+void TallyLedger::On(double now_ms, const std::string& from, const TallyState& state) {
+  const auto stored = stored_.find(state.origin);
+  Send(from, TallyStored{state.origin, state.round, stored == stored_.end() ? 0 : stored->second});
+  const auto found = peers_.find(from);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  if (peer.origin != state.origin) {
+    const double answered_ms = peer.answered_ms;
+    const bool caught_up = peer.caught_up;
+    peer = Peer{};
+    peer.origin = state.origin;
+    peer.answered_ms = answered_ms;
+    peer.caught_up = caught_up;
+  }
+  peer.held_before = std::exchange(peer.held, state.held);
+  JudgeCaughtUp();
+  Settle(now_ms);
+  FetchMissing(now_ms);
+}
+
+void TallyLedger::On(double now_ms, const std::string& from, const TallyStored& stored) {
+  const auto found = peers_.find(from);
+  if (found == peers_.end() || stored.origin != options_.origin) return;
+  Peer& peer = found->second;
+  peer.stored = std::max(peer.stored, stored.length);
+  const auto sent = std::ranges::find(rounds_, stored.round, &std::pair<std::uint64_t, double>::first);
+  if (sent != rounds_.end()) peer.answered_ms = std::max(peer.answered_ms, sent->second);
+  AnswerPending(now_ms);
+}
+
+void TallyLedger::On(double, const std::string& from, const TallyFetch& fetch) {
+  TallyPiece piece;
+  piece.logs = fold_.Beyond(fetch.held, kMostPieceBytes);
+  piece.fetched = true;
+  std::uint64_t sent = 0;
+  for (const TallyAdds& adds : piece.logs) sent += adds.adds.size();
+  piece.more = fold_.CountBeyond(fetch.held) > sent;
+  Send(from, std::move(piece));
+}
+
+void TallyLedger::On(double now_ms, const std::string& from, const TallyPiece& piece) {
+  for (const TallyAdds& adds : piece.logs) QueueWrite(fold_.Take(adds));
+  if (piece.fetched && fetch_ && fetch_->from == from) {
+    fetch_.reset();
+    if (piece.more) Ask(now_ms, from);
+  }
+  JudgeCaughtUp();
+  Settle(now_ms);
+  FetchMissing(now_ms);
+}
+
+// ---- Repair ----
+
+void TallyLedger::JudgeCaughtUp() {
+  for (auto& [address, peer] : peers_) {
+    if (peer.origin != 0 && !peer.caught_up) peer.caught_up = fold_.CountMissing(peer.held) == 0;
+  }
+}
+
+void TallyLedger::Settle(double now_ms) {
+  if (settled_) return;
+  const double patience_ms = options_.may_have_lost_disk ? kCatchUpFromNothingMs : kCatchUpMs;
+  const bool patient = now_ms - started_ms_ < patience_ms;
+  settled_ = std::ranges::all_of(peers_, [&](const auto& entry) {
+    return entry.second.caught_up || (!patient && !IsReached(entry.second, now_ms));
+  });
+}
+
+// New adds are on their way from their origin: what is missing counts once it has been so for a state's time,
+// but for a process that answers no reads yet.
+void TallyLedger::FetchMissing(double now_ms) {
+  if (fetch_ && now_ms - fetch_->sent_ms < kFetchMs) return;
+  fetch_.reset();
+  for (const auto& [address, peer] : peers_) {
+    const std::vector<TallyExtent>& wanted = settled_ ? peer.held_before : peer.held;
+    if (fold_.CountMissing(wanted) > 0) return Ask(now_ms, address);
+  }
+}
+
+void TallyLedger::Ask(double now_ms, const std::string& from) {
+  fetch_ = Fetch{from, now_ms};
+  Send(from, TallyFetch{fold_.Extents()});
+}
+
+// ---- Time ----
+
+void TallyLedger::TellState(double now_ms) {
+  told_ms_ = now_ms;
+  rounds_.emplace_back(++round_, now_ms);
+  while (now_ms - rounds_.front().second > kReachedMs) rounds_.pop_front();
+  TallyState state;
+  state.origin = options_.origin;
+  state.round = round_;
+  state.held = fold_.Extents();
+  state.settled = settled_;
+  for (const auto& [address, peer] : peers_) Send(address, state);
+}
+
+void TallyLedger::Tick(double now_ms) {
+  Settle(now_ms);
+  if (now_ms - told_ms_ >= kTallyStateMs) TellState(now_ms);
+  FetchMissing(now_ms);
+  AnswerPending(now_ms);
+}
+
+void TallyLedger::SendNewAdds() {
+  const std::uint64_t length = fold_.LengthOf(options_.origin);
+  if (told_adds_ == length) return;
+  TallyPiece piece;
+  TallyAdds& adds = piece.logs.emplace_back();
+  adds.origin = options_.origin;
+  adds.first = told_adds_ + 1;
+  for (std::uint64_t number = adds.first; number <= length; ++number)
+    adds.adds.push_back(fold_.At(options_.origin, number));
+  told_adds_ = length;
+  for (const auto& [address, peer] : peers_) Send(address, piece);
+}
+
+TallyOutput TallyLedger::TakeOutput() {
+  SendNewAdds();
+  FlushWrite();
+  return std::exchange(output_, {});
+}
+
+std::vector<TallyPeerStatus> TallyLedger::Peers(double now_ms) const {
+  std::vector<TallyPeerStatus> status;
+  for (const auto& [address, peer] : peers_) {
+    status.push_back(
+        {address, IsReached(peer, now_ms), fold_.CountMissing(peer.held), fold_.CountBeyond(peer.held)});
+  }
+  return status;
+}
+
+}  // namespace bitternmux::fleet
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -17,19 +17,23 @@
 //    this process.
 //  - A read is answered once this process has caught up with every machine that it can reach.
 //
-// Bounds: kMaxAdds adds, kMaxCalls calls that wait, kPieceBytes of one answer to a fetch, one fetch under
+// Bounds: kMaxAdds adds, kMaxCalls calls that wait, kMostPieceBytes of one answer to a fetch, one fetch under
 // way. Not thread-safe. Times are in milliseconds on one clock that does not go back.
 #ifndef BITTERNMUX_SRC_FLEET_TALLIES_TALLY_LEDGER_H_
 #define BITTERNMUX_SRC_FLEET_TALLIES_TALLY_LEDGER_H_
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "fleet/messages/messages.h"
+#include "fleet/tallies/tally_fold.h"
 
 namespace bitternmux::fleet {
 
@@ -39,7 +43,7 @@
 constexpr double kCatchUpMs = 1500;    // for which reads wait after a start for machines that are silent
 constexpr double kCatchUpFromNothingMs = 8000;  // the same, of a process that may have lost its disk
 constexpr double kFetchMs = 400;                // for the answer to a fetch
-constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr std::size_t kMostPieceBytes = 64 * 1024;
 constexpr std::size_t kMaxAdds = 400'000;
 constexpr std::size_t kMaxTallyCalls = 1024;
 constexpr std::size_t kMaxTallyNameBytes = 256;  // of an id, or of a tally's name
@@ -88,7 +92,6 @@
 
   // `loaded`: what the disk holds, a whole prefix of each log.
   TallyLedger(Options options, std::vector<TallyAdds> loaded, double now_ms);
-  ~TallyLedger();
   TallyLedger(const TallyLedger&) = delete;
   TallyLedger& operator=(const TallyLedger&) = delete;
 
@@ -105,13 +108,75 @@
   TallyOutput TakeOutput();
 
   // Does it answer reads?
-  bool Settled(double now_ms) const;
-  std::size_t adds() const;  // that are held, of all logs
+  bool settled() const { return settled_; }
+  std::size_t adds() const { return fold_.adds(); }  // that are held, of all logs
   std::vector<TallyPeerStatus> Peers(double now_ms) const;
 
  private:
-  struct State;
-  State* state_;  // owned
+  struct Peer {
+    std::uint64_t origin = 0;              // of its life; 0: it has told nothing yet
+    double answered_ms = 0;                // when the newest state that it answered was sent
+    std::uint64_t stored = 0;              // of this process's log, on its disk
+    std::vector<TallyExtent> held;         // as it told last
+    std::vector<TallyExtent> held_before;  // and the time before
+    bool caught_up = false;                // all that it held at some moment since the start is held here
+  };
+  // An add that waits for enough disks.
+  struct Pending {
+    std::uint64_t number = 0;
+    double since_ms = 0;
+    std::vector<std::uint64_t> calls;
+  };
+  struct Fetch {
+    std::string from;
+    double sent_ms = 0;
+  };
+  // A write, and how far it takes the logs on disk.
+  struct Writing {
+    std::uint64_t ticket = 0;
+    std::vector<TallyExtent> until;
+  };
+
+  void On(double now_ms, const std::string& from, const TallyState& state);
+  void On(double now_ms, const std::string& from, const TallyStored& stored);
+  void On(double now_ms, const std::string& from, const TallyFetch& fetch);
+  void On(double now_ms, const std::string& from, const TallyPiece& piece);
+  template <class Other>
+  void On(double, const std::string&, const Other&) {}
+
+  void TellState(double now_ms);
+  bool IsReached(const Peer& peer, double now_ms) const { return now_ms - peer.answered_ms <= kReachedMs; }
+  void JudgeCaughtUp();
+  void Settle(double now_ms);
+  void FetchMissing(double now_ms);
+  void Ask(double now_ms, const std::string& from);
+  bool IsStored(double now_ms, std::uint64_t number) const;
+  bool IsStoredByAllReached(double now_ms, std::uint64_t number) const;
+  void AnswerPending(double now_ms);
+  void Answer(std::uint64_t call, TallyOutcome outcome, std::int64_t total = 0);
+  void QueueWrite(TallyAdds adds);
+  void Send(const std::string& to, Message message);
+  void SendNewAdds();
+  void FlushWrite();
+
+  const Options options_;
+  const double started_ms_;
+  TallyFold fold_;
+  std::unordered_map<std::string, std::uint64_t> own_numbers_;  // of the own log, by id
+  std::map<std::string, Peer> peers_;                           // by internal address
+  std::deque<Pending> pending_;                                 // by rising number
+  std::size_t waiting_calls_ = 0;
+  std::map<std::uint64_t, std::uint64_t> stored_;  // on the own disk, by origin
+  std::deque<Writing> writing_;
+  std::uint64_t last_ticket_ = 0;
+  std::vector<TallyAdds> unwritten_;  // taken since the last output
+  std::uint64_t told_adds_ = 0;       // of the own log, sent to the others
+  std::uint64_t round_ = 0;
+  std::deque<std::pair<std::uint64_t, double>> rounds_;  // that count for reaching, and when they were sent
+  double told_ms_ = kNeverMs;
+  std::optional<Fetch> fetch_;
+  bool settled_ = false;
+  TallyOutput output_;
 };
 
 }  // namespace bitternmux::fleet
