Read what is told of cold servers: list, services and bounds

The list's cold_remaining_ms sets ServerEntry::cold; services carry cold_start_s and cold_rate_s; the settings' bounds cold_overage and cold_slack. All may be missing.

--- a/src/control/platform_list.cpp
+++ b/src/control/platform_list.cpp
@@ -71,6 +71,12 @@
   throw std::runtime_error("the list has no end");
 }
 
+// A server of which no time is told is not cold.
+bool IsCold(const nlohmann::json& item) {
+  const auto remaining_ms = item.find("cold_remaining_ms");
+  return remaining_ms != item.end() && remaining_ms->is_number() && remaining_ms->get<double>() > 0;
+}
+
 }  // namespace
 
 ListPage ParseListPage(std::string_view text) {
@@ -85,6 +91,7 @@
       entry.zone = item.value("zone", "");
       entry.slots = item.value("slots", 0);
       entry.draining = item.value("state", "ready") != "ready";
+      entry.cold = IsCold(item);
       page.servers.push_back(std::move(entry));
     }
     const auto token = json.find("next_token");
--- a/src/fleet/configuration/configuration.cpp
+++ b/src/fleet/configuration/configuration.cpp
@@ -52,6 +52,8 @@
   service.name = json.at("name").get<std::string>();
   service.health_path = Get<std::string>(json, "health_path", "/");
   service.max_connections = Get(json, "max_connections", 0);
+  service.cold_start_s = Get(json, "cold_start_s", 0.0);
+  service.cold_rate_s = Get(json, "cold_rate_s", 0.0);
   const auto engine = json.find("engine");
   if (engine == json.end() || !engine->is_object()) return service;
   service.has_engine = true;
--- a/src/fleet/configuration/configuration.h
+++ b/src/fleet/configuration/configuration.h
@@ -46,6 +46,9 @@
   int max_connections = 0;
   bool has_engine = false;
   Engine engine;
+  // A server stays cold for so long after its start, and bears so many requests a second meanwhile; rate 0:
+  // as many as a warm one.
+  double cold_start_s = 0, cold_rate_s = 0;
 };
 
 struct Tenant {
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -31,6 +31,11 @@
     }
   }
 
+  bool Has(const char* key) const {
+    const YAML::Node value = Find(key);
+    return value && !value.IsNull();
+  }
+
   template <class Value>
   Value Need(const char* key) const {
     const YAML::Node value = Find(key);
@@ -121,6 +126,8 @@
   out.quota_window_s = bounds.Get<double>("quota_window_s", out.quota_window_s);
   out.quota_overage = bounds.Get<double>("quota_overage", out.quota_overage);
   out.quota_slack = bounds.Get<double>("quota_slack", out.quota_slack);
+  if (bounds.Has("cold_overage")) out.cold_overage = bounds.Need<double>("cold_overage");
+  out.cold_slack = bounds.Get<double>("cold_slack", out.cold_slack);
   return out;
 }
 
--- a/src/fleet/settings/node_settings.h
+++ b/src/fleet/settings/node_settings.h
@@ -3,6 +3,7 @@
 #define BITTERNMUX_SRC_FLEET_SETTINGS_NODE_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -37,6 +38,9 @@
   double drain_ms = 3000, grace_s = 8, loss_slack_ms = 200;
   double retry_budget_ratio = 0.2, budget_window_s = 10, budget_slack = 0;
   double quota_window_s = 8, quota_overage = 0, quota_slack = 0;
+  // What cold servers may get, as a multiple of what they bear and beyond it; none: no bound.
+  std::optional<double> cold_overage;
+  double cold_slack = 0;
 };
 
 // Fields that it does not know are passed over. Throws SettingsError.
--- a/src/fleet/validation/schema.h
+++ b/src/fleet/validation/schema.h
@@ -41,6 +41,8 @@
         "name": {"type": "string", "minLength": 1},
         "health_path": {"type": "string"},
         "max_connections": {"type": "integer", "minimum": 0},
+        "cold_start_s": {"type": "number", "minimum": 0},
+        "cold_rate_s": {"type": "number", "minimum": 0},
         "engine": {"type": "object", "properties": {
           "slots": {"type": "number", "minimum": 0},
           "kv_tokens": {"type": "number", "minimum": 0}
--- a/tests/control/platform_list_test.cpp
+++ b/tests/control/platform_list_test.cpp
@@ -16,6 +16,19 @@
   CHECK(ParseListPage(R"({"instances":[],"next_token":null})").next_token.empty());
 }
 
+TEST_CASE("platform list: a server is cold while time remains of that, and not where none is told") {
+  const auto is_cold = [](const std::string& field) {
+    return ParseListPage(R"({"instances":[{"service":"s","address":"10.0.0.9:80","id":"i-1")" + field + "}]}")
+        .servers.at(0)
+        .cold;
+  };
+  CHECK(is_cold(R"(,"cold_remaining_ms":2400)"));
+  CHECK(is_cold(R"(,"cold_remaining_ms":0.5)"));
+  CHECK_FALSE(is_cold(R"(,"cold_remaining_ms":0)"));
+  CHECK_FALSE(is_cold(R"(,"cold_remaining_ms":null)"));
+  CHECK_FALSE(is_cold(""));
+}
+
 TEST_CASE("platform list: what is no page is an error and no empty list") {
   for (const char* text : {"", "{", "[]", "{}", R"({"instances":[{"id":"i"}]})", R"({"instances":3})"}) {
     CHECK_THROWS_AS(ParseListPage(text), std::runtime_error);
--- a/tests/fleet/configuration/configuration_test.cpp
+++ b/tests/fleet/configuration/configuration_test.cpp
@@ -41,6 +41,17 @@
   CHECK(read.limits.idle_timeout_ms == 15000);
 }
 
+TEST_CASE("configuration: what a service's cold servers bear, where it is told") {
+  Json json = Good();
+  json["services"][0]["cold_start_s"] = 3;
+  json["services"][0]["cold_rate_s"] = 12.5;
+  const Configuration read = ValidateConfiguration(json.dump());
+  CHECK(read.services[0].cold_start_s == 3);
+  CHECK(read.services[0].cold_rate_s == 12.5);
+  CHECK(read.services[1].cold_start_s == 0);
+  CHECK(read.services[1].cold_rate_s == 0);
+}
+
 TEST_CASE("configuration: every kind of invalid one is refused") {
   SECTION("cut short") {
     const std::string whole = Good().dump();
@@ -70,6 +81,14 @@
     json["routes"][1]["traffic_split"][0]["weight"] = -1;
     Refused(json);
   }
+  SECTION("a rate of cold servers below 0") {
+    json["services"][0]["cold_rate_s"] = -1;
+    Refused(json);
+  }
+  SECTION("a time of cold servers that is no number") {
+    json["services"][0]["cold_start_s"] = "3";
+    Refused(json);
+  }
   SECTION("no timeout") {
     json["routes"][0]["timeout_ms"] = 0;
     Refused(json);
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -91,6 +91,14 @@
   CHECK_THROWS_WITH(ReadNodeSettings(faulty_agent.path()), Catch::Contains("bitternmux.agent_listen"));
 }
 
+TEST_CASE("node settings: cold servers have a bound only where the file has one") {
+  const File without(kGood);
+  CHECK_FALSE(ReadNodeSettings(without.path()).cold_overage);
+  const File with(std::string(kGood) + "  cold_overage: 1.5\n  cold_slack: 5\n");
+  CHECK(ReadNodeSettings(with.path()).cold_overage == 1.5);
+  CHECK(ReadNodeSettings(with.path()).cold_slack == 5);
+}
+
 TEST_CASE("node settings: a fault names file, key and value") {
   CHECK(FaultOf(kGood, "node_name: \"edge-1\"\n", "").find("node_name") != std::string::npos);
   CHECK(FaultOf(kGood, "10.1.0.26:8662", "10.1.0.26").find("listen.front") != std::string::npos);
