Send cold servers nothing where their service and the settings bound it

A cold server is passed over as a draining one is, and its idle connections stay. Where only cold ones are left the refusal names the time after which one may be warm (reason servers_cold). Without cold_overage or cold_rate_s the ranking and its draws are as before.

--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -28,11 +28,20 @@
   ask.excluded = excluded_;
   ask.repeatable = route_->Repeatable();
   const ServerChoice::Answer answer = state_.choice.Choose(now_ms, ask);
-  if (!answer.chosen) {
-    const bool busy = answer.why == ServerChoice::Nothing::kAllBusy;
-    return Refuse(kBusyRetryMs, busy ? EndReason::kServersBusy : EndReason::kNoServer);
+  answer.chosen ? SendTo(*answer.chosen) : RefuseUnchosen(answer);
+}
+
+// No server was chosen.
+void RequestFlow::RefuseUnchosen(const ServerChoice::Answer& answer) {
+  switch (answer.why) {
+    case ServerChoice::Nothing::kAllCold:
+      return Refuse(answer.retry_ms, EndReason::kServersCold);
+    case ServerChoice::Nothing::kAllBusy:
+      return Refuse(kBusyRetryMs, EndReason::kServersBusy);
+    case ServerChoice::Nothing::kNone:
+    case ServerChoice::Nothing::kNoServer:
+      return Refuse(kBusyRetryMs, EndReason::kNoServer);
   }
-  SendTo(*answer.chosen);
 }
 
 int RequestFlow::PriorityLevel() const {
--- a/src/router/request_end.h
+++ b/src/router/request_end.h
@@ -18,6 +18,7 @@
   kStopping,       // the router is to end
   kNoServer,       // none is listed for the service, or none is left to try
   kServersBusy,    // all are full
+  kServersCold,    // those that are left are cold and get nothing yet
   kNoTime,         // its time was over before it was sent
   kRejected,       // servers rejected it and it may not be sent once more
   kUnreachable,    // no connection to a server came up
@@ -31,9 +32,9 @@
 constexpr std::size_t kEndReasons = static_cast<std::size_t>(EndReason::kClientLeft) + 1;
 
 constexpr std::array<std::string_view, kEndReasons> kEndReasonNames = {
-    "served",       "no_route",       "unknown_key",  "quota",       "starting",    "stopping",
-    "no_server",    "servers_busy",   "no_time",      "rejected",    "unreachable", "server_failed",
-    "server_broke", "unclear_answer", "stream_broke", "out_of_time", "client_left"};
+    "served",        "no_route",     "unknown_key",    "quota",        "starting",    "stopping",
+    "no_server",     "servers_busy", "servers_cold",   "no_time",      "rejected",    "unreachable",
+    "server_failed", "server_broke", "unclear_answer", "stream_broke", "out_of_time", "client_left"};
 
 constexpr std::string_view NameOf(EndReason reason) {
   return kEndReasonNames[static_cast<std::size_t>(reason)];
--- a/src/router/request_flow.h
+++ b/src/router/request_flow.h
@@ -82,6 +82,7 @@
   bool FindTenant();
   void Charge();
   void Dispatch();
+  void RefuseUnchosen(const ServerChoice::Answer& answer);
   void SendTo(const ServerChoice::Chosen& chosen);
   std::string HeadFor(const ServerChoice::Chosen& chosen) const;
   int PriorityLevel() const;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -131,6 +131,7 @@
   try {
     fleet::Configuration configuration = fleet::ReadConfiguration(follower_.state().configuration);
     front_.Use(configuration.limits);
+    ProtectCold(configuration);
     state_.table = std::make_shared<const RouteTable>(std::move(configuration));
     events_.Write(fleet_events::kConfigurationInForce, {{"version", state_.table->version()}});
   } catch (const fleet::ConfigurationError& error) {
@@ -138,6 +139,16 @@
   }
 }
 
+// Only where the settings bound what cold servers may get.
+void Router::ProtectCold(const fleet::Configuration& configuration) {
+  ServerChoice::ColdTimes cold_ms_by_service;
+  for (const fleet::Service& service : configuration.services) {
+    if (settings_.cold_overage && service.cold_rate_s > 0)
+      cold_ms_by_service[service.name] = service.cold_start_s * 1000;
+  }
+  state_.choice.ProtectCold(std::move(cold_ms_by_service));
+}
+
 void Router::CheckReady() {
   const bool listed = follower_.state().list_position != fleet::ListPosition{};
   const bool ready = !state_.shutdown.begun() && state_.table != nullptr && listed && was_fresh_;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -37,6 +37,7 @@
   void FromAgent(const LinkPointer& link, const fleet::Message& message);
   void Take(const LinkPointer& link, const fleet::FeedEntry& entry);
   void UseConfiguration();
+  void ProtectCold(const fleet::Configuration& configuration);
   void UseRouters(std::size_t count);
   void CheckReady();
   void QuotaChanged();
--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -24,6 +24,7 @@
 constexpr double kOwnAnswerMs = 1000;    // for which an answer of its own goes before these
 constexpr double kMisdirectedMs = 5000;  // another server has its address: the list will say so soon
 constexpr double kBusyShare = 1.25;      // of a server's slots, from which on it is busy
+constexpr double kLeastColdMs = 250;     // that a server which is listed as cold stays so
 
 }  // namespace
 
@@ -32,7 +33,7 @@
       own_zone_(std::move(own_zone)),
       random_(static_cast<std::mt19937::result_type>(seed)) {}
 
-void ServerChoice::Update(double, const fleet::ServerMap& listed) {
+void ServerChoice::Update(double now_ms, const fleet::ServerMap& listed) {
   std::erase_if(servers_, [&](const auto& entry) {
     const bool gone = !listed.contains(entry.first);
     if (gone) kept_.Forget(entry.first);
@@ -42,6 +43,7 @@
   by_load_key_.clear();
   for (const auto& [id, entry] : listed) {
     Server& server = servers_[id];
+    if (entry.cold && !server.entry.cold) server.cold_since_ms = now_ms;
     server.entry = entry;
     server.told.server = fleet::LoadKey(id);
     by_load_key_[server.told.server].push_back(&server);
@@ -91,6 +93,17 @@
   return server.in_fleet.set_aside - server.told.set_aside >= kOthersToBelieve;
 }
 
+// A cold server that gets nothing.
+bool ServerChoice::IsProtected(const Server& server) const {
+  return server.entry.cold && cold_ms_by_service_.contains(server.entry.service);
+}
+
+// How long a protected server may still be cold: the list tells that it is, not for how long.
+double ServerChoice::WarmInMs(const Server& server, double now_ms) const {
+  const double cold_ms = cold_ms_by_service_.at(server.entry.service);
+  return std::max(kLeastColdMs, server.cold_since_ms + cold_ms - now_ms);
+}
+
 // Tokens to be read for requests that were sent there and have not begun.
 double ServerChoice::PrefillAhead(const Server& server, const LoadSight& sight) {
   if (sight.load == nullptr) return server.prefill_tokens;
@@ -122,7 +135,7 @@
   std::string home;
   std::uint64_t best = 0;
   for (const Server* server : of_service) {
-    if (server->entry.draining || IsAside(*server, now_ms)) continue;
+    if (server->entry.draining || IsProtected(*server) || IsAside(*server, now_ms)) continue;
     const std::uint64_t weight = PrefixIndex::HomeWeight(chain, server->entry.id);
     if (home.empty() || weight > best) {
       home = server->entry.id;
@@ -132,6 +145,21 @@
   return home;
 }
 
+// Why none of a service's servers was ranked.
+ServerChoice::Answer ServerChoice::NothingLeft(double now_ms, const std::vector<Server*>& of_service,
+                                               bool busy) const {
+  if (busy) return {std::nullopt, Nothing::kAllBusy};
+  Answer answer{std::nullopt, Nothing::kNoServer};
+  for (const Server* server : of_service) {
+    if (server->entry.draining || !IsProtected(*server)) continue;
+    const double warm_in_ms = WarmInMs(*server, now_ms);
+    const bool first = answer.why == Nothing::kNoServer;
+    answer.retry_ms = first ? warm_in_ms : std::min(answer.retry_ms, warm_in_ms);
+    answer.why = Nothing::kAllCold;
+  }
+  return answer;
+}
+
 ServerChoice::Answer ServerChoice::Choose(double now_ms, const ServerAsk& ask) {
   const auto found = services_.find(ask.service);
   if (found == services_.end()) return {std::nullopt, Nothing::kNoServer};
@@ -144,7 +172,8 @@
   }
   const double unreported = known_count > 0 ? known / known_count : 0;
   const auto fits = [&](const Server* server) {
-    return !server->entry.draining && std::ranges::find(ask.excluded, server->entry.id) == ask.excluded.end();
+    return !server->entry.draining && !IsProtected(*server) &&
+           std::ranges::find(ask.excluded, server->entry.id) == ask.excluded.end();
   };
   const bool all_aside = std::ranges::none_of(
       of_service, [&](const Server* server) { return fits(server) && !IsAside(*server, now_ms); });
@@ -176,7 +205,7 @@
     key += kReadAgainShare * read_ms + kBesideShare * read_ms * queue;
     ranking.push_back({server, key, Unit(), queue, uncached, expected_ms, work});
   }
-  if (ranking.empty()) return {std::nullopt, busy ? Nothing::kAllBusy : Nothing::kNoServer};
+  if (ranking.empty()) return NothingLeft(now_ms, of_service, busy);
   std::ranges::sort(ranking, [](const Ranked& one, const Ranked& other) {
     return one.key != other.key ? one.key < other.key : one.tie < other.tie;
   });
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -18,6 +18,9 @@
 // would have to be read again though another server keeps it (prefix_index.h) counts beside, and so does
 // another zone.
 //
+// A cold server whose service bounds what it may get (ProtectCold) gets nothing: routers count apart from one
+// another, so that no share above 0 would keep their sum below the bound.
+//
 // A server that fails is set aside for a time that doubles with each failure and ends with an answer; it is
 // so too while several other routers have set it aside. If all are set aside, none is. A draining one gets
 // nothing new.
@@ -71,6 +74,9 @@
 
   // The list has changed.
   void Update(double now_ms, const fleet::ServerMap& servers);
+  // Services whose cold servers get nothing, with the time that one stays cold after its start.
+  using ColdTimes = std::unordered_map<std::string, double>;
+  void ProtectCold(ColdTimes cold_ms_by_service) { cold_ms_by_service_ = std::move(cold_ms_by_service); }
 
   struct Chosen {
     std::string id, address;
@@ -79,10 +85,11 @@
     WorkAhead work;              // that this rests on
     int weighed = 0;             // servers that were ranked
   };
-  enum class Nothing { kNone, kNoServer, kAllBusy };
+  enum class Nothing { kNone, kNoServer, kAllBusy, kAllCold };
   struct Answer {
     std::optional<Chosen> chosen;
     Nothing why = Nothing::kNone;
+    double retry_ms = 0;  // of kAllCold: when one of them may be warm
   };
   Answer Choose(double now_ms, const ServerAsk& ask);
 
@@ -118,6 +125,7 @@
     double answered_ms = -1e18;  // its last answer
     double failed_until_ms = 0;  // set aside until then for a failure of its own, and told so
     double aside_until_ms = 0;
+    double cold_since_ms = 0;  // when it was first listed as cold, while it is
   };
   struct Ranked {
     const Server* server;
@@ -149,6 +157,9 @@
   static double PrefillAhead(const Server& server, const LoadSight& sight);
   void LearnLoads(double interval_ms, const std::unordered_map<const Server*, fleet::ServerLoad>& earlier);
   bool IsAside(const Server& server, double now_ms) const;
+  bool IsProtected(const Server& server) const;
+  double WarmInMs(const Server& server, double now_ms) const;
+  Answer NothingLeft(double now_ms, const std::vector<Server*>& of_service, bool busy) const;
   double SavedTokens(const Server& server, const std::string& home, const Prompt& prompt,
                      double now_ms) const;
   std::string HomeOf(const std::vector<Server*>& of_service, const Prompt& prompt, double now_ms) const;
@@ -163,6 +174,7 @@
   std::unordered_map<std::string, FirstEventModel> models_;  // by service
   PrefixIndex kept_;
   std::unordered_map<std::string, ServiceLoad> service_loads_;
+  ColdTimes cold_ms_by_service_;
   double loads_heard_ms_ = -1e18;
   double loads_age_ms_ = 0;  // of what was told, when it was heard
   bool loads_changed_ = false;
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -68,6 +68,7 @@
       servers[id] = {id, "s", "127.0.0.1:" + std::to_string(port), "z", 8, false};
     }
     state_.choice.Update(SteadyNowMs(), servers);
+    servers_ = servers;
     state_.table = std::make_shared<const RouteTable>(Routes());
     state_.servers_known = true;
   }
@@ -127,6 +128,13 @@
     });
   }
 
+  // All servers are cold for so long and get nothing.
+  void TurnCold(double cold_ms) {
+    for (auto& [id, entry] : servers_) entry.cold = true;
+    state_.choice.ProtectCold({{"s", cold_ms}});
+    state_.choice.Update(SteadyNowMs(), servers_);
+  }
+
   // May the router repeat so many more requests?
   bool MayRepeatMore(int count) {
     for (int i = 0; i < count; ++i) {
@@ -147,6 +155,7 @@
   std::array<std::unique_ptr<tcp::acceptor>, kServers> listeners_;
   std::array<int, kServers> asked_{};
   std::string request_;
+  fleet::ServerMap servers_;
   std::shared_ptr<MockResponder> responder_ = std::make_shared<MockResponder>();
   RouterState state_{io_,
                      Unheard(),
@@ -247,6 +256,21 @@
   CHECK(stand.asked() == std::array<int, kServers>{1, 1});
 }
 
+TEST_CASE("request flow: where all servers are cold a client is told when one may be warm") {
+  Stand stand;
+  stand.TurnCold(3000);
+  double retry_s = 0;
+  REQUIRE_CALL(stand.responder(), Respond(503, _, _)).LR_SIDE_EFFECT({
+    for (const auto& [name, value] : _2) {
+      if (name == "Retry-After") retry_s = std::stod(value);
+    }
+  });
+  const auto flow = stand.Ask("/again/1", 4000);
+  CHECK_FALSE(stand.IsAsked());
+  CHECK(retry_s > 1);
+  CHECK(retry_s < 4.5);
+}
+
 // A client got an event that no server's run had made: the torn one of a first attempt, joined to the
 // second's.
 TEST_CASE("request flow: a first event that is torn is not put before the next server's events") {
--- a/tests/router/server_choice_test.cpp
+++ b/tests/router/server_choice_test.cpp
@@ -99,6 +99,58 @@
   CHECK(choice.Choose(3, ask).why == ServerChoice::Nothing::kNoServer);
 }
 
+// FAILBACK: routers that each sent a cold server a little sent it too much together.
+TEST_CASE("server choice: a cold server gets nothing where its service bounds that") {
+  ServerChoice choice({0, 4}, "z", 9);
+  fleet::ServerMap servers = Servers(3);
+  servers["i0"].cold = true;
+  choice.Update(0, servers);
+  CHECK(Count(choice, 1, 300, Ask()).size() == 3);
+  choice.ProtectCold({{"other", 3000}});
+  CHECK(Count(choice, 1, 300, Ask()).size() == 3);
+  choice.ProtectCold({{"s", 3000}});
+  CHECK_FALSE(Count(choice, 1, 300, Ask()).contains("i0"));
+  // Not even where all others are set aside.
+  for (const char* id : {"i1", "i2"}) choice.Ended(1, id, false, 0, ServerOutcome::kFailed);
+  CHECK_FALSE(Count(choice, 2, 300, Ask()).contains("i0"));
+  CHECK(choice.Serves("i0", "10.0.0.0:80"));
+  servers["i0"].cold = false;
+  choice.Update(3, servers);
+  CHECK(Count(choice, 4, 300, Ask()).at("i0") == 300);
+}
+
+TEST_CASE("server choice: where only cold servers are left, none is chosen until one may be warm") {
+  ServerChoice choice({0, 4}, "z", 10);
+  choice.ProtectCold({{"s", 3000}});
+  fleet::ServerMap servers = Servers(3);
+  servers["i0"].cold = true;
+  servers["i1"].draining = servers["i1"].cold = true;
+  ServerAsk ask = Ask();
+  ask.excluded = {"i2"};
+  choice.Update(1000, servers);
+  servers["i2"].cold = true;
+  choice.Update(1800, servers);
+  const auto answer = choice.Choose(2000, ask);
+  CHECK_FALSE(answer.chosen);
+  CHECK(answer.why == ServerChoice::Nothing::kAllCold);
+  CHECK(answer.retry_ms == 2000);
+  CHECK(choice.Choose(60'000, ask).retry_ms > 0);
+  choice.Reported(2000, "i2", {64, 30, 64});
+  servers["i2"].cold = false;
+  choice.Update(2000, servers);
+  CHECK(choice.Choose(2000, Ask()).why == ServerChoice::Nothing::kAllBusy);
+}
+
+// With no bound a list that tells of cold servers changes no choice.
+TEST_CASE("server choice: an unprotected cold server is ranked as any other") {
+  ServerChoice warm({0.02, 4}, "z", 11), cold({0.02, 4}, "z", 11);
+  fleet::ServerMap servers = Servers(5);
+  warm.Update(0, servers);
+  for (auto& [id, entry] : servers) entry.cold = true;
+  cold.Update(0, servers);
+  for (int i = 0; i < 200; ++i) CHECK(warm.Choose(1, Ask()).chosen->id == cold.Choose(1, Ask()).chosen->id);
+}
+
 TEST_CASE("server choice: all busy is told, and is no choice") {
   ServerChoice choice({0, 4}, "z", 6);
   choice.Update(0, Servers(2));
