--- a/tests/fleet/storage/sqlite_tally_store_test.cpp
+++ b/tests/fleet/storage/sqlite_tally_store_test.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -177,12 +176,9 @@
     store.Append({Log(3, first, first + kBatch - 1)});
     if (first % 1000 == 1) most = std::max(most, folder.Bytes());
   }
-  const auto start = std::chrono::steady_clock::now();
   const Logs loaded = store.Load();
-  const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - start;
   CHECK((loaded.size() == 1 && loaded.front().adds.size() == kAdds));
   CHECK(most < 20U * 1024 * 1024);
-  WARN("100,000 adds: " << most / 1024 << " KB at most, loaded in " << took.count() << " ms");
 }
 
 }  // namespace bitternmux::fleet
