bitternmuxctl: tally get and add, and who is cut off from whom in status

Cause: operators had no way to read or add to a tally, nor to see which control machines do not reach each other, or how far copies differ.

Changed: the commands `tally get NAME` and `tally add NAME ID AMOUNT` go from machine to machine until one gives a clear answer. `status` has a column of adds, and lines for machines that do not reach each other, lack adds or serve no reads yet; its exit code is 1 then.

--- a/src/apps/bitternmuxctl.cpp
+++ b/src/apps/bitternmuxctl.cpp
@@ -6,9 +6,11 @@
 #include <iterator>
 #include <optional>
 #include <sstream>
+#include <stdexcept>
 
 #include "ctl/control_client.h"
 #include "ctl/status_report.h"
+#include "ctl/tally_calls.h"
 #include "fleet/validation/validation.h"
 
 DEFINE_string(controls, "", "control machines, ip:port, separated by commas");
@@ -25,10 +27,12 @@
 
 constexpr const char* kUsage =
     "bitternmuxctl --controls=IP:PORT,... COMMAND\n"
-    "  status            who owns the configuration, versions, agents, the list (--json)\n"
+    "  status            who owns the configuration, versions, agents, the list, who is cut off (--json)\n"
     "  config get        the configuration in place\n"
     "  config check FILE what is wrong with a configuration, without sending it\n"
     "  config put FILE   sends it until there is a clear answer\n"
+    "  tally get NAME    the sum of a tally\n"
+    "  tally add NAME ID AMOUNT  adds a whole number (behind -- if it is negative); an ID counts once\n"
     "Exit codes: 0 fine, 1 not taken or not healthy, 2 faulty command line or file";
 
 int Fault(const std::string& what) {
@@ -55,7 +59,7 @@
   std::vector<MachineStatus> machines;
   for (const std::string& control : client.controls()) machines.push_back({control, client.Status(control)});
   std::cout << (FLAGS_json ? WriteStatusJson(machines) : WriteStatus(machines));
-  return IsHealthy(machines) ? kFine : kFailed;
+  return IsHealthy(machines) && IsConnected(machines) ? kFine : kFailed;
 }
 
 int Get(ControlClient& client) {
@@ -96,6 +100,40 @@
   return result.status == 200 ? kFine : kFailed;
 }
 
+int GetTally(ControlClient& client, const std::string& tally) {
+  const CallResult result = client.GetTally(tally);
+  const auto total = bitternmux::ctl::ReadTotal(result.body);
+  if (result.status == 200 && total) {
+    std::cout << *total << '\n';
+    return kFine;
+  }
+  std::cerr << "no total: " << result.status << ' ' << result.body << '\n';
+  return kFailed;
+}
+
+int AddToTally(ControlClient& client, const std::string& tally, const std::string& id,
+               const std::string& word) {
+  const auto amount = bitternmux::ctl::ReadAmount(word);
+  if (!amount) return Fault(word + " is no whole number");
+  CallResult result;
+  try {
+    result = client.AddToTally(tally, id, *amount);
+  } catch (const std::invalid_argument& error) {
+    return Fault(error.what());
+  }
+  if (result.status == 200) return kFine;
+  std::cerr << result.status << ' ' << result.body << '\n';
+  if (!result.Clear()) std::cerr << "it may count or not; the same id may be sent again\n";
+  return kFailed;
+}
+
+int Tally(ControlClient& client, const std::vector<std::string>& command) {
+  if (command.size() == 3 && command[1] == "get") return GetTally(client, command[2]);
+  if (command.size() == 5 && command[1] == "add")
+    return AddToTally(client, command[2], command[3], command[4]);
+  return Fault(std::string("no such command\n") + kUsage);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -114,5 +152,6 @@
   if (command.size() == 1 && command[0] == "status") return Status(client);
   if (command.size() == 2 && command[0] == "config" && command[1] == "get") return Get(client);
   if (command.size() == 3 && command[0] == "config" && command[1] == "put") return Put(client, command[2]);
+  if (!command.empty() && command[0] == "tally") return Tally(client, command);
   return Fault(std::string("no such command\n") + kUsage);
 }
--- a/src/ctl/control_client.cpp
+++ b/src/ctl/control_client.cpp
@@ -4,6 +4,8 @@
 
 #include <memory>
 
+#include "ctl/tally_calls.h"
+
 namespace bitternmux::ctl {
 namespace {
 
@@ -57,12 +59,12 @@
   return result;
 }
 
-CallResult ControlClient::Anywhere(const std::string& method, const std::string& body,
-                                   const std::vector<std::string>& headers) {
+CallResult ControlClient::Anywhere(const std::string& method, const std::string& path,
+                                   const std::string& body, const std::vector<std::string>& headers) {
   CallResult result{0, "no control machine is named"};
   for (int round = 0; round < kRounds; ++round) {
     for (const std::string& control : controls_) {
-      result = Call(method, "http://" + control + "/config", body, headers);
+      result = Call(method, "http://" + control + path, body, headers);
       if (result.Clear()) return result;
     }
   }
@@ -73,11 +75,19 @@
   return Call("GET", "http://" + control + "/status", "", {});
 }
 
-CallResult ControlClient::GetConfiguration() { return Anywhere("GET", "", {}); }
+CallResult ControlClient::GetConfiguration() { return Anywhere("GET", "/config", "", {}); }
 
 CallResult ControlClient::PutConfiguration(const std::string& text, std::uint64_t builds_on) {
-  return Anywhere("PUT", text,
+  return Anywhere("PUT", "/config", text,
                   {"If-Match: " + std::to_string(builds_on), "Content-Type: application/json", "Expect:"});
 }
 
+CallResult ControlClient::GetTally(const std::string& tally) {
+  return Anywhere("GET", TallyPath(tally), "", {});
+}
+
+CallResult ControlClient::AddToTally(const std::string& tally, const std::string& id, std::int64_t amount) {
+  return Anywhere("POST", TallyPath(tally), TallyAddBody(id, amount), {"Content-Type: application/json"});
+}
+
 }  // namespace bitternmux::ctl
--- a/src/ctl/control_client.h
+++ b/src/ctl/control_client.h
@@ -32,11 +32,16 @@
   CallResult GetConfiguration();
   // A call without a clear answer may have been taken: the same goes to the next machine.
   CallResult PutConfiguration(const std::string& text, std::uint64_t builds_on);
+  // Of the first machine that answers reads of tallies.
+  CallResult GetTally(const std::string& tally);
+  // The id counts once, however many machines the call went to. Throws std::invalid_argument if it is no
+  // UTF-8.
+  CallResult AddToTally(const std::string& tally, const std::string& id, std::int64_t amount);
 
  private:
   CallResult Call(const std::string& method, const std::string& url, const std::string& body,
                   const std::vector<std::string>& headers);
-  CallResult Anywhere(const std::string& method, const std::string& body,
+  CallResult Anywhere(const std::string& method, const std::string& path, const std::string& body,
                       const std::vector<std::string>& headers);
 
   const std::vector<std::string> controls_;
--- a/src/ctl/status_report.cpp
+++ b/src/ctl/status_report.cpp
@@ -23,15 +23,61 @@
   return json && json->value("role", "") == "owner" && json->value("fresh", false);
 }
 
+// What a machine says of tallies; an empty object if it says nothing.
+Json TalliesOf(const Json& status) {
+  const auto tallies = status.find("tallies");
+  return tallies != status.end() && tallies->is_object() ? *tallies : Json::object();
+}
+
+bool IsReached(const Json& peer) { return peer.value("reached", false); }
+
+bool ReachesAllOthers(const MachineStatus& machine) {
+  const auto json = Read(machine);
+  if (!json) return true;  // it has a line of its own
+  const Json tallies = TalliesOf(*json);
+  if (tallies.empty()) return true;
+  const Json peers = tallies.value("peers", Json::array());
+  return tallies.value("settled", false) && std::ranges::all_of(peers, IsReached);
+}
+
+std::string WritePeer(const std::string& control, const Json& peer) {
+  const std::string address = peer.value("address", "?");
+  const auto here = peer.value("missing_here", std::uint64_t{0});
+  const auto there = peer.value("missing_there", std::uint64_t{0});
+  std::string out;
+  if (!IsReached(peer)) out += fmt::format("{} and {} do not reach each other\n", control, address);
+  if (here + there > 0)
+    out += fmt::format("{} lacks {} adds to tallies that {} has, which lacks {}{}\n", control, here, address,
+                       there, IsReached(peer) ? "" : ", by what it told last");
+  return out;
+}
+
+// What there is to say of a machine's tallies; nothing if all is well.
+std::string WriteTallies(const MachineStatus& machine) {
+  const auto json = Read(machine);
+  if (!json) return "";
+  const Json tallies = TalliesOf(*json);
+  if (tallies.empty()) return "";
+  std::string out;
+  if (!tallies.value("settled", false))
+    out += machine.control + " does not answer reads of tallies yet: it has to catch up with the others\n";
+  for (const Json& peer : tallies.value("peers", Json::array())) out += WritePeer(machine.control, peer);
+  return out;
+}
+
 }  // namespace
 
 bool IsHealthy(const std::vector<MachineStatus>& machines) {
   return std::ranges::count_if(machines, IsOwner) == 1;
 }
 
+bool IsConnected(const std::vector<MachineStatus>& machines) {
+  return std::ranges::all_of(machines, ReachesAllOthers);
+}
+
 std::string WriteStatus(const std::vector<MachineStatus>& machines) {
-  std::string out = fmt::format("{:<22} {:<11} {:>6} {:>8} {:>7} {:>6} {:>9} {:>8}\n", "control", "role",
-                                "epoch", "version", "agents", "list", "list age", "fresh");
+  std::string out = fmt::format("{:<22} {:<11} {:>6} {:>8} {:>7} {:>6} {:>9} {:>8} {:>7}\n", "control",
+                                "role", "epoch", "version", "agents", "list", "list age", "fresh", "adds");
   for (const MachineStatus& machine : machines) {
     const auto json = Read(machine);
     if (!json) {
@@ -41,11 +87,13 @@
       continue;
     }
     out += fmt::format(
-        "{:<22} {:<11} {:>6} {:>8} {:>7} {:>6} {:>6.1f} s {:>8}\n", machine.control, json->value("role", "?"),
-        json->value("epoch", std::uint64_t{0}), json->value("version", std::uint64_t{0}),
-        json->value("subscribers", std::uint64_t{0}), json->value("servers", std::uint64_t{0}),
-        json->value("platform_list_age_ms", 0.0) / 1000, json->value("fresh", false) ? "yes" : "no");
+        "{:<22} {:<11} {:>6} {:>8} {:>7} {:>6} {:>6.1f} s {:>8} {:>7}\n", machine.control,
+        json->value("role", "?"), json->value("epoch", std::uint64_t{0}),
+        json->value("version", std::uint64_t{0}), json->value("subscribers", std::uint64_t{0}),
+        json->value("servers", std::uint64_t{0}), json->value("platform_list_age_ms", 0.0) / 1000,
+        json->value("fresh", false) ? "yes" : "no", TalliesOf(*json).value("adds", std::uint64_t{0}));
   }
+  for (const MachineStatus& machine : machines) out += WriteTallies(machine);
   if (!IsHealthy(machines))
     out += "no machine asked owns the configuration: changes are not taken until one does\n";
   return out;
--- a/src/ctl/status_report.h
+++ b/src/ctl/status_report.h
@@ -20,6 +20,8 @@
 std::string WriteStatusJson(const std::vector<MachineStatus>& machines);
 // Does one machine own the configuration, in contact with a majority?
 bool IsHealthy(const std::vector<MachineStatus>& machines);
+// Does each machine that answers reach all others that it knows of, and serve reads of tallies?
+bool IsConnected(const std::vector<MachineStatus>& machines);
 
 }  // namespace bitternmux::ctl
 
--- a/tests/ctl/status_report_test.cpp
+++ b/tests/ctl/status_report_test.cpp
@@ -17,6 +17,22 @@
   return {control, {200, json.dump()}};
 }
 
+nlohmann::json Peer(const std::string& address, bool reached, int missing_here, int missing_there) {
+  return {{"address", address},
+          {"reached", reached},
+          {"missing_here", missing_here},
+          {"missing_there", missing_there}};
+}
+
+// An owner with that state of its tallies.
+std::vector<MachineStatus> OwnerWith(bool settled, const std::vector<nlohmann::json>& peers) {
+  MachineStatus machine = Machine("10.1.0.1:8665", "owner", true);
+  auto json = nlohmann::json::parse(machine.result.body);
+  json["tallies"] = {{"adds", 1873}, {"settled", settled}, {"peers", peers}};
+  machine.result.body = json.dump();
+  return {machine};
+}
+
 }  // namespace
 
 TEST_CASE("ctl: the state of the control machines, for people and as JSON") {
@@ -41,6 +57,36 @@
   CHECK(WriteStatus(machines).find("not taken") != std::string::npos);
 }
 
+TEST_CASE(
+    "ctl: machines that reach each other and serve reads are connected; copies may differ for a moment") {
+  const auto machines =
+      OwnerWith(true, {Peer("10.1.0.2:7680", true, 12, 3), Peer("10.1.0.3:7680", true, 0, 0)});
+  CHECK(IsConnected(machines));
+  const std::string text = WriteStatus(machines);
+  CHECK(text.find("1873") != std::string::npos);
+  CHECK(text.find("10.1.0.1:8665 lacks 12 adds to tallies that 10.1.0.2:7680 has, which lacks 3\n") !=
+        std::string::npos);
+  CHECK(text.find("10.1.0.3") == std::string::npos);
+}
+
+TEST_CASE("ctl: a machine that is cut off from another, or serves no reads yet, is told") {
+  const auto apart = OwnerWith(true, {Peer("10.1.0.2:7680", false, 0, 7)});
+  CHECK_FALSE(IsConnected(apart));
+  const std::string text = WriteStatus(apart);
+  CHECK(text.find("10.1.0.1:8665 and 10.1.0.2:7680 do not reach each other") != std::string::npos);
+  CHECK(text.find("which lacks 7, by what it told last") != std::string::npos);
+  CHECK(IsHealthy(apart));  // it owns the configuration all the same
+  CHECK(text.find("not taken") == std::string::npos);
+
+  const auto behind = OwnerWith(false, {});
+  CHECK_FALSE(IsConnected(behind));
+  CHECK(WriteStatus(behind).find("does not answer reads of tallies yet") != std::string::npos);
+}
+
+TEST_CASE("ctl: machines that give no answer, or say nothing of tallies, are not called cut off") {
+  CHECK(IsConnected({Machine("a:1", "owner", true), {"c:1", {0, "Couldn't connect to server"}}}));
+}
+
 TEST_CASE("ctl: which answers are clear") {
   for (const int status : {200, 400, 404, 412, 413}) CHECK(CallResult{status, ""}.Clear());
   for (const int status : {0, 408, 429, 500, 503, 504}) CHECK_FALSE(CallResult{status, ""}.Clear());
