Take evacuations as orders of the shard: zones in the replicated value

An order to a replica is a configuration or an evacuation. Both go through one queue, so that none finds another in flight as a conflict; an evacuation that finds its zone as it wants it is answered by a majority's word. Values travel between replicas with the evacuated zones: their form as changes left them out, so that replicas held two values at one position (seen by the new replica tests before this was mended).

--- a/src/fleet/replication/replica.h
+++ b/src/fleet/replication/replica.h
@@ -44,6 +44,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "fleet/messages/messages.h"
@@ -88,6 +89,14 @@
   std::string text;
 };
 
+// From now on the servers of a zone get nothing more, or (`begins` is false) may get something again.
+struct EvacuationOrder {
+  std::string zone;
+  bool begins = true;
+};
+
+using OperatorOrder = std::variant<Order, EvacuationOrder>;
+
 enum class OrderOutcome {
   kTaken,     // it is committed, now or by an earlier call
   kConflict,  // another version is current
@@ -150,6 +159,7 @@
   void Saved(double now_ms, std::uint64_t ticket);
   // Decided in a later output, maybe the next one.
   void Propose(double now_ms, std::uint64_t id, Order order);
+  void Propose(double now_ms, std::uint64_t id, EvacuationOrder order);
   void Read(double now_ms, std::uint64_t id);
   // The process is to stop: hands over what it holds. It goes on as before until MayStop.
   void Leave(double now_ms);
@@ -205,7 +215,7 @@
   };
   struct Waiting {
     std::uint64_t id;
-    Order order;
+    OperatorOrder order;
   };
   // What is to be answered once a majority has answered that round of heartbeats.
   struct Unconfirmed {
@@ -265,7 +275,9 @@
   void CountAccepted(double now_ms);
   void NextChange(double now_ms);
   bool ChangeDrained(double now_ms);
-  bool Judge(double now_ms, Waiting waiting);
+  void Enqueue(double now_ms, Waiting waiting);
+  bool Judge(double now_ms, std::uint64_t id, Order order);
+  bool Judge(double now_ms, std::uint64_t id, EvacuationOrder order);
   void AwaitConfirmation(double now_ms, std::uint64_t id, std::optional<OrderOutcome> outcome);
   void AnswerConfirmed();
   bool MajorityConfirmed(double now_ms, double within_ms) const;
--- a/src/fleet/replication/replica_owner.cpp
+++ b/src/fleet/replication/replica_owner.cpp
@@ -133,11 +133,19 @@
 // ---- Orders and reads ----
 
 void Replica::Propose(double now_ms, std::uint64_t id, Order order) {
+  Enqueue(now_ms, {id, std::move(order)});
+}
+
+void Replica::Propose(double now_ms, std::uint64_t id, EvacuationOrder order) {
+  Enqueue(now_ms, {id, std::move(order)});
+}
+
+void Replica::Enqueue(double now_ms, Waiting waiting) {
   if (role_ != Role::kOwner || proposals_.size() >= kMaxProposals) {
-    output_.decisions.push_back({id, OrderOutcome::kNotOwner});
+    output_.decisions.push_back({waiting.id, OrderOutcome::kNotOwner});
     return;
   }
-  proposals_.push_back({id, std::move(order)});
+  proposals_.push_back(std::move(waiting));
   NextChange(now_ms);
 }
 
@@ -148,7 +156,9 @@
     if (ChangeMembers(now_ms) || ChangeDrained(now_ms) || proposals_.empty()) return;
     Waiting waiting = std::move(proposals_.front());
     proposals_.pop_front();
-    if (Judge(now_ms, std::move(waiting))) return;
+    const bool taking =
+        std::visit([&](auto& order) { return Judge(now_ms, waiting.id, std::move(order)); }, waiting.order);
+    if (taking) return;
   }
 }
 
@@ -168,28 +178,46 @@
 }
 
 // True: the order is being taken.
-bool Replica::Judge(double now_ms, Waiting waiting) {
+bool Replica::Judge(double now_ms, std::uint64_t id, Order order) {
   const ShardValue& current = accepted_.value;
-  const TakenOrder taken{waiting.order.version, waiting.order.digest};
+  const TakenOrder taken{order.version, order.digest};
   if (std::ranges::find(current.history, taken) != current.history.end()) {
-    AwaitConfirmation(now_ms, waiting.id, OrderOutcome::kTaken);
-  } else if (waiting.order.builds_on != current.version) {
-    AwaitConfirmation(now_ms, waiting.id, OrderOutcome::kConflict);
-  } else if (waiting.order.version <= current.version) {
-    AwaitConfirmation(now_ms, waiting.id, OrderOutcome::kOld);
+    AwaitConfirmation(now_ms, id, OrderOutcome::kTaken);
+  } else if (order.builds_on != current.version) {
+    AwaitConfirmation(now_ms, id, OrderOutcome::kConflict);
+  } else if (order.version <= current.version) {
+    AwaitConfirmation(now_ms, id, OrderOutcome::kOld);
   } else {
     ShardValue next = current;
-    next.version = waiting.order.version;
-    next.configuration = std::move(waiting.order.text);
+    next.version = order.version;
+    next.configuration = std::move(order.text);
     if (next.history.size() >= kMaxHistory) next.history.erase(next.history.begin());
     next.history.push_back(taken);
-    in_flight_ = waiting.id;
+    in_flight_ = id;
     Replace(now_ms, std::move(next));
     return true;
   }
   return false;
 }
 
+// The zones stay sorted. An order that finds its zone as it wants it changes nothing.
+bool Replica::Judge(double now_ms, std::uint64_t id, EvacuationOrder order) {
+  const std::vector<std::string>& current = accepted_.value.evacuated;
+  if (std::ranges::binary_search(current, order.zone) == order.begins) {
+    AwaitConfirmation(now_ms, id, OrderOutcome::kTaken);
+    return false;
+  }
+  ShardValue next = accepted_.value;
+  if (order.begins) {
+    next.evacuated.insert(std::ranges::lower_bound(next.evacuated, order.zone), order.zone);
+  } else {
+    std::erase(next.evacuated, order.zone);
+  }
+  in_flight_ = id;
+  Replace(now_ms, std::move(next));
+  return true;
+}
+
 void Replica::Read(double now_ms, std::uint64_t id) {
   if (role_ != Role::kOwner) {
     output_.reads.push_back({id, false});
--- a/src/fleet/replication/value_transfer.cpp
+++ b/src/fleet/replication/value_transfer.cpp
@@ -21,11 +21,11 @@
   std::uint64_t history_dropped = 0;
   std::uint64_t history_kept = 0;
   std::vector<TakenOrder> history_added;
-  std::vector<std::string> drained;
+  std::vector<std::string> drained, evacuated;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(members, previous_members, version, configuration, history_dropped, history_kept, history_added,
-            drained);
+            drained, evacuated);
   }
 };
 
@@ -67,6 +67,7 @@
   changes.previous_members = value.value.previous_members;
   changes.version = value.value.version;
   changes.drained = value.value.drained;
+  changes.evacuated = value.value.evacuated;
   changes.configuration = MakeDelta(from.configuration, value.value.configuration);
   CompareHistories(from.history, value.value.history, changes);
   std::string bytes;
@@ -97,6 +98,7 @@
   value.value.previous_members = std::move(changes.previous_members);
   value.value.version = changes.version;
   value.value.drained = std::move(changes.drained);
+  value.value.evacuated = std::move(changes.evacuated);
   value.value.configuration = std::move(*configuration);
   const auto first = from.history.begin() + static_cast<std::ptrdiff_t>(changes.history_dropped);
   value.value.history.assign(first, first + static_cast<std::ptrdiff_t>(changes.history_kept));
--- a/tests/fleet/replication/replica_test.cpp
+++ b/tests/fleet/replication/replica_test.cpp
@@ -19,6 +19,7 @@
   REQUIRE(owner);
   const ShardValue& last = simulation.replica(*owner)->committed().value;
   for (const OrderRecord& record : simulation.records()) {
+    if (record.evacuation) continue;
     const bool in_force =
         std::ranges::find(last.history, TakenOrder{record.version, record.digest}) != last.history.end();
     INFO("version " << record.version << " digest " << record.digest);
@@ -28,6 +29,12 @@
   }
 }
 
+using Zones = std::vector<std::string>;
+
+Zones Evacuated(const Simulation& simulation, std::size_t machine) {
+  return simulation.replica(machine)->committed().value.evacuated;
+}
+
 // Orders that build on each other, as far as they are acknowledged.
 class Operator {
  public:
@@ -107,6 +114,79 @@
   CheckEnd(simulation);
 }
 
+TEST_CASE("replica: an evacuation is taken, the same again too, and taken back") {
+  Simulation simulation({21, 3, 1, 5, 0});
+  simulation.RunFor(1000);
+  simulation.SendEvacuation("maia", true);
+  simulation.SendEvacuation("braga", true);
+  simulation.RunFor(500);
+  simulation.SendAgain(0);
+  simulation.RunFor(1000);
+  for (std::size_t i = 0; i < 3; ++i) CHECK(Evacuated(simulation, i) == Zones{"braga", "maia"});
+  const std::uint64_t changes = simulation.replica(0)->committed().position.sequence;
+  simulation.SendAgain(1);
+  simulation.RunFor(1000);
+  CHECK(simulation.replica(0)->committed().position.sequence == changes);  // it changed nothing
+  simulation.SendEvacuation("maia", false);
+  simulation.SendEvacuation("never-evacuated", false);
+  simulation.RunFor(1000);
+  for (std::size_t i = 0; i < 3; ++i) CHECK(Evacuated(simulation, i) == Zones{"braga"});
+  for (const OrderRecord& record : simulation.records()) CHECK(record.outcome == OrderOutcome::kTaken);
+  CheckEnd(simulation);
+}
+
+TEST_CASE("replica: an acknowledged evacuation outlasts its owner, and a kill of all") {
+  Simulation simulation({22, 3, 1, 5, 0});
+  simulation.RunFor(1000);
+  simulation.SendEvacuation("maia", true);
+  while (!simulation.records()[0].acknowledged) simulation.RunFor(1);
+  SECTION("the owner is killed at that moment") { simulation.Crash(*simulation.Owner()); }
+  SECTION("the owner is cut off at that moment") { simulation.Isolate(*simulation.Owner(), true); }
+  SECTION("all are killed at that moment") {
+    for (std::size_t i = 0; i < 3; ++i) simulation.Crash(i);
+    for (std::size_t i = 0; i < 3; ++i) simulation.Start(i);
+  }
+  simulation.RunFor(3000);
+  const auto owner = simulation.Owner();
+  REQUIRE(owner);
+  CHECK(Evacuated(simulation, *owner) == Zones{"maia"});
+  simulation.SendEvacuation("maia", false);
+  simulation.RunFor(1000);
+  CHECK(simulation.records()[1].acknowledged);
+  CheckEnd(simulation);
+  CHECK(Evacuated(simulation, *simulation.Owner()).empty());
+}
+
+TEST_CASE("replica: evacuations and configurations that come at once are all taken, none is a conflict") {
+  Simulation simulation({23, 3, 1, 5, 0});
+  simulation.RunFor(1000);
+  simulation.Send(3, 0, 30);
+  simulation.SendEvacuation("maia", true);
+  simulation.SendEvacuation("braga", true);
+  simulation.SendEvacuation("maia", true);
+  simulation.RunFor(1000);
+  for (const OrderRecord& record : simulation.records()) CHECK(record.outcome == OrderOutcome::kTaken);
+  const ShardValue& value = simulation.replica(*simulation.Owner())->committed().value;
+  CHECK(value.version == 3);
+  CHECK(value.evacuated == Zones{"braga", "maia"});
+  CheckEnd(simulation);
+}
+
+TEST_CASE("replica: an owner without a majority acknowledges no evacuation, nor that one was taken before") {
+  Simulation simulation({24, 3, 1, 5, 0});
+  simulation.RunFor(1000);
+  simulation.SendEvacuation("maia", true);
+  simulation.RunFor(500);
+  REQUIRE(simulation.records()[0].acknowledged);
+  for (std::size_t i = 0; i < 3; ++i) simulation.Isolate(i, true);
+  simulation.SendEvacuation("maia", true);
+  simulation.SendEvacuation("braga", true);
+  simulation.RunFor(3000);
+  CHECK_FALSE(simulation.records()[1].acknowledged);
+  CHECK_FALSE(simulation.records()[2].acknowledged);
+  CheckEnd(simulation);
+}
+
 TEST_CASE("replica: a new owner within two seconds of the old one's end, cut or freeze") {
   Simulation simulation({13, 3, 1, 5, 0});
   simulation.RunFor(1000);
--- a/tests/fleet/replication/simulation.h
+++ b/tests/fleet/replication/simulation.h
@@ -33,6 +33,7 @@
   double sent_ms = 0, answered_ms = 0;
   std::optional<OrderOutcome> outcome;  // the last clear one
   bool acknowledged = false;
+  std::optional<EvacuationOrder> evacuation;  // in place of a configuration
 };
 
 class Simulation {
@@ -118,7 +119,11 @@
 
   // Sends an order until it has a clear answer, to the machines in turn and on to the owner that they name.
   void Send(std::uint64_t version, std::uint64_t builds_on, std::uint64_t digest) {
-    records_.push_back({version, builds_on, digest, now_ms_, 0, std::nullopt, false});
+    records_.push_back({version, builds_on, digest, now_ms_, 0, std::nullopt, false, std::nullopt});
+    Try(records_.size() - 1, Below(machines_.size()), 0);
+  }
+  void SendEvacuation(const std::string& zone, bool begins) {
+    records_.push_back({0, 0, 0, now_ms_, 0, std::nullopt, false, EvacuationOrder{zone, begins}});
     Try(records_.size() - 1, Below(machines_.size()), 0);
   }
   // The same order once more, whatever came of it.
@@ -282,8 +287,12 @@
     At(now_ms_ + kCallMs, [this, id, later] {
       if (pending_.erase(id) > 0) later();
     });
-    machine.replica->Propose(
-        now_ms_, id, {order.version, order.builds_on, order.digest, "v" + std::to_string(order.digest)});
+    if (order.evacuation) {
+      machine.replica->Propose(now_ms_, id, *order.evacuation);
+    } else {
+      machine.replica->Propose(
+          now_ms_, id, {order.version, order.builds_on, order.digest, "v" + std::to_string(order.digest)});
+    }
     Drain(machine);
   }
 
--- a/tests/fleet/replication/value_transfer_test.cpp
+++ b/tests/fleet/replication/value_transfer_test.cpp
@@ -28,6 +28,8 @@
   next.value.configuration = "{a}{x}{c}{d}";
   next.value.history.erase(next.value.history.begin());
   next.value.history.push_back({99, 1});
+  next.value.drained = {"tenant"};
+  next.value.evacuated = {"braga", "maia"};
   CHECK(DecodeValue(nullptr, next.position, EncodeValue(nullptr, next)) == next);
   const std::string changes = EncodeValue(&base, next);
   CHECK(DecodeValue(&base, next.position, changes) == next);
