Keep evacuated zones on disk, and take over databases of the form before

The stored value has one field more, so that what protocol 5 saved could not be read any more. The new form has a table of its own; the old one is moved over and dropped in one transaction when the database is opened.

--- a/src/fleet/storage/sqlite_store.cpp
+++ b/src/fleet/storage/sqlite_store.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr const char* kFile = "replica.db";
+// A table for each form of the value, with one row. Protocol 5 knew no evacuations.
+constexpr const char* kTable = "replica_value_2";
+constexpr const char* kTableOfProtocol5 = "replica_value";
 
 std::string ToBytes(const AcceptedValue& accepted) {
   std::string bytes;
@@ -24,48 +27,38 @@
   return accepted;
 }
 
-void MakeTable(SqliteDatabase& database, const std::string& path) {
-  if (database.HasTable("replica") || database.HasTable("replica_state"))
-    throw StorageError(path + " was written by an earlier version of this program");
-  database.Run(
-      "CREATE TABLE IF NOT EXISTS replica_value (id INTEGER PRIMARY KEY, store INTEGER NOT NULL, "
-      "promised_counter INTEGER NOT NULL, promised_store INTEGER NOT NULL, accepted BLOB NOT NULL)");
-}
-
-}  // namespace
-
-SqliteStore::SqliteStore(const std::string& folder) {
-  const std::string path = folder + "/" + kFile;
-  database_ = std::make_unique<SqliteDatabase>(path);
-  MakeTable(*database_, path);
-  SyncFolder(folder);
+AcceptedValue FromBytesOfProtocol5(std::string_view bytes) {
+  ByteInput archive(bytes);
+  AcceptedValue accepted;
+  ShardValue& value = accepted.value;
+  archive(accepted.position, value.members, value.previous_members, value.version, value.configuration,
+          value.history, value.drained);
+  return accepted;
 }
 
-SqliteStore::~SqliteStore() = default;
-
-void SqliteStore::SetAside(const std::string& folder) { SetDatabaseAside(folder, kFile); }
-
-std::optional<DurableState> SqliteStore::Load() {
-  SqliteStatement statement(
-      *database_, "SELECT store, promised_counter, promised_store, accepted FROM replica_value WHERE id = 0");
+std::optional<DurableState> LoadFrom(SqliteDatabase& database, const std::string& table,
+                                     AcceptedValue (*read)(std::string_view)) {
+  const std::string query =
+      "SELECT store, promised_counter, promised_store, accepted FROM " + table + " WHERE id = 0";
+  SqliteStatement statement(database, query.c_str());
   if (!statement.Step()) return std::nullopt;
   DurableState state;
   state.store = statement.Unsigned(0);
   state.promised = {statement.Unsigned(1), statement.Unsigned(2)};
   try {
-    state.accepted = FromBytes(statement.Bytes(3));
+    state.accepted = read(statement.Bytes(3));
   } catch (const cereal::Exception& error) {
     throw StorageUnreadable(std::string("the stored value cannot be read: ") + error.what());
   }
   return state;
 }
 
-void SqliteStore::Save(const DurableState& state) {
+void SaveTo(SqliteDatabase& database, const DurableState& state) {
   const std::string accepted = ToBytes(state.accepted);
-  SqliteStatement statement(
-      *database_,
-      "INSERT OR REPLACE INTO replica_value (id, store, promised_counter, promised_store, accepted) "
-      "VALUES (0, ?, ?, ?, ?)");
+  const std::string change =
+      std::string("INSERT OR REPLACE INTO ") + kTable +
+      " (id, store, promised_counter, promised_store, accepted) VALUES (0, ?, ?, ?, ?)";
+  SqliteStatement statement(database, change.c_str());
   statement.Bind(1, state.store);
   statement.Bind(2, state.promised.counter);
   statement.Bind(3, state.promised.store);
@@ -73,4 +66,41 @@
   statement.Step();
 }
 
+// What the version of protocol 5 saved moves to the current table, and the old table goes in the same
+// transaction: should that version run here again, it finds an empty disk, and no promises that have been
+// overtaken.
+void TakeOver(SqliteDatabase& database) {
+  const auto state = LoadFrom(database, kTableOfProtocol5, &FromBytesOfProtocol5);
+  SqliteTransaction transaction(database);
+  if (state) SaveTo(database, *state);
+  database.Run(std::string("DROP TABLE ") + kTableOfProtocol5);
+  transaction.Commit();
+}
+
+void MakeTable(SqliteDatabase& database, const std::string& path) {
+  if (database.HasTable("replica") || database.HasTable("replica_state"))
+    throw StorageError(path + " was written by an earlier version of this program");
+  database.Run(std::string("CREATE TABLE IF NOT EXISTS ") + kTable +
+               " (id INTEGER PRIMARY KEY, store INTEGER NOT NULL, promised_counter INTEGER NOT NULL, "
+               "promised_store INTEGER NOT NULL, accepted BLOB NOT NULL)");
+  if (database.HasTable(kTableOfProtocol5)) TakeOver(database);
+}
+
+}  // namespace
+
+SqliteStore::SqliteStore(const std::string& folder) {
+  const std::string path = folder + "/" + kFile;
+  database_ = std::make_unique<SqliteDatabase>(path);
+  MakeTable(*database_, path);
+  SyncFolder(folder);
+}
+
+SqliteStore::~SqliteStore() = default;
+
+void SqliteStore::SetAside(const std::string& folder) { SetDatabaseAside(folder, kFile); }
+
+std::optional<DurableState> SqliteStore::Load() { return LoadFrom(*database_, kTable, &FromBytes); }
+
+void SqliteStore::Save(const DurableState& state) { SaveTo(*database_, state); }
+
 }  // namespace bitternmux::fleet
--- a/src/fleet/storage/sqlite_store.h
+++ b/src/fleet/storage/sqlite_store.h
@@ -1,6 +1,7 @@
 // ReplicaStore in an SQLite database, with the settings of sqlite_database.h. The database and its log are
 // made when it is opened, and the folder is synced after, so that both names outlast a loss of power before
-// the first Save returns.
+// the first Save returns. A database of the version before is taken over then; one of a still earlier version
+// is refused.
 #ifndef BITTERNMUX_SRC_FLEET_STORAGE_SQLITE_STORE_H_
 #define BITTERNMUX_SRC_FLEET_STORAGE_SQLITE_STORE_H_
 
