Evacuate zones: POST and DELETE /evacuations/ZONE, the feed, and the routers

Calls were answered 404. They are now held, sent on and decided as configurations are; 307 names the path of the call. The feed carries the zones with the position of the committed value, at each commit: a source that missed a zone's return and its second evacuation holds the same zones as before, and its subscribers may have heard of the return elsewhere.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -129,6 +129,7 @@
     Publish(publisher_.SetConfiguration(state.configuration_version, state.configuration));
   if (applied.servers) Publish(publisher_.SetServers(state.list_position, state.servers));
   if (applied.fleet) Publish(publisher_.SetFleet(state.fleet));
+  if (applied.evacuations) Publish(publisher_.SetEvacuations(state.evacuations));
   if (applied.gap && control_ && control_->link()) control_->link()->Send(follower_.Ask(node_name_));
 }
 
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -28,6 +28,12 @@
   return {fleet::WithPort(control, internal_port), control, 0};
 }
 
+std::vector<std::string> Zones(const fleet::NodeSettings& settings) {
+  std::vector<std::string> zones = settings.zones;
+  if (!settings.zone.empty()) zones.push_back(settings.zone);
+  return zones;
+}
+
 std::vector<fleet::Member> MembersAt(const std::vector<std::string>& controls, std::uint16_t internal_port) {
   std::vector<fleet::Member> members;
   members.reserve(controls.size());
@@ -139,7 +145,8 @@
         asio::post(io_,
                    [this, servers = std::move(servers), why = std::move(why)] { ListRead(servers, why); });
       });
-  operator_service_ = std::make_unique<OperatorService>(*core_, events_, [this] { return Status(); });
+  operator_service_ =
+      std::make_unique<OperatorService>(*core_, events_, Zones(settings_), [this] { return Status(); });
   api_ = std::make_unique<OperatorApi>(
       settings_.control, kMaxBodyBytes, [this](ApiRequest request, ApiRespond respond) {
         asio::post(io_, [this, request = std::move(request), respond = std::move(respond)]() mutable {
@@ -195,7 +202,9 @@
   for (const fleet::ControlSend& send : output.sends) links_->Send(send);
   for (const fleet::CallAnswer& answer : output.answers) {
     if (answer.reply.outcome == fleet::CallOutcome::kTaken) {
-      events_.Write(fleet_events::kOrderDecided, {{"outcome", "taken"}, {"version", answer.version}});
+      events_.Write(
+          fleet_events::kOrderDecided,
+          {{"outcome", "taken"}, {"version", answer.version}, {"evacuated_zones", answer.evacuated.size()}});
     }
     operator_service_->Answer(answer);
   }
@@ -237,6 +246,7 @@
                         {"epoch", replica.epoch().counter},
                         {"fresh", replica.Fresh(NowMs())},
                         {"version", replica.committed().value.version},
+                        {"evacuated", replica.committed().value.evacuated},
                         {"members", members},
                         {"servers", core_->publisher().state().servers.size()},
                         {"reads_platform_list", core_->list_reader().acting()},
--- a/src/control/operator_service.cpp
+++ b/src/control/operator_service.cpp
@@ -1,6 +1,8 @@
 #include "control/operator_service.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 #include "events/fleet_catalogue.h"
@@ -9,24 +11,61 @@
 namespace bitternmux::control {
 namespace {
 
+constexpr std::string_view kEvacuations = "/evacuations";
+constexpr std::string_view kEvacuation = "/evacuations/";  // and the name of a zone
+constexpr std::size_t kMaxZoneBytes = 256;
+
 ApiResponse Fault(int status, const std::string& why) {
   return {status, nlohmann::json{{"error", why}}.dump(), "", 0};
 }
 
-ApiResponse ResponseTo(const fleet::CallAnswer& answer) {
+ApiResponse Evacuations(const fleet::CallAnswer& answer) {
+  return {200, nlohmann::json{{"zones", answer.evacuated}}.dump(), "", 0};
+}
+
+ApiResponse Version(const fleet::CallAnswer& answer) {
+  return {200, nlohmann::json{{"version", answer.version}}.dump(), "", 0};
+}
+
+ApiResponse Configuration(const fleet::CallAnswer& answer) {
+  if (answer.version == 0) return Fault(404, "there is no configuration yet");
+  return {200, answer.configuration.value_or(""), "", 0};
+}
+
+// The server hands paths out decoded.
+std::string EncodedPath(const std::string& path) {
+  constexpr std::string_view kPlain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+  constexpr std::string_view kHex = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char byte : path) {
+    if (kPlain.find(byte) != std::string_view::npos) {
+      encoded += byte;
+      continue;
+    }
+    const auto code = static_cast<unsigned char>(byte);
+    encoded += '%';
+    encoded += kHex[code / 16];
+    encoded += kHex[code % 16];
+  }
+  return encoded;
+}
+
+}  // namespace
+
+ApiResponse OperatorService::ResponseTo(const OpenCall& call, const fleet::CallAnswer& answer) {
   const std::string version = std::to_string(answer.version);
+  const bool evacuations = call.kind == OpenCall::Kind::kEvacuations;
   switch (answer.reply.outcome) {
     case fleet::CallOutcome::kTaken:
-      return {200, nlohmann::json{{"version", answer.version}}.dump(), "", 0};
+      return evacuations ? Evacuations(answer) : Version(answer);
     case fleet::CallOutcome::kConflict:
       return Fault(412, "version " + version + " is in place");
     case fleet::CallOutcome::kOld:
       return Fault(400, "the version is not above " + version);
     case fleet::CallOutcome::kRead:
-      if (answer.version == 0) return Fault(404, "there is no configuration yet");
-      return {200, answer.configuration.value_or(""), "", 0};
+      return evacuations ? Evacuations(answer) : Configuration(answer);
     case fleet::CallOutcome::kRedirected:
-      return {307, "", "http://" + answer.reply.owner.control + "/config", 0};
+      return {307, "", "http://" + answer.reply.owner.control + EncodedPath(call.path), 0};
     case fleet::CallOutcome::kUnavailable:
       return Fault(503, "no owner of the configuration is known; send the same again, here or elsewhere");
     case fleet::CallOutcome::kUndecided:
@@ -35,8 +74,6 @@
   return Fault(500, "");
 }
 
-}  // namespace
-
 // Answers come on this thread, and the service outlives its calls.
 void OperatorService::Serve(double now_ms, ApiRequest request, const ApiRespond& respond) {
   const std::string path = request.path;
@@ -58,13 +95,24 @@
 void OperatorService::Route(double now_ms, ApiRequest request, const ApiRespond& respond) {
   if (request.path == "/status" && request.method == "GET") return respond({200, status_(), "", 0});
   if (request.path.starts_with(TallyService::kPathPrefix)) return tallies_.Serve(now_ms, request, respond);
-  if (request.path != "/config")
-    return respond(Fault(404, "no such path; there are /config, /tallies/NAME and /status"));
+  if (request.path == "/config") return ServeConfiguration(now_ms, std::move(request), respond);
+  if (request.path == kEvacuations) return ServeEvacuations(now_ms, request, respond);
+  if (request.path.starts_with(kEvacuation)) return ServeEvacuation(now_ms, request, respond);
+  respond(Fault(404, "no such path; there are /config, /evacuations, /tallies/NAME and /status"));
+}
+
+std::uint64_t OperatorService::Open(OpenCall::Kind kind, const std::string& path, const ApiRespond& respond) {
+  const std::uint64_t id = ++last_call_;
+  open_[id] = {kind, path, respond};
+  return id;
+}
+
+// ---- The configuration ----
+
+void OperatorService::ServeConfiguration(double now_ms, ApiRequest request, const ApiRespond& respond) {
   if (request.method == "PUT") return ServePut(now_ms, std::move(request), respond);
   if (request.method != "GET") return respond(Fault(405, "GET or PUT"));
-  const std::uint64_t id = ++last_call_;
-  open_[id] = respond;
-  core_.Get(now_ms, id);
+  core_.Get(now_ms, Open(OpenCall::Kind::kConfiguration, request.path, respond));
 }
 
 void OperatorService::ServePut(double now_ms, ApiRequest request, const ApiRespond& respond) {
@@ -80,17 +128,44 @@
   order.builds_on = *request.if_match;
   order.digest = fleet::DigestOf(request.body);
   order.text = std::move(request.body);
-  const std::uint64_t id = ++last_call_;
-  open_[id] = respond;
-  core_.Put(now_ms, id, std::move(order));
+  core_.Put(now_ms, Open(OpenCall::Kind::kConfiguration, request.path, respond), std::move(order));
 }
 
+// ---- Evacuations ----
+
+void OperatorService::ServeEvacuations(double now_ms, const ApiRequest& request, const ApiRespond& respond) {
+  if (request.method != "GET") return respond(Fault(405, "GET, or POST and DELETE of /evacuations/ZONE"));
+  core_.Get(now_ms, Open(OpenCall::Kind::kEvacuations, request.path, respond));
+}
+
+void OperatorService::ServeEvacuation(double now_ms, const ApiRequest& request, const ApiRespond& respond) {
+  const bool begins = request.method == "POST";
+  if (!begins && request.method != "DELETE") return respond(Fault(405, "POST or DELETE"));
+  std::string zone = request.path.substr(kEvacuation.size());
+  if (zone.empty() || zone.size() > kMaxZoneBytes) {
+    return respond(Fault(400, "the name of a zone has 1 to " + std::to_string(kMaxZoneBytes) + " bytes"));
+  }
+  if (!KnowsZone(zone)) return respond(Fault(404, "no zone of that name is known: " + zone));
+  const std::uint64_t id = Open(OpenCall::Kind::kEvacuations, request.path, respond);
+  core_.Evacuate(now_ms, id, {std::move(zone), begins});
+}
+
+// The settings may have lost a zone that servers still stand in, or that was evacuated before.
+bool OperatorService::KnowsZone(const std::string& zone) const {
+  if (std::ranges::find(zones_, zone) != zones_.end()) return true;
+  const fleet::FeedState& known = core_.publisher().state();
+  if (std::ranges::find(known.evacuations.zones, zone) != known.evacuations.zones.end()) return true;
+  return std::ranges::any_of(known.servers, [&](const auto& entry) { return entry.second.zone == zone; });
+}
+
+// ---- Answers ----
+
 void OperatorService::Answer(const fleet::CallAnswer& answer) {
   const auto found = open_.find(answer.reply.id);
   if (found == open_.end()) return;
-  const ApiRespond respond = std::move(found->second);
+  const OpenCall call = std::move(found->second);
   open_.erase(found);
-  respond(ResponseTo(answer));
+  call.respond(ResponseTo(call, answer));
 }
 
 }  // namespace bitternmux::control
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "control/operator_api.h"
 #include "control/tally_service.h"
@@ -16,9 +17,10 @@
 
 class OperatorService {
  public:
-  // `status`: the body of GET /status.
-  OperatorService(fleet::ControlCore& core, EventSink& events, std::function<std::string()> status)
-      : core_(core), events_(events), status_(std::move(status)), tallies_(core) {}
+  // `zones`: of the deployment, as the settings name them. `status`: the body of GET /status.
+  OperatorService(fleet::ControlCore& core, EventSink& events, std::vector<std::string> zones,
+                  std::function<std::string()> status)
+      : core_(core), events_(events), zones_(std::move(zones)), status_(std::move(status)), tallies_(core) {}
 
   void Serve(double now_ms, ApiRequest request, const ApiRespond& respond);
   void Answer(const fleet::CallAnswer& answer);
@@ -27,16 +29,31 @@
   const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
 
  private:
+  // A call that the deciders have, and how its answer is to be worded.
+  struct OpenCall {
+    enum class Kind { kConfiguration, kEvacuations };
+    Kind kind = Kind::kConfiguration;
+    std::string path;
+    ApiRespond respond;
+  };
+
+  static ApiResponse ResponseTo(const OpenCall& call, const fleet::CallAnswer& answer);
   void Route(double now_ms, ApiRequest request, const ApiRespond& respond);
   void Count(const std::string& what, const std::string& path, int status);
+  void ServeConfiguration(double now_ms, ApiRequest request, const ApiRespond& respond);
   void ServePut(double now_ms, ApiRequest request, const ApiRespond& respond);
+  void ServeEvacuations(double now_ms, const ApiRequest& request, const ApiRespond& respond);
+  void ServeEvacuation(double now_ms, const ApiRequest& request, const ApiRespond& respond);
+  bool KnowsZone(const std::string& zone) const;
+  std::uint64_t Open(OpenCall::Kind kind, const std::string& path, const ApiRespond& respond);
 
   fleet::ControlCore& core_;
   EventSink& events_;
+  const std::vector<std::string> zones_;
   const std::function<std::string()> status_;
   TallyService tallies_;
   std::uint64_t last_call_ = 0;
-  std::map<std::uint64_t, ApiRespond> open_;
+  std::map<std::uint64_t, OpenCall> open_;
   std::map<std::string, std::uint64_t> counts_;
 };
 
--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -139,6 +139,10 @@
   calls_.Put(now_ms, call, std::move(order));
 }
 
+void ControlCore::Evacuate(double now_ms, std::uint64_t call, EvacuationOrder order) {
+  calls_.Evacuate(now_ms, call, std::move(order));
+}
+
 void ControlCore::Get(double now_ms, std::uint64_t call) { calls_.Get(now_ms, call); }
 
 void ControlCore::Saved(double now_ms, std::uint64_t ticket) { replica_.Saved(now_ms, ticket); }
@@ -165,7 +169,7 @@
   }
   const ShardValue& committed = replica_.committed().value;
   for (CallReply& reply : calls_.TakeReplies()) {
-    CallAnswer answer{std::move(reply), committed.version, std::nullopt};
+    CallAnswer answer{std::move(reply), committed.version, std::nullopt, committed.evacuated};
     if (answer.reply.outcome == CallOutcome::kRead) answer.configuration = committed.configuration;
     output_.answers.push_back(std::move(answer));
   }
@@ -239,6 +243,7 @@
     if (value.version > 0) TakeGrantingOver(now_ms);
   }
   if (news) Publish(publisher_.SetConfiguration(value.version, value.configuration));
+  Publish(publisher_.SetEvacuations({replica_.committed().position, value.evacuated}));
   PublishMembers();
 }
 
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -42,6 +42,7 @@
   CallReply reply;
   std::uint64_t version = 0;                 // of the committed configuration
   std::optional<std::string> configuration;  // of a read
+  std::vector<std::string> evacuated;        // zones, in the committed value
 };
 
 // What an operator should see in the log.
@@ -92,6 +93,8 @@
   // What a subscriber's router has in work.
   void LoadsTold(SubscriberId id, const ServerLoads& loads);
   void Put(double now_ms, std::uint64_t call, Order order);
+  void Evacuate(double now_ms, std::uint64_t call, EvacuationOrder order);
+  // Reads the configuration and the evacuated zones.
   void Get(double now_ms, std::uint64_t call);
   void Saved(double now_ms, std::uint64_t ticket);
   void AddToTally(double now_ms, std::uint64_t call, TallyAdd add);
--- a/src/fleet/feed/feed.cpp
+++ b/src/fleet/feed/feed.cpp
@@ -78,6 +78,14 @@
   return true;
 }
 
+bool FeedPublisher::SetEvacuations(Evacuations evacuations) {
+  if (evacuations.position <= state_.evacuations.position) return false;
+  state_.evacuations = evacuations;
+  Append().evacuations = std::move(evacuations);
+  Trim();
+  return true;
+}
+
 FeedEntry FeedPublisher::Snapshot(const Subscribe& subscribe) const {
   FeedEntry snapshot;
   snapshot.feed = feed_;
@@ -93,6 +101,7 @@
     for (const auto& [id, entry] : state_.servers) change.changed.push_back(entry);
   }
   snapshot.fleet = state_.fleet;
+  if (state_.evacuations.position != Position{}) snapshot.evacuations = state_.evacuations;
   return snapshot;
 }
 
@@ -130,6 +139,12 @@
   return true;
 }
 
+void FeedFollower::TakeEvacuations(const Evacuations& evacuations, Applied& applied) {
+  if (evacuations.position <= state_.evacuations.position) return;
+  state_.evacuations = evacuations;
+  applied.evacuations = true;
+}
+
 FeedFollower::Applied FeedFollower::Apply(const FeedEntry& entry) {
   Applied applied;
   const bool follows = entry.feed == feed_ && entry.offset == offset_ + 1;
@@ -149,6 +164,7 @@
     state_.fleet = *entry.fleet;
     applied.fleet = true;
   }
+  if (entry.evacuations) TakeEvacuations(*entry.evacuations, applied);
   feed_ = entry.feed;
   offset_ = entry.offset;
   return applied;
--- a/src/fleet/feed/feed.h
+++ b/src/fleet/feed/feed.h
@@ -5,8 +5,8 @@
 // longer holds, or that comes with the offset of another publisher, is sent a snapshot again, without what it
 // says it holds already. Control machines publish to agents, and an agent publishes to the router beside it.
 //
-// What a subscriber holds never goes back: neither the version of the configuration nor the position of the
-// list.
+// What a subscriber holds never goes back: neither the version of the configuration nor the positions of the
+// list and of the evacuations.
 //
 // Bounds: kJournalEntries entries of kJournalBytes in all; the current state once. Not thread-safe.
 #ifndef BITTERNMUX_SRC_FLEET_FEED_FEED_H_
@@ -34,6 +34,7 @@
   ListPosition list_position;
   ServerMap servers;
   FleetView fleet;
+  Evacuations evacuations;  // the first position: nothing is known of them
 };
 
 // What turns one list into another; `whole` is false.
@@ -50,6 +51,9 @@
   bool SetConfiguration(std::uint64_t version, std::string text);
   bool SetServers(const ListPosition& position, ServerMap servers);
   bool SetFleet(FleetView fleet);
+  // A newer position is news even where the zones are the same: a subscriber may hold other zones of a
+  // position between the two, which this publisher never saw.
+  bool SetEvacuations(Evacuations evacuations);
 
   const FeedState& state() const { return state_; }
   std::uint64_t feed() const { return feed_; }
@@ -75,7 +79,7 @@
  public:
   // What an entry has changed. `gap`: it does not follow from what is held, and a new subscription is due.
   struct Applied {
-    bool configuration = false, servers = false, fleet = false;
+    bool configuration = false, servers = false, fleet = false, evacuations = false;
     bool gap = false;
   };
 
@@ -92,6 +96,7 @@
  private:
   bool TakeConfiguration(const ConfigurationChange& change, Applied& applied);
   bool TakeServers(const ServersChange& change, Applied& applied);
+  void TakeEvacuations(const Evacuations& evacuations, Applied& applied);
 
   FeedState state_;
   std::uint64_t feed_ = 0, offset_ = 0;
--- a/src/fleet/operations/operator_calls.cpp
+++ b/src/fleet/operations/operator_calls.cpp
@@ -8,6 +8,10 @@
   Begin(now_ms, id, {std::move(order), now_ms, true});
 }
 
+void OperatorCalls::Evacuate(double now_ms, std::uint64_t id, EvacuationOrder order) {
+  Begin(now_ms, id, {std::move(order), now_ms, true});
+}
+
 void OperatorCalls::Get(double now_ms, std::uint64_t id) { Begin(now_ms, id, {std::nullopt, now_ms, true}); }
 
 void OperatorCalls::Begin(double now_ms, std::uint64_t id, Call call) {
@@ -20,7 +24,7 @@
   if (replica_.role() == Replica::Role::kOwner) {
     call.held = false;
     if (call.order) {
-      replica_.Propose(now_ms, id, *call.order);
+      std::visit([&](const auto& order) { replica_.Propose(now_ms, id, order); }, *call.order);
     } else {
       replica_.Read(now_ms, id);
     }
--- a/src/fleet/operations/operator_calls.h
+++ b/src/fleet/operations/operator_calls.h
@@ -45,6 +45,7 @@
   explicit OperatorCalls(Replica& replica) : replica_(replica) {}
 
   void Put(double now_ms, std::uint64_t id, Order order);
+  void Evacuate(double now_ms, std::uint64_t id, EvacuationOrder order);
   void Get(double now_ms, std::uint64_t id);
   // What the replica has decided.
   void Decided(double now_ms, const Decision& decision);
@@ -55,7 +56,7 @@
 
  private:
   struct Call {
-    std::optional<Order> order;  // none: a read
+    std::optional<OperatorOrder> order;  // none: a read
     double asked_ms = 0;
     bool held = false;  // no owner is known; else the replica has it
   };
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace bitternmux::fleet {
@@ -36,6 +37,14 @@
     return value && !value.IsNull();
   }
 
+  // The keys of a table, sorted; none if it is not there.
+  std::vector<std::string> Keys(const char* key) const {
+    std::vector<std::string> keys;
+    for (const auto& entry : Section(key).node_) keys.push_back(entry.first.as<std::string>());
+    std::ranges::sort(keys);
+    return keys;
+  }
+
   template <class Value>
   Value Need(const char* key) const {
     const YAML::Node value = Find(key);
@@ -92,6 +101,7 @@
   out.node_name = file.Need<std::string>("node_name");
   out.ip = file.Need<std::string>("ip");
   out.zone = file.Get<std::string>("zone", "");
+  out.zones = file.Keys("zones");
   const Reader listen = file.Section("listen");
   out.front = listen.Address("front");
   out.readiness = listen.Address("readiness");
--- a/src/fleet/settings/node_settings.h
+++ b/src/fleet/settings/node_settings.h
@@ -20,6 +20,7 @@
 
 struct NodeSettings {
   std::string node_name, ip, zone;
+  std::vector<std::string> zones;         // of the deployment, in order of their names
   std::string front, readiness, control;  // ip:port to listen on; empty: not this role's
   std::uint16_t first_internal_port = 0, last_internal_port = 0;
   // Where a control machine listens for links, if others reach it at another address than its own: behind a
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -106,12 +106,9 @@
 void Router::Take(const LinkPointer& link, const fleet::FeedEntry& entry) {
   const fleet::FeedFollower::Applied applied = follower_.Apply(entry);
   if (applied.configuration) UseConfiguration();
-  if (applied.servers) {
-    state_.choice.Update(SteadyNowMs(), follower_.state().servers);
-    state_.servers_known = true;
-    const auto& servers = follower_.state().servers;
-    state_.upstream.Prune([&](const std::string& id) { return servers.contains(id); });
-  }
+  const bool zones_changed =
+      applied.evacuations && evacuated_.Set(SteadyNowMs(), follower_.state().evacuations.zones);
+  if (applied.servers || zones_changed || !state_.servers_known) UseServers();
   if (applied.fleet && follower_.state().fleet.routers > 0) UseRouters(follower_.state().fleet.routers);
   if (applied.gap) link->Send(follower_.Ask(settings_.node_name));
   CheckReady();
@@ -121,6 +118,15 @@
   }
 }
 
+// Nothing is sent before it is known which zones are evacuated.
+void Router::UseServers() {
+  const fleet::FeedState& known = follower_.state();
+  if (known.list_position == fleet::ListPosition{} || known.evacuations.position == fleet::Position{}) return;
+  state_.choice.Update(SteadyNowMs(), evacuated_.Drained(known.servers));
+  state_.servers_known = true;
+  state_.upstream.Prune([&](const std::string& id) { return known.servers.contains(id); });
+}
+
 // Limits over the whole fleet are shared by as many.
 void Router::UseRouters(std::size_t count) {
   state_.quota.SetRouters(count);
@@ -150,8 +156,8 @@
 }
 
 void Router::CheckReady() {
-  const bool listed = follower_.state().list_position != fleet::ListPosition{};
-  const bool ready = !state_.shutdown.begun() && state_.table != nullptr && listed && was_fresh_;
+  const bool ready =
+      !state_.shutdown.begun() && state_.table != nullptr && state_.servers_known && was_fresh_;
   if (ready != ready_) events_.Write(fleet_events::kReadinessChanged, {{"ready", ready}});
   ready_ = ready;
 }
@@ -221,6 +227,7 @@
 
 void Router::Tick() {
   const double now_ms = SteadyNowMs();
+  if (evacuated_.Tick(now_ms)) UseServers();
   state_.quota.Tick(now_ms);
   QuotaChanged();
   TellQuotaFigures(now_ms);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -2,8 +2,9 @@
 // chooses servers, and carries answers back; what it knows of routes and servers comes from the agent beside
 // it.
 //
-// It calls itself ready once it holds a configuration and a list of servers from an agent that is in contact
-// with the control machines. What it holds it goes on serving by when that contact is lost.
+// It calls itself ready once it holds a configuration, a list of servers and the word of which zones are
+// evacuated, from an agent that is in contact with the control machines. What it holds it goes on serving by
+// when that contact is lost.
 #ifndef BITTERNMUX_SRC_ROUTER_ROUTER_H_
 #define BITTERNMUX_SRC_ROUTER_ROUTER_H_
 
@@ -15,6 +16,7 @@
 #include "fleet/feed/feed.h"
 #include "fleet/settings/node_settings.h"
 #include "fleet/transport/link.h"
+#include "router/evacuated_zones.h"
 #include "router/front.h"
 #include "router/request_flow.h"
 
@@ -38,6 +40,7 @@
   void Take(const LinkPointer& link, const fleet::FeedEntry& entry);
   void UseConfiguration();
   void ProtectCold(const fleet::Configuration& configuration);
+  void UseServers();
   void UseRouters(std::size_t count);
   void CheckReady();
   void QuotaChanged();
@@ -54,6 +57,7 @@
   Front front_;
   Front readiness_;
   fleet::FeedFollower follower_;
+  EvacuatedZones evacuated_;
   std::shared_ptr<fleet::Dialer> agent_;
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer quota_tick_;
--- a/tests/fleet/feed/feed_test.cpp
+++ b/tests/fleet/feed/feed_test.cpp
@@ -92,6 +92,40 @@
   CHECK(follower.state().configuration_version == 8);
 }
 
+TEST_CASE(
+    "feed: evacuated zones come in snapshots and entries, and a source that is behind takes none back") {
+  FeedPublisher ahead(1), behind(2);
+  FeedFollower follower;
+  CHECK_FALSE(ahead.CatchUp(follower.Ask("n"))[0].evacuations);  // nothing is known of them yet
+  CHECK(ahead.SetEvacuations({{{1, 7}, 1}, {}}));
+  CHECK(behind.SetEvacuations({{{1, 7}, 1}, {}}));
+  CHECK(follower.Apply(ahead.CatchUp(follower.Ask("n"))[0]).evacuations);
+  CHECK(follower.state().evacuations.zones.empty());
+  CHECK(ahead.SetEvacuations({{{1, 7}, 4}, {"maia"}}));
+  CHECK_FALSE(ahead.SetEvacuations({{{1, 7}, 4}, {"braga"}}));
+  CHECK(follower.Apply(ahead.Newest()).evacuations);
+  const FeedFollower::Applied old = follower.Apply(behind.CatchUp(follower.Ask("n"))[0]);
+  CHECK_FALSE(old.evacuations);
+  CHECK_FALSE(old.gap);
+  CHECK(follower.state().evacuations == Evacuations{{{1, 7}, 4}, {"maia"}});
+}
+
+// Guards against EVAC: a source that saw neither the evacuation nor its end, but only the value after both,
+// has the zones that it had before, and still more to tell than one that has seen the evacuation.
+TEST_CASE("feed: the same zones at a newer position replace what a subscriber heard in between elsewhere") {
+  FeedPublisher one(1), other(2);
+  FeedFollower follower;
+  one.SetEvacuations({{{1, 7}, 1}, {"maia"}});
+  other.SetEvacuations({{{1, 7}, 1}, {"maia"}});
+  one.SetEvacuations({{{1, 7}, 2}, {}});
+  follower.Apply(one.CatchUp(follower.Ask("n"))[0]);
+  follower.Apply(other.CatchUp(follower.Ask("n"))[0]);
+  CHECK(follower.state().evacuations.zones.empty());
+  REQUIRE(other.SetEvacuations({{{1, 7}, 3}, {"maia"}}));
+  CHECK(follower.Apply(other.Newest()).evacuations);
+  CHECK(follower.state().evacuations.zones == std::vector<std::string>{"maia"});
+}
+
 TEST_CASE("feed: a subscriber whose offset the journal no longer holds gets a snapshot without what it has") {
   FeedPublisher publisher(9);
   publisher.SetConfiguration(1, std::string(1000, 'x'));
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -23,6 +23,9 @@
   - 7695
 seeds:
   - "10.1.0.28:8665"
+zones:
+  maia: "norte"
+  braga: "norte"
 bootstrap: true
 data_dir: null
 tomorrow: [1, 2]
@@ -74,6 +77,7 @@
   CHECK(read.control.empty());
   CHECK(read.data_dir.empty());
   CHECK(read.tolerated_machines == 2);
+  CHECK(read.zones == std::vector<std::string>{"braga", "maia"});
   CHECK(read.quota_slack == 110000);
   CHECK(read.drain_ms == 3000);
   CHECK(read.internal_listen.empty());
