--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -147,7 +147,8 @@
   for (std::size_t i = 0; i < kControls; ++i) seeds += "  - \"" + ControlAddress(i) + "\"\n";
   const std::string path = folder_ + "/" + name + ".yaml";
   std::ofstream(path)
-      << "node_name: \"" << name << "\"\nzone: \"z\"\nseeds:\n"
+      << "node_name: \"" << name << "\"\nzone: \"" << kZone << "\"\nzones:\n  " << kZone << ": r\n  "
+      << kOtherZone << ": r\nseeds:\n"
       << seeds << "internal_ports:\n  - " << port_ << "\n  - " << port_ + 9
       << "\nfault_tolerance:\n  machines: 1\ncloud:\n  address: \"" << platform_->address()
       << "\"\n  rate_per_s: 40.0\nbounds:\n  grace_s: 5\n  budget_slack: 5000\n  quota_slack: 110000\n"
@@ -251,7 +252,7 @@
     instances.push_back({{"id", server.id},
                          {"service", server.service},
                          {"address", server.address},
-                         {"zone", "z"},
+                         {"zone", kZone},
                          {"slots", 64},
                          {"state", "ready"}});
   }
@@ -260,7 +261,7 @@
     instances.push_back({{"id", id},
                          {"service", server->service},
                          {"address", server->server->address()},
-                         {"zone", "z"},
+                         {"zone", server->zone},
                          {"slots", 8},
                          {"state", server->draining ? "draining" : "ready"}});
   }
@@ -272,6 +273,11 @@
   servers_.at(id)->draining = true;
 }
 
+void FleetStand::Place(const std::string& id, const std::string& zone) {
+  const std::lock_guard lock(mutex_);
+  servers_.at(id)->zone = zone;
+}
+
 // ---- Servers ----
 
 void FleetStand::CountRun(const std::string& request) {
--- a/lab/fleet/fleet_stand.h
+++ b/lab/fleet/fleet_stand.h
@@ -46,6 +46,8 @@
   static constexpr std::size_t kSpares = 1;    // that may be started later
   static constexpr std::size_t kMostEdges = 40;
   static constexpr const char* kHost = "desk.example";
+  static constexpr const char* kZone = "z";  // of all machines, and of servers that are not placed elsewhere
+  static constexpr const char* kOtherZone = "other";
 
   // How machines reach the control machines' internal addresses.
   enum class Ways { kDirect, kRelayed };
@@ -91,6 +93,8 @@
   void CountRun(const std::string& request);
   // The platform's list shows it as draining.
   void Drain(const std::string& id);
+  // The platform's list shows it in that zone, kZone or kOtherZone.
+  void Place(const std::string& id, const std::string& zone);
 
   std::size_t edges() const { return edges_.size(); }
   Process& router(std::size_t edge = 0) { return *edges_[edge].router; }
@@ -109,6 +113,7 @@
   struct Server {
     std::string service;
     bool draining = false;
+    std::string zone = kZone;
     std::unique_ptr<ScriptedServer> server;
   };
   std::string List();
--- a/src/apps/bitternmuxctl.cpp
+++ b/src/apps/bitternmuxctl.cpp
@@ -13,6 +13,7 @@
 
 DEFINE_string(controls, "", "control machines, ip:port, separated by commas");
 DEFINE_bool(json, false, "status as JSON");
+DEFINE_bool(back, false, "`evacuate` takes the zone back");
 DEFINE_int64(if_match, -1, "the version that `config put` builds on; by default the one that is in place");
 
 namespace {
@@ -29,6 +30,8 @@
     "  config get        the configuration in place\n"
     "  config check FILE what is wrong with a configuration, without sending it\n"
     "  config put FILE   sends it until there is a clear answer\n"
+    "  evacuate ZONE     nothing more goes to the zone's servers (--back: takes the zone back)\n"
+    "  evacuations       zones that are evacuated\n"
     "Exit codes: 0 fine, 1 not taken or not healthy, 2 faulty command line or file";
 
 int Fault(const std::string& what) {
@@ -96,6 +99,18 @@
   return result.status == 200 ? kFine : kFailed;
 }
 
+int Evacuate(ControlClient& client, const std::string& zone) {
+  const CallResult result = FLAGS_back ? client.TakeBack(zone) : client.Evacuate(zone);
+  (result.status == 200 ? std::cout : std::cerr) << result.status << ' ' << result.body << '\n';
+  return result.status == 200 ? kFine : kFailed;
+}
+
+int Evacuations(ControlClient& client) {
+  const CallResult result = client.GetEvacuations();
+  (result.status == 200 ? std::cout : std::cerr) << result.body << '\n';
+  return result.status == 200 ? kFine : kFailed;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -114,5 +129,7 @@
   if (command.size() == 1 && command[0] == "status") return Status(client);
   if (command.size() == 2 && command[0] == "config" && command[1] == "get") return Get(client);
   if (command.size() == 3 && command[0] == "config" && command[1] == "put") return Put(client, command[2]);
+  if (command.size() == 2 && command[0] == "evacuate") return Evacuate(client, command[1]);
+  if (command.size() == 1 && command[0] == "evacuations") return Evacuations(client);
   return Fault(std::string("no such command\n") + kUsage);
 }
--- a/src/ctl/control_client.cpp
+++ b/src/ctl/control_client.cpp
@@ -2,7 +2,9 @@
 
 #include <curl/curl.h>
 
+#include <gsl/util>
 #include <memory>
+#include <new>
 
 namespace bitternmux::ctl {
 namespace {
@@ -17,6 +19,13 @@
   return size * count;
 }
 
+std::string EvacuationPath(const std::string& zone) {
+  char* const escaped = curl_easy_escape(nullptr, zone.data(), static_cast<int>(zone.size()));
+  if (escaped == nullptr) throw std::bad_alloc();
+  const auto free_it = gsl::finally([escaped] { curl_free(escaped); });
+  return std::string("/evacuations/") + escaped;
+}
+
 using Handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
@@ -57,12 +66,12 @@
   return result;
 }
 
-CallResult ControlClient::Anywhere(const std::string& method, const std::string& body,
-                                   const std::vector<std::string>& headers) {
+CallResult ControlClient::Anywhere(const std::string& method, const std::string& path,
+                                   const std::string& body, const std::vector<std::string>& headers) {
   CallResult result{0, "no control machine is named"};
   for (int round = 0; round < kRounds; ++round) {
     for (const std::string& control : controls_) {
-      result = Call(method, "http://" + control + "/config", body, headers);
+      result = Call(method, "http://" + control + path, body, headers);
       if (result.Clear()) return result;
     }
   }
@@ -73,11 +82,21 @@
   return Call("GET", "http://" + control + "/status", "", {});
 }
 
-CallResult ControlClient::GetConfiguration() { return Anywhere("GET", "", {}); }
+CallResult ControlClient::GetConfiguration() { return Anywhere("GET", "/config", "", {}); }
 
 CallResult ControlClient::PutConfiguration(const std::string& text, std::uint64_t builds_on) {
-  return Anywhere("PUT", text,
+  return Anywhere("PUT", "/config", text,
                   {"If-Match: " + std::to_string(builds_on), "Content-Type: application/json", "Expect:"});
 }
 
+CallResult ControlClient::GetEvacuations() { return Anywhere("GET", "/evacuations", "", {}); }
+
+CallResult ControlClient::Evacuate(const std::string& zone) {
+  return Anywhere("POST", EvacuationPath(zone), "", {});
+}
+
+CallResult ControlClient::TakeBack(const std::string& zone) {
+  return Anywhere("DELETE", EvacuationPath(zone), "", {});
+}
+
 }  // namespace bitternmux::ctl
--- a/src/ctl/control_client.h
+++ b/src/ctl/control_client.h
@@ -32,11 +32,16 @@
   CallResult GetConfiguration();
   // A call without a clear answer may have been taken: the same goes to the next machine.
   CallResult PutConfiguration(const std::string& text, std::uint64_t builds_on);
+  // The zones whose servers get nothing.
+  CallResult GetEvacuations();
+  // Begins the evacuation of a zone, or takes the zone back. Sent again as a configuration is.
+  CallResult Evacuate(const std::string& zone);
+  CallResult TakeBack(const std::string& zone);
 
  private:
   CallResult Call(const std::string& method, const std::string& url, const std::string& body,
                   const std::vector<std::string>& headers);
-  CallResult Anywhere(const std::string& method, const std::string& body,
+  CallResult Anywhere(const std::string& method, const std::string& path, const std::string& body,
                       const std::vector<std::string>& headers);
 
   const std::vector<std::string> controls_;
--- a/tests/lab/fleet/apart_stories.cpp
+++ b/tests/lab/fleet/apart_stories.cpp
@@ -1,7 +1,9 @@
 // Stories of the built programs while their machines cannot reach each other, and of what they keep.
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "ctl/control_client.h"
 #include "lab/fleet/fleet_stand.h"
 
 namespace bitternmux::lab::fleet {
@@ -24,6 +26,41 @@
   return -1;
 }
 
+// The body of the answer to a new request of a client; it names the server.
+std::string AskSheet(FleetStand& fleet) {
+  static int asked = 0;
+  const std::string id = "ask-" + std::to_string(++asked);
+  return fleet.Ask({"/sheet/1", id, "key-a", "hello", "", ""}).message.body;
+}
+
+bool IsFrom(const std::string& body, const std::string& server) {
+  return body.find("server=" + server) != std::string::npos;
+}
+
+// Asks until that server has answered so many times in a row. False: that does not come in time.
+bool AnsweredBy(FleetStand& fleet, const std::string& server, int enough) {
+  constexpr auto kMostTime = std::chrono::seconds(20);
+  const auto until = std::chrono::steady_clock::now() + kMostTime;
+  for (int in_a_row = 0; in_a_row < enough;) {
+    if (std::chrono::steady_clock::now() > until) return false;
+    in_a_row = IsFrom(AskSheet(fleet), server) ? in_a_row + 1 : 0;
+  }
+  return true;
+}
+
+// How many of so many requests that server answered.
+int CountAnswers(FleetStand& fleet, const std::string& server, int requests) {
+  int answers = 0;
+  for (int i = 0; i < requests; ++i) answers += IsFrom(AskSheet(fleet), server) ? 1 : 0;
+  return answers;
+}
+
+std::vector<std::string> ControlAddresses(const FleetStand& fleet) {
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < FleetStand::kControls; ++i) addresses.push_back(fleet.ControlAddress(i));
+  return addresses;
+}
+
 }  // namespace
 
 // Guards against LOST and SHORT of 2026-12-03: calls on tallies were answered 404, so that nothing was kept
@@ -45,4 +82,37 @@
   CHECK(Total(fleet, "t1") == 7);
 }
 
+// Guards against EVAC and LOST: requests to servers of an evacuated zone, and an evacuation that a kill of
+// all control machines ends.
+TEST_CASE("apart story: an evacuated zone gets nothing, through kills of control machines and router") {
+  constexpr int kRequests = 200;
+  FleetStand fleet(Built());
+  fleet.Place("sheets-2", FleetStand::kOtherZone);
+  REQUIRE(fleet.Start());
+  REQUIRE(AnsweredBy(fleet, "sheets-1", 1));  // the zone of the router itself, which goes before others
+  ctl::ControlClient client(ControlAddresses(fleet));
+  const std::string evacuated = nlohmann::json{{"zones", {FleetStand::kZone}}}.dump();
+  REQUIRE(client.Evacuate(FleetStand::kZone).status == 200);
+  CHECK(client.Evacuate(FleetStand::kZone).status == 200);
+  CHECK(client.GetEvacuations().body == evacuated);
+  REQUIRE(AnsweredBy(fleet, "sheets-2", kRequests));
+
+  for (std::size_t i = 0; i < FleetStand::kControls; ++i) fleet.KillControl(i);
+  CHECK(CountAnswers(fleet, "sheets-2", kRequests) == kRequests);
+  for (std::size_t i = 0; i < FleetStand::kControls; ++i) fleet.StartControl(i, /*bootstrap=*/false);
+  for (std::size_t i = 0; i < FleetStand::kControls; ++i) REQUIRE(fleet.control(i).Says("process.started"));
+  CHECK(client.GetEvacuations().body == evacuated);
+  CHECK(CountAnswers(fleet, "sheets-2", kRequests) == kRequests);
+  fleet.KillAgent();
+  fleet.KillRouter();
+  fleet.StartAgent();
+  fleet.StartRouter();
+  REQUIRE(fleet.router().Says("router.readiness ready=true"));
+  CHECK(CountAnswers(fleet, "sheets-2", kRequests) == kRequests);
+
+  REQUIRE(client.TakeBack(FleetStand::kZone).status == 200);
+  CHECK(client.GetEvacuations().body == R"({"zones":[]})");
+  CHECK(AnsweredBy(fleet, "sheets-1", 1));
+}
+
 }  // namespace bitternmux::lab::fleet
