--- a/src/ctl/control_client.cpp
+++ b/src/ctl/control_client.cpp
@@ -2,7 +2,9 @@
 
 #include <curl/curl.h>
 
+#include <gsl/util>
 #include <memory>
+#include <new>
 
 #include "ctl/tally_calls.h"
 
@@ -19,6 +21,13 @@
   return size * count;
 }
 
+std::string EvacuationPath(const std::string& zone) {
+  char* const escaped = curl_easy_escape(nullptr, zone.data(), static_cast<int>(zone.size()));
+  if (escaped == nullptr) throw std::bad_alloc();
+  const auto free_it = gsl::finally([escaped] { curl_free(escaped); });
+  return std::string("/evacuations/") + escaped;
+}
+
 using Handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
@@ -90,4 +99,14 @@
   return Anywhere("POST", TallyPath(tally), TallyAddBody(id, amount), {"Content-Type: application/json"});
 }
 
+CallResult ControlClient::GetEvacuations() { return Anywhere("GET", "/evacuations", "", {}); }
+
+CallResult ControlClient::Evacuate(const std::string& zone) {
+  return Anywhere("POST", EvacuationPath(zone), "", {});
+}
+
+CallResult ControlClient::TakeBack(const std::string& zone) {
+  return Anywhere("DELETE", EvacuationPath(zone), "", {});
+}
+
 }  // namespace bitternmux::ctl
--- a/src/ctl/control_client.h
+++ b/src/ctl/control_client.h
@@ -37,6 +37,11 @@
   // The id counts once, however many machines the call went to. Throws std::invalid_argument if it is no
   // UTF-8.
   CallResult AddToTally(const std::string& tally, const std::string& id, std::int64_t amount);
+  // The zones whose servers get nothing.
+  CallResult GetEvacuations();
+  // Begins the evacuation of a zone, or takes the zone back. Sent again as a configuration is.
+  CallResult Evacuate(const std::string& zone);
+  CallResult TakeBack(const std::string& zone);
 
  private:
   CallResult Call(const std::string& method, const std::string& url, const std::string& body,
