Simulation: machines stand in zones, which are cut off, cut apart, flap and lose power

Control machines (3 to 5) and edge machines now stand in 2 to 4 zones; a sixth of the faults strike zones: all of a zone cut off, one way or both ways between two zones (a third may reach both), a cut that comes and goes, and loss of power.

--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -164,7 +164,9 @@
   WorldOptions options;
   options.seed = seed;
   const bool five = seed % 3 == 0;
-  options.machines = five ? 5 : 3;
+  const bool four = !five && seed % 7 == 3;
+  options.machines = five ? 5 : four ? 4 : 3;
+  options.zones = 2 + (seed / 3) % (options.machines == 3 ? 2 : 3);
   options.tolerated = five ? 2 : 1;
   options.edges = 3;
   options.sync_ms = seed % 2 == 0 ? 5 : 0.5;
--- a/lab/simulation/faults.cpp
+++ b/lab/simulation/faults.cpp
@@ -6,13 +6,14 @@
 namespace {
 
 constexpr double kGraceMs = 10'000;  // of a planned replacement, before the end of trouble
+constexpr double kLeastZoneCutMs = 1000, kMostZoneCutMs = 12'000;
 
 }  // namespace
 
 // A few times at once and a few apart: kinds come again while others still last.
 void Faults::Draw(double for_ms) {
   Clock& clock = world_.clock();
-  const std::size_t count = 3 + clock.Below(12);
+  const std::size_t count = 3 + clock.Below(14);
   const double end_ms = clock.now_ms() + for_ms;
   double at_ms = clock.now_ms();
   for (std::size_t i = 0; i < count; ++i) {
@@ -38,7 +39,7 @@
 void Faults::StrikeOnce(double left_ms) {
   Clock& clock = world_.clock();
   const std::size_t hit = Target();
-  switch (clock.Below(10)) {
+  switch (clock.Below(12)) {
     case 0:
     case 1:
       return StrikeProcess(hit, clock.Below(6));
@@ -54,6 +55,9 @@
       return StrikeEdge(clock.Below(7), Span());
     case 8:
       return StrikeAll(clock.Below(9));
+    case 9:
+    case 10:
+      return StrikeZone(clock.Below(6));
     default:
       return targeted_.Strike(left_ms);
   }
@@ -149,6 +153,18 @@
   }
 }
 
+void Faults::StrikeZone(std::size_t kind) {
+  Clock& clock = world_.clock();
+  const std::size_t zone = clock.Below(world_.zones());
+  const std::size_t other = (zone + 1 + clock.Below(world_.zones() - 1)) % world_.zones();
+  const double for_ms = clock.Between(kLeastZoneCutMs, kMostZoneCutMs);
+  if (kind < 2) world_.CutZone(zone, for_ms);
+  if (kind == 2) world_.CutZones(zone, other, /*both_ways=*/false, for_ms);
+  if (kind == 3) world_.CutZones(zone, other, /*both_ways=*/true, for_ms);
+  if (kind == 4) world_.FlapZone(zone, clock.Between(100, 1500), clock.Between(50, 1500), 2 + clock.Below(6));
+  if (kind == 5) world_.PowerZone(zone, clock.Between(200, 6000));
+}
+
 void Faults::StrikeAll(std::size_t kind) {
   Clock& clock = world_.clock();
   if (kind == 0) world_.KillAll(clock.Between(30, 900), /*power=*/false, /*everyone=*/false);
--- a/lab/simulation/faults.h
+++ b/lab/simulation/faults.h
@@ -29,6 +29,7 @@
   void StrikeGroup(std::size_t hit, std::size_t kind, double left_ms);
   void StrikeEdge(std::size_t kind, double for_ms);
   void StrikeAll(std::size_t kind);
+  void StrikeZone(std::size_t kind);
   void StrikeAfterAcknowledgement();
   void StrikeDuringElection();
   void LeaveOneBehind(std::size_t hit, double for_ms);
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -21,7 +21,7 @@
       platform_(clock_),
       checker_(clock_, history_) {
   checker_.UseQuota({kTenantRatePerS, kTenantBurst, kQuotaSlack, kQuotaOverage, kQuotaWindowMs});
-  for (std::size_t i = 0; i < options.machines; ++i) AddControl();
+  for (std::size_t i = 0; i < options.machines; ++i) AddControl(i % options.zones);
   for (std::size_t i = 0; i < std::min(kMostSeeds, options.machines); ++i) seeds_.push_back(i);
   for (std::size_t i = 0; i < options.machines; ++i) {
     clock_.After(clock_.Between(0, 300), [this, i] { Boot(i, true); });
@@ -37,7 +37,8 @@
 
 // ---- Control machines ----
 
-void World::AddControl() {
+void World::AddControl(std::size_t zone) {
+  zone_of_.push_back(zone);
   const std::size_t number = 100 + ++last_address_;
   const std::string ip = "10.0.0." + std::to_string(number);
   ControlMachine::Options options;
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -29,6 +29,7 @@
   std::size_t machines = 3;  // control machines
   std::size_t tolerated = 1;
   std::size_t edges = 3;
+  std::size_t zones = 2;  // in which machines and applications stand, in turn
   double sync_ms = 5;
   NetworkOptions network;
 };
@@ -76,6 +77,20 @@
   // Its connections are reset, each with even odds; what was on its way on them is lost.
   void ResetConnections(std::size_t i);
   void TurnSeeds();
+
+  // ---- Zones ----
+  std::size_t zones() const { return options_.zones; }
+  std::size_t ZoneOf(std::size_t control) const { return zone_of_[control]; }
+  // The name that the applications of a zone have on the network.
+  static std::string ApplicationsOf(std::size_t zone);
+  // From all other zones, both ways.
+  void CutZone(std::size_t zone, double for_ms);
+  // A cut between two zones; a third one may still reach both.
+  void CutZones(std::size_t from, std::size_t to, bool both_ways, double for_ms);
+  // Cut off and reached again, so many times.
+  void FlapZone(std::size_t zone, double cut_ms, double whole_ms, std::size_t times);
+  void PowerZone(std::size_t zone, double down_ms);
+
   // Disks that were lost and are not made good by a member that holds all.
   std::size_t DisksLost() const;
   bool MayLoseDisk(std::size_t i) const;
@@ -167,7 +182,8 @@
   void Admitted(const std::string& edge, double tokens) override;
   void Chosen(const std::string& edge, const std::string& server) override;
 
-  void AddControl();
+  void AddControl(std::size_t zone);
+  std::vector<std::string> MachinesIn(std::size_t zone) const;
   void ComePlanned(std::size_t i, std::size_t successor, double before_ms);
   void RemoveWhenBorne(std::size_t i);
   void DropSeed(std::size_t i);
@@ -200,6 +216,7 @@
   History history_;
   Checker checker_;
   std::vector<std::unique_ptr<ControlMachine>> controls_;
+  std::vector<std::size_t> zone_of_;  // of each control machine
   std::vector<std::unique_ptr<EdgeMachine>> edges_;
   std::map<fleet::SubscriberId, Link> links_;
   fleet::SubscriberId last_link_ = 0;
--- a/lab/simulation/world_faults.cpp
+++ b/lab/simulation/world_faults.cpp
@@ -88,7 +88,7 @@
   if (calm_) return;
   KillForGood(i);
   clock_.After(after_ms, [this, i] {
-    AddControl();
+    AddControl(zone_of_[i]);
     std::ranges::replace(seeds_, i, controls_.size() - 1);
     DropSeed(i);
     for (const auto& machine : controls_) machine->Reseed(Seeds());
@@ -99,7 +99,7 @@
 void World::ReplacePlanned(std::size_t i, double before_ms) {
   if (calm_) return;
   Tell(controls_[i]->address() + " is to be replaced");
-  AddControl();
+  AddControl(zone_of_[i]);
   const std::size_t successor = controls_.size() - 1;
   std::ranges::replace(seeds_, i, successor);
   ComePlanned(i, successor, before_ms);
@@ -108,7 +108,7 @@
 void World::ReplaceByUnknown(std::size_t i, double before_ms) {
   if (calm_) return;
   Tell(controls_[i]->address() + " is to be replaced by one that knows nobody");
-  AddControl();
+  AddControl(zone_of_[i]);
   seeds_ = {controls_.size() - 1};
   ComePlanned(i, controls_.size() - 1, before_ms);
 }
