Tallies: a machine without its disk answers no read alone, and one that joins is a peer

Only the owner names it as a peer, the others answered its states and told none of theirs. Now whoever tells a state is a peer, for 2 s after the last one. Now it waits until it has caught up with a machine that answers reads, and a machine counts as without its disk until it is a member.

--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -37,6 +37,16 @@
   return "";
 }
 
+namespace {
+
+// A machine that is no member yet has joined with an empty disk, in this life or in one before it.
+TallyLedger::Options TallyOptions(TallyLedger::Options options, const Replica& replica) {
+  if (replica.role() == Replica::Role::kLearner) options.may_have_lost_disk = true;
+  return options;
+}
+
+}  // namespace
+
 ControlCore::ControlCore(Options options, std::optional<DurableState> loaded, double now_ms)
     : first_seeds_(options.replica.seeds),
       replica_(options.replica, std::move(loaded), now_ms),
@@ -44,7 +54,7 @@
       list_reader_(options.replica.self.internal, options.replica.incarnation),
       publisher_(options.replica.incarnation),
       grantor_(options.quota),
-      tallies_(options.tallies, std::move(options.loaded_tallies), now_ms) {
+      tallies_(TallyOptions(options.tallies, replica_), std::move(options.loaded_tallies), now_ms) {
   PublishMembers();
   UseTallyPeers(now_ms);
 }
--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -14,7 +14,10 @@
 // Whoever is new counts as reached until it could have answered.
 void TallyLedger::SetPeers(double now_ms, const std::vector<std::string>& addresses) {
   const std::set<std::string> named(addresses.begin(), addresses.end());
-  std::erase_if(peers_, [&](const auto& entry) { return !named.contains(entry.first); });
+  std::erase_if(peers_, [&](const auto& entry) {
+    const auto& heard_ms = entry.second.heard_ms;
+    return !named.contains(entry.first) && (!heard_ms || now_ms - *heard_ms > kStrangerMs);
+  });
   for (const std::string& address : named) {
     const auto [at, is_new] = peers_.try_emplace(address);
     if (is_new) at->second.answered_ms = now_ms;
@@ -127,9 +130,9 @@
 void TallyLedger::On(double now_ms, const std::string& from, const TallyState& state) {
   const auto stored = stored_.find(state.origin);
   Send(from, TallyStored{state.origin, state.round, stored == stored_.end() ? 0 : stored->second});
-  const auto found = peers_.find(from);
-  if (found == peers_.end()) return;
+  const auto [found, is_new] = peers_.try_emplace(from);
   Peer& peer = found->second;
+  if (is_new) peer.answered_ms = now_ms;
   if (peer.origin != state.origin) {
     const double answered_ms = peer.answered_ms;
     const bool caught_up = peer.caught_up;
@@ -138,6 +141,8 @@
     peer.answered_ms = answered_ms;
     peer.caught_up = caught_up;
   }
+  peer.heard_ms = now_ms;
+  peer.settled = state.settled;
   peer.held_before = std::exchange(peer.held, state.held);
   JudgeCaughtUp();
   Settle(now_ms);
@@ -183,10 +188,17 @@
   }
 }
 
+// Nobody else may have what a lost disk had: a process that stands alone cannot tell.
+bool TallyLedger::HasCaughtUpWithSettled() const {
+  return std::ranges::any_of(
+      peers_, [](const auto& entry) { return entry.second.caught_up && entry.second.settled; });
+}
+
 void TallyLedger::Settle(double now_ms) {
   if (settled_) return;
   const double patience_ms = options_.may_have_lost_disk ? kCatchUpFromNothingMs : kCatchUpMs;
   const bool patient = now_ms - started_ms_ < patience_ms;
+  if (options_.may_have_lost_disk && !HasCaughtUpWithSettled()) return;
   settled_ = std::ranges::all_of(peers_, [&](const auto& entry) {
     return entry.second.caught_up || (!patient && !IsReached(entry.second, now_ms));
   });
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -43,6 +43,7 @@
 constexpr double kCatchUpMs = 1500;    // for which reads wait after a start for machines that are silent
 constexpr double kCatchUpFromNothingMs = 8000;  // the same, of a process that may have lost its disk
 constexpr double kFetchMs = 400;                // for the answer to a fetch
+constexpr double kStrangerMs = 2000;  // a machine that nobody has named is a peer for so long after its state
 constexpr std::size_t kMostPieceBytes = 64 * 1024;
 constexpr std::size_t kMaxAdds = 400'000;
 constexpr std::size_t kMaxTallyCalls = 1024;
@@ -85,9 +86,11 @@
 class TallyLedger {
  public:
   struct Options {
-    std::uint64_t origin = 0;         // of this process; never used before
-    std::size_t copies = 2;           // disks that an add has to be on: one more than may be lost at once
-    bool may_have_lost_disk = false;  // it began with an empty disk, and not with the whole fleet
+    std::uint64_t origin = 0;  // of this process; never used before
+    std::size_t copies = 2;    // disks that an add has to be on: one more than may be lost at once
+    // It began with an empty disk, and not with the whole fleet: it answers no read before it has caught up
+    // with a machine that does.
+    bool may_have_lost_disk = false;
   };
 
   // `loaded`: what the disk holds, a whole prefix of each log.
@@ -95,7 +98,8 @@
   TallyLedger(const TallyLedger&) = delete;
   TallyLedger& operator=(const TallyLedger&) = delete;
 
-  // The other control machines that are known, by their internal addresses.
+  // The other control machines that are known, by their internal addresses. Who is not among them and tells
+  // its state is one too: a machine that waits to join is named by the owner alone.
   void SetPeers(double now_ms, const std::vector<std::string>& addresses);
   // Answered in a later output, maybe the next one.
   void Add(double now_ms, std::uint64_t call, TallyAdd add);
@@ -116,6 +120,8 @@
   struct Peer {
     std::uint64_t origin = 0;              // of its life; 0: it has told nothing yet
     double answered_ms = 0;                // when the newest state that it answered was sent
+    std::optional<double> heard_ms;        // when its newest state came
+    bool settled = false;                  // it answers reads, as it told last
     std::uint64_t stored = 0;              // of this process's log, on its disk
     std::vector<TallyExtent> held;         // as it told last
     std::vector<TallyExtent> held_before;  // and the time before
@@ -148,6 +154,7 @@
   bool IsReached(const Peer& peer, double now_ms) const { return now_ms - peer.answered_ms <= kReachedMs; }
   void JudgeCaughtUp();
   void Settle(double now_ms);
+  bool HasCaughtUpWithSettled() const;
   void FetchMissing(double now_ms);
   void Ask(double now_ms, const std::string& from);
   bool IsStored(double now_ms, std::uint64_t number) const;
