--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -14,7 +14,8 @@
     : clock_(clock),
       surroundings_(surroundings),
       options_(std::move(options)),
-      disk_(clock, options_.sync_ms) {}
+      disk_(clock, options_.sync_ms),
+      tally_disk_(clock, disk_) {}
 
 bool ControlMachine::frozen() const { return clock_.now_ms() < frozen_until_ms_; }
 
@@ -28,6 +29,10 @@
   options.quota = options_.quota;
   options.replica.incarnation = NextUnique(clock_);
   options.replica.new_store = NextUnique(clock_);
+  options.tallies.origin = NextUnique(clock_);
+  options.tallies.copies = options_.tolerated + 1;
+  options.tallies.may_have_lost_disk = !bootstrap && !disk_.content();
+  options.loaded_tallies = tally_disk_.Load();
   ++life_;
   ending_ = false;
   frozen_until_ms_ = 0;
@@ -44,8 +49,11 @@
   frozen_until_ms_ = 0;
   buffered_.clear();
   disk_.Interrupt();
+  tally_disk_.Interrupt();
   const auto calls = std::exchange(calls_, {});
   for (const auto& [id, answered] : calls) answered(CallResult::kReset, {});
+  const auto tally_calls = std::exchange(tally_calls_, {});
+  for (const auto& [id, answered] : tally_calls) answered(CallResult::kReset, {});
 }
 
 void ControlMachine::Freeze(double for_ms) {
@@ -163,6 +171,39 @@
   });
 }
 
+void ControlMachine::BeginTallyCall(std::uint64_t life, TallyAnswered answered,
+                                    std::function<void(std::uint64_t call)> begin) {
+  if (!up() || life != life_) return answered(CallResult::kReset, {});
+  const std::uint64_t call = ++last_call_;
+  tally_calls_[call] = std::move(answered);
+  Input(life, [call, begin = std::move(begin)] { begin(call); });
+}
+
+void ControlMachine::AddToTally(std::uint64_t life, const fleet::TallyAdd& add, TallyAnswered answered) {
+  BeginTallyCall(life, std::move(answered),
+                 [this, add](std::uint64_t call) { core_->AddToTally(clock_.now_ms(), call, add); });
+}
+
+void ControlMachine::ReadTally(std::uint64_t life, const std::string& tally, TallyAnswered answered) {
+  BeginTallyCall(life, std::move(answered),
+                 [this, tally](std::uint64_t call) { core_->ReadTally(clock_.now_ms(), call, tally); });
+}
+
+void ControlMachine::DrainTallies(const fleet::ControlOutput& output) {
+  for (const fleet::TallyWrite& write : output.tally_writes) {
+    tally_disk_.Append(write, [this, life = life_](std::uint64_t ticket) {
+      Input(life, [this, ticket] { core_->TalliesStored(clock_.now_ms(), ticket); });
+    });
+  }
+  for (const fleet::TallyAnswer& answer : output.tally_answers) {
+    const auto found = tally_calls_.find(answer.call);
+    if (found == tally_calls_.end()) continue;
+    const TallyAnswered answered = std::move(found->second);
+    tally_calls_.erase(found);
+    answered(CallResult::kAnswered, answer);
+  }
+}
+
 // Carries out what was decided.
 void ControlMachine::Drain() {
   if (!up()) return;
@@ -192,6 +233,7 @@
     calls_.erase(found);
     answered(CallResult::kAnswered, answer);
   }
+  DrainTallies(output);
   for (const fleet::ControlNotice& notice : output.notices) {
     if (notice.kind == fleet::ControlNotice::Kind::kRole) {
       surroundings_.Tell(address() + " is " + notice.text + ", epoch " + std::to_string(notice.number));
--- a/lab/simulation/control_machine.h
+++ b/lab/simulation/control_machine.h
@@ -14,6 +14,7 @@
 #include "fleet/control/control_core.h"
 #include "lab/simulation/clock.h"
 #include "lab/simulation/disk.h"
+#include "lab/simulation/tally_disk.h"
 
 namespace bitternmux::lab::simulation {
 
@@ -34,10 +35,12 @@
  public:
   enum class CallResult { kAnswered, kReset };
   using Answered = std::function<void(CallResult, const fleet::CallAnswer&)>;
+  using TallyAnswered = std::function<void(CallResult, const fleet::TallyAnswer&)>;
 
   struct Options {
     fleet::Member self;
     std::size_t group_size = 3;
+    std::size_t tolerated = 1;
     double sync_ms = 5;
     fleet::QuotaBounds quota;
   };
@@ -53,6 +56,13 @@
   std::uint64_t life() const { return life_; }
   const fleet::ControlCore* core() const { return core_.get(); }
   Disk& disk() { return disk_; }
+  const TallyDisk& tally_disk() const { return tally_disk_; }
+  // It is down, stands still or is slow.
+  bool InTrouble() const { return !up() || frozen() || input_ms_ > 0; }
+  void WipeDisks() {
+    disk_.Wipe();
+    tally_disk_.Wipe();
+  }
 
   void Boot(std::vector<fleet::Member> seeds, bool bootstrap);
   void Kill();
@@ -83,6 +93,9 @@
   void ListRead(std::uint64_t life, const std::optional<fleet::ServerMap>& servers);
   // A call of the operator; an order, or a read where there is none.
   void Call(std::uint64_t life, const std::optional<fleet::Order>& order, Answered answered);
+  // Calls of applications.
+  void AddToTally(std::uint64_t life, const fleet::TallyAdd& add, TallyAnswered answered);
+  void ReadTally(std::uint64_t life, const std::string& tally, TallyAnswered answered);
 
  private:
   static constexpr double kTickMs = 50;
@@ -93,11 +106,15 @@
   void Tick(std::uint64_t life);
   void Thaw();
   void Drain();
+  void DrainTallies(const fleet::ControlOutput& output);
+  void BeginTallyCall(std::uint64_t life, TallyAnswered answered,
+                      std::function<void(std::uint64_t call)> begin);
 
   Clock& clock_;
   ControlSurroundings& surroundings_;
   const Options options_;
   Disk disk_;
+  TallyDisk tally_disk_;
   std::unique_ptr<fleet::ControlCore> core_;
   std::uint64_t life_ = 0;
   double frozen_until_ms_ = 0;
@@ -106,6 +123,7 @@
   std::deque<std::function<void()>> buffered_;
   std::uint64_t last_call_ = 0;
   std::map<std::uint64_t, Answered> calls_;
+  std::map<std::uint64_t, TallyAnswered> tally_calls_;
 };
 
 // Numbers that no other process or disk of any run has.
--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -7,8 +7,10 @@
 #include <string>
 #include <utility>
 
+#include "lab/simulation/applications.h"
 #include "lab/simulation/faults.h"
 #include "lab/simulation/operators.h"
+#include "lab/simulation/tally_checker.h"
 
 namespace bitternmux::lab::simulation {
 namespace {
@@ -16,6 +18,8 @@
 constexpr double kStartMs = 4000;
 constexpr double kTroubleMs = 26'000;
 constexpr double kLookEveryMs = 50;
+constexpr std::size_t kReadsAtEnd = 3;
+constexpr double kReadAnswerMs = 1100;
 constexpr double kLoadsSettleMs = 2500;      // until the requests that were under way have ended
 constexpr std::uint64_t kSlowDisksEach = 8;  // day that ends so
 
@@ -158,8 +162,34 @@
   if (took_ms > kVersionWithinMs) world.checker().Fault(14, "a change is not everywhere in time");
 }
 
+// Reads each tally at each machine; where no answer comes, again.
+void ReadTotals(World& world) {
+  for (const std::size_t machine : world.Present()) {
+    for (std::size_t number = 0; number < kTallies; ++number) {
+      std::size_t row = 0;
+      const auto answered = [&] { return world.history().tallies.reads[row].call.end == TallyEnd::kTotal; };
+      for (std::size_t i = 0; i < kReadsAtEnd && (i == 0 || !answered()); ++i) {
+        row = world.ReadTally(world.ZoneOf(machine), machine, TallyName(number));
+        Await(world, kReadAnswerMs, answered);
+      }
+      world.history().tallies.reads[row].at_end = true;
+    }
+  }
+}
+
 }  // namespace
 
+void CheckTallies(World& world) {
+  world.RunFor(kMergeMs);
+  ReadTotals(world);
+  TallyChecker checker(world.history().tallies, [&](int invariant, const std::string& what) {
+    world.checker().Fault(invariant, what);
+  });
+  const std::size_t before = world.history().violations.size();
+  checker.Check();
+  if (world.history().violations.size() > before) world.TellLostAdds();
+}
+
 WorldOptions DrawOptions(std::uint64_t seed) {
   WorldOptions options;
   options.seed = seed;
@@ -217,16 +247,21 @@
 History PlayDay(std::uint64_t seed) {
   World world(DrawOptions(seed));
   Operators operators(world, 3);
+  Applications applications(world);
   Faults faults(world, operators);
   KeepBusy(world);
   world.clock().After(1000, [&] { operators.Begin(); });
+  world.clock().After(1000, [&] { applications.Begin(); });
   world.RunFor(kStartMs);
   faults.Draw(kTroubleMs);
   world.RunFor(kTroubleMs);
   operators.End();
   faults.Close();
+  faults.CloseOnTallies();
   if (seed % kSlowDisksEach == 0) CheckSlowDisks(world);
   CheckAll(world);
+  applications.End();
+  CheckTallies(world);
   return std::move(world.history());
 }
 
--- a/lab/simulation/day.h
+++ b/lab/simulation/day.h
@@ -28,6 +28,8 @@
 void CheckSlowDisks(World& world);
 // Ends all trouble and checks what must hold from then on; for tests of single sequences too.
 void CheckCalm(World& world);
+// Lets adds reach all machines, reads all totals at all of them and checks all answers on tallies.
+void CheckTallies(World& world);
 // CheckCalm and all that is checked from the history.
 void CheckAll(World& world);
 
--- a/lab/simulation/disk.h
+++ b/lab/simulation/disk.h
@@ -35,6 +35,10 @@
   void Stall(double for_ms) { stalled_until_ms_ = clock_.now_ms() + for_ms; }
   void SetSlowness(double times) { slowness_ = times; }
   void SetFull(bool full) { full_ = full; }
+  bool full() const { return full_; }
+  bool stalled() const { return clock_.now_ms() < stalled_until_ms_; }
+  bool InTrouble() const { return full() || stalled() || slowness_ > 1; }
+  double DrawSyncMs() const { return sync_ms_ * slowness_ * clock_.Between(0.8, 1.5); }
 
  private:
   struct Write {
@@ -51,7 +55,6 @@
     if (writing_) Wait();
   }
   void Wait() {
-    const double now_ms = clock_.now_ms();
     const std::uint64_t life = life_;
     if (full_) {
       clock_.After(kRetryMs, [this, life] {
@@ -61,19 +64,19 @@
       });
       return;
     }
-    if (now_ms < stalled_until_ms_) {
+    if (stalled()) {
       clock_.After(kLookMs, [this, life] {
         if (life == life_) Wait();
       });
       return;
     }
     writing_->begun = true;
-    clock_.After(sync_ms_ * slowness_ * clock_.Between(0.8, 1.5), [this, life] {
+    clock_.After(DrawSyncMs(), [this, life] {
       if (life == life_) Finish();
     });
   }
   void Finish() {
-    if (clock_.now_ms() < stalled_until_ms_) return Wait();
+    if (stalled()) return Wait();
     content_ = writing_->state;
     const Saved saved = std::move(writing_->saved);
     const std::uint64_t ticket = writing_->ticket;
--- a/lab/simulation/faults.cpp
+++ b/lab/simulation/faults.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr double kGraceMs = 10'000;  // of a planned replacement, before the end of trouble
+constexpr double kSlowDisk = 30;     // times as slow
+constexpr std::size_t kKindsAfterAdd = 4;
+constexpr double kCalmBeforeCloseMs = 5500;  // in which all machines come to be in connection
 constexpr double kLeastZoneCutMs = 1000, kMostZoneCutMs = 12'000;
 
 }  // namespace
@@ -54,7 +57,7 @@
     case 7:
       return StrikeEdge(clock.Below(7), Span());
     case 8:
-      return StrikeAll(clock.Below(9));
+      return StrikeAll(clock.Below(11));
     case 9:
     case 10:
       return StrikeZone(clock.Below(6));
@@ -92,7 +95,7 @@
 void Faults::StrikeDisk(std::size_t hit, std::size_t kind, double for_ms) {
   Disk& disk = world_.control(hit).disk();
   if (kind == 0) disk.Stall(std::min(for_ms, 6000.0));
-  if (kind == 1) disk.SetSlowness(30);
+  if (kind == 1) disk.SetSlowness(kSlowDisk);
   if (kind == 2) disk.SetFull(true);
   if (kind != 3) {
     world_.clock().After(for_ms, [&disk] {
@@ -172,7 +175,11 @@
   if (kind == 2) world_.KillAll(clock.Between(100, 2000), /*power=*/true, /*everyone=*/true);
   if (kind == 3) operators_.Storm(clock.Between(500, 4000), 80);
   if (kind >= 4 && kind < 7) StrikeAfterAcknowledgement();
-  if (kind >= 7) StrikeDuringElection();
+  if (kind == 7 || kind == 8) StrikeDuringElection();
+  if (kind >= 9) {
+    world_.OnceTallyAcknowledged(
+        [this](std::size_t machine) { StrikeAfterAdd(machine, world_.clock().Below(kKindsAfterAdd)); });
+  }
 }
 
 // The owner is cut off until just after others have promised to follow another one; who has promised loses
@@ -229,4 +236,47 @@
   world_.RunFor(1500);
 }
 
+// That machine's, and others' up to as many as may be lost at once.
+void Faults::LoseDisks(std::size_t first) {
+  std::vector<std::size_t> machines = world_.Present();
+  std::erase(machines, first);
+  machines.insert(machines.begin(), first);
+  std::size_t left = world_.options().tolerated;
+  for (const std::size_t i : machines) {
+    if (left == 0) return;
+    if (i != first && world_.clock().Chance(0.3)) continue;
+    if (!world_.MayLoseDisk(i)) continue;
+    world_.WipeAndRestart(i, world_.clock().Between(50, 2000));
+    --left;
+  }
+}
+
+void Faults::StrikeAfterAdd(std::size_t machine, std::size_t kind) {
+  const double down_ms = world_.clock().Between(100, 1500);
+  if (kind == 0) world_.KillAll(down_ms, /*power=*/false, /*everyone=*/false);
+  if (kind == 1) world_.KillAll(down_ms, /*power=*/true, /*everyone=*/false);
+  if (kind >= 2) LoseDisks(machine);
+  if (kind == 3) world_.KillAll(down_ms, /*power=*/true, /*everyone=*/false);
+}
+
+void Faults::CloseOnTallies() {
+  Clock& clock = world_.clock();
+  if (clock.Chance(0.4)) return;
+  if (clock.Chance(0.7)) {  // what is acknowledged in connection is owed whatever is lost then
+    world_.Repair();
+    world_.RunFor(kCalmBeforeCloseMs);
+  }
+  const bool slow_disks = clock.Chance(0.4);
+  for (const std::size_t i : world_.Present()) {
+    if (slow_disks && clock.Chance(0.5)) world_.control(i).disk().SetSlowness(kSlowDisk);
+  }
+  if (clock.Chance(0.3)) {
+    world_.CutZone(clock.Below(world_.zones()), clock.Between(500, 3000));
+    world_.RunFor(clock.Between(10, 1500));
+  }
+  const std::size_t kind = clock.Below(kKindsAfterAdd);
+  world_.OnceTallyAcknowledged([this, kind](std::size_t machine) { StrikeAfterAdd(machine, kind); });
+  world_.RunFor(2500);
+}
+
 }  // namespace bitternmux::lab::simulation
--- a/lab/simulation/faults.h
+++ b/lab/simulation/faults.h
@@ -20,6 +20,8 @@
   void Draw(double for_ms);
   // A final fault right after an acknowledgement, or none.
   void Close();
+  // The same after an add to a tally.
+  void CloseOnTallies();
 
  private:
   void StrikeOnce(double left_ms);
@@ -31,6 +33,8 @@
   void StrikeAll(std::size_t kind);
   void StrikeZone(std::size_t kind);
   void StrikeAfterAcknowledgement();
+  void StrikeAfterAdd(std::size_t machine, std::size_t kind);
+  void LoseDisks(std::size_t first);
   void StrikeDuringElection();
   void LeaveOneBehind(std::size_t hit, double for_ms);
   std::size_t Target();
--- a/lab/simulation/history.h
+++ b/lab/simulation/history.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fleet/messages/messages.h"
+#include "lab/simulation/tally_history.h"
 
 namespace bitternmux::lab::simulation {
 
@@ -50,6 +51,7 @@
   std::vector<std::string> lines;                        // faults and roles, for people
   std::vector<Violation> violations;
   Measure measure;
+  TallyHistory tallies;
 };
 
 }  // namespace bitternmux::lab::simulation
--- a/lab/simulation/network.cpp
+++ b/lab/simulation/network.cpp
@@ -10,6 +10,11 @@
   return found == rates_.end() ? kFastLink : found->second;
 }
 
+std::string Network::ZoneOf(const std::string& machine) const {
+  const auto found = zones_.find(machine);
+  return found == zones_.end() ? "" : found->second;
+}
+
 double Network::QueuedBytes(const std::string& machine) const {
   const auto found = link_free_ms_.find(machine);
   if (found == link_free_ms_.end()) return 0;
--- a/lab/simulation/network.h
+++ b/lab/simulation/network.h
@@ -40,8 +40,13 @@
   void Cut(const std::string& from, const std::string& to) { ++cuts_[{from, to}]; }
   void Heal(const std::string& from, const std::string& to);
   void HealAll() { cuts_.clear(); }
-  bool IsCut(const std::string& from, const std::string& to) const { return cuts_.contains({from, to}); }
+  bool IsCut(const std::string& from, const std::string& to) const {
+    return cuts_.contains({from, to}) || cuts_.contains({ZoneOf(from), ZoneOf(to)});
+  }
+  // A cut between two zones holds for all machines that stand there, now or later.
+  void Place(const std::string& machine, const std::string& zone) { zones_[machine] = zone; }
   void SetRate(const std::string& machine, double bytes_per_ms) { rates_[machine] = bytes_per_ms; }
+  bool IsSlow(const std::string& machine) const { return Rate(machine) < kFastLink; }
   // Bytes that wait to leave a machine's link.
   double QueuedBytes(const std::string& machine) const;
   std::uint64_t bytes() const { return bytes_; }
@@ -58,12 +63,14 @@
   };
   void Pump(const Pair& pair);
   double Rate(const std::string& machine) const;
+  std::string ZoneOf(const std::string& machine) const;
 
   Clock& clock_;
   const NetworkOptions options_;
   std::map<Pair, std::deque<Item>> connections_;
   std::set<Pair> pumping_;
-  std::map<Pair, int> cuts_;
+  std::map<Pair, int> cuts_;  // of machines or zones
+  std::map<std::string, std::string> zones_;
   std::map<std::string, double> rates_;
   std::map<std::string, double> link_free_ms_;
   std::uint64_t bytes_ = 0;
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -19,13 +19,16 @@
       clock_(options.seed),
       network_(clock_, options.network),
       platform_(clock_),
-      checker_(clock_, history_) {
+      checker_(clock_, history_),
+      watch_(history_.tallies) {
+  history_.tallies.tolerated = options.tolerated;
   checker_.UseQuota({kTenantRatePerS, kTenantBurst, kQuotaSlack, kQuotaOverage, kQuotaWindowMs});
   for (std::size_t i = 0; i < options.machines; ++i) AddControl(i % options.zones);
   for (std::size_t i = 0; i < std::min(kMostSeeds, options.machines); ++i) seeds_.push_back(i);
   for (std::size_t i = 0; i < options.machines; ++i) {
     clock_.After(clock_.Between(0, 300), [this, i] { Boot(i, true); });
   }
+  WatchFaults();
   for (std::size_t i = 0; i < options.edges; ++i) {
     EdgeSurroundings& surroundings = *this;
     edges_.push_back(
@@ -33,6 +36,7 @@
                                       fleet::QuotaBounds{kQuotaWindowMs, kQuotaOverage, kQuotaSlack}));
     clock_.After(clock_.Between(0, 300), [this, i] { edges_[i]->Boot(SeedAddresses()); });
   }
+  PlaceInZones();
 }
 
 // ---- Control machines ----
@@ -45,8 +49,11 @@
   options.self = {ip + ":7680", ip + ":8665", 0};
   options.group_size = 2 * options_.tolerated + 1;
   options.sync_ms = options_.sync_ms;
+  options.tolerated = options_.tolerated;
   options.quota = {kQuotaWindowMs, kQuotaOverage, kQuotaSlack};
   ControlSurroundings& surroundings = *this;
+  network_.Place(options.self.internal, NameOfZone(zone));
+  history_.tallies.machines.push_back({options.self.internal, clock_.now_ms(), kForeverMs});
   controls_.push_back(std::make_unique<ControlMachine>(clock_, surroundings, options));
 }
 
@@ -66,6 +73,7 @@
 void World::Boot(std::size_t i, bool bootstrap) {
   Tell(controls_[i]->address() + " starts" + (controls_[i]->disk().content() ? "" : " with an empty disk"));
   controls_[i]->Boot(Seeds(), bootstrap);
+  if (controls_[i]->up()) NoteDiskBack(controls_[i]->address());
 }
 
 void World::StartAfter(std::size_t i, double down_ms) {
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -16,6 +16,7 @@
 #include "lab/simulation/clock.h"
 #include "lab/simulation/control_machine.h"
 #include "lab/simulation/edge_machine.h"
+#include "lab/simulation/fault_watch.h"
 #include "lab/simulation/history.h"
 #include "lab/simulation/network.h"
 #include "lab/simulation/platform.h"
@@ -137,6 +138,8 @@
 
   // Writes what each control machine holds into the history, for people.
   void TellGroup();
+  // And the acknowledged adds that are on no disk.
+  void TellLostAdds();
 
   // When an owner begins to exchange a member the next time.
   void OnceExchanging(std::function<void(std::size_t machine)> then) { when_exchanging_ = std::move(then); }
@@ -144,10 +147,23 @@
   // When that owner has begun to send the value that ends the exchange.
   void OnceExchanged(std::function<void(std::size_t machine)> then) { when_exchanged_ = std::move(then); }
 
+  // ---- Applications ----
+  // An application of the zone sends an add, which has a row in the history, to that machine. `ended` is
+  // called once.
+  void AddToTally(std::size_t zone, std::size_t machine, std::size_t add,
+                  std::function<void(TallyEnd)> ended);
+  // The read's row in the history.
+  std::size_t ReadTally(std::size_t zone, std::size_t machine, const std::string& tally);
+  // When an add is acknowledged the next time.
+  void OnceTallyAcknowledged(std::function<void(std::size_t machine)> then) {
+    when_tally_acknowledged_ = std::move(then);
+  }
+
   // ---- The end of trouble ----
   // After Heal: all control processes at once, on disks that are so many times slower.
   void RestartControl(double slowness);
-  void Heal();  // links, disks, and all that is down comes up
+  void Repair();  // links, disks, and all that is down comes up
+  void Heal();    // the same, and no fault strikes any more
 
  private:
   struct Link {
@@ -166,6 +182,14 @@
     bool only_there = false;
   };
 
+  // An add, or else a read.
+  struct TallyCall {
+    std::optional<fleet::TallyAdd> add;
+    std::string read;
+    std::function<void(std::uint64_t life)> reached;
+    std::function<void(TallyEnd, std::int64_t total)> ended;
+  };
+
   // ControlSurroundings
   void ToControl(const std::string& from, const std::string& to, const fleet::Message& message) override;
   void ToSubscriber(const std::string& from, fleet::SubscriberId id, const fleet::Message& message) override;
@@ -183,7 +207,8 @@
   void Chosen(const std::string& edge, const std::string& server) override;
 
   void AddControl(std::size_t zone);
-  std::vector<std::string> MachinesIn(std::size_t zone) const;
+  static std::string NameOfZone(std::size_t zone);
+  void PlaceInZones();
   void ComePlanned(std::size_t i, std::size_t successor, double before_ms);
   void RemoveWhenBorne(std::size_t i);
   void DropSeed(std::size_t i);
@@ -207,6 +232,12 @@
   void GoOn(Try attempt);
   void Answered(Try attempt, const fleet::CallAnswer& answer, const std::string& by);
   void End(std::size_t call, CallEnd end, const std::string& by);
+  void SendTallyCall(std::size_t zone, std::size_t machine, TallyCall call);
+  void WatchFaults();
+  void NoteFaults();
+  void NoteDiskLost(std::size_t i);
+  void NoteDiskBack(const std::string& machine);
+  void Remove(std::size_t i);
   void ObserveExchange(const std::string& machine, const fleet::Replica& replica);
 
   const WorldOptions options_;
@@ -215,6 +246,7 @@
   Platform platform_;
   History history_;
   Checker checker_;
+  FaultWatch watch_;
   std::vector<std::unique_ptr<ControlMachine>> controls_;
   std::vector<std::size_t> zone_of_;  // of each control machine
   std::vector<std::unique_ptr<EdgeMachine>> edges_;
@@ -231,7 +263,7 @@
   std::set<std::size_t> open_calls_;
   std::map<std::size_t, fleet::Order> orders_;
   std::function<void(std::size_t)> when_acknowledged_, when_prepared_, when_promised_;
-  std::function<void(std::size_t)> when_exchanging_, when_exchanged_;
+  std::function<void(std::size_t)> when_exchanging_, when_exchanged_, when_tally_acknowledged_;
 };
 
 // The text of a configuration of that version, as operators of the simulation send it.
--- a/lab/simulation/world_faults.cpp
+++ b/lab/simulation/world_faults.cpp
@@ -20,6 +20,7 @@
   if (calm_) return;
   Tell(controls_[i]->address() + " is killed");
   controls_[i]->Kill();
+  NoteFaults();
   LinksLost(controls_[i]->address());
   StartAfter(i, down_ms);
 }
@@ -28,6 +29,7 @@
 void World::GoDark(std::size_t i) {
   ControlMachine& machine = *controls_[i];
   machine.PowerOff();
+  NoteFaults();
   network_.Forget(machine.address());
   std::erase_if(links_, [&](const auto& entry) { return entry.second.control == machine.address(); });
 }
@@ -43,7 +45,8 @@
   if (calm_) return;
   Tell(controls_[i]->address() + " loses its disk");
   GoDark(i);
-  controls_[i]->disk().Wipe();
+  controls_[i]->WipeDisks();
+  NoteDiskLost(i);
   StartAfter(i, down_ms);
 }
 
@@ -81,7 +84,13 @@
   if (calm_) return;
   Tell(controls_[i]->address() + " is gone for good");
   GoDark(i);
+  Remove(i);
+}
+
+void World::Remove(std::size_t i) {
   controls_[i]->Remove();
+  NoteDiskLost(i);
+  history_.tallies.machines[i].until_ms = clock_.now_ms();
 }
 
 void World::Replace(std::size_t i, double after_ms) {
@@ -93,6 +102,7 @@
     DropSeed(i);
     for (const auto& machine : controls_) machine->Reseed(Seeds());
     Boot(controls_.size() - 1, false);
+    NoteDiskBack(controls_[i]->address());  // in its place
   });
 }
 
@@ -134,7 +144,8 @@
   if (!Counts(i) || MayLoseDisk(i)) {
     Tell(controls_[i]->address() + " is removed");
     DropSeed(i);
-    return controls_[i]->Remove();
+    Remove(i);
+    return NoteDiskBack(controls_[i]->address());  // its successor is there
   }
   controls_[i]->PowerOn();
   if (!controls_[i]->up()) Boot(i, false);
@@ -325,11 +336,16 @@
 void World::Heal() {
   Tell("---- calm ----");
   calm_ = true;
+  Repair();
+}
+
+void World::Repair() {
   when_acknowledged_ = nullptr;
   when_prepared_ = nullptr;
   when_promised_ = nullptr;
   when_exchanging_ = nullptr;
   when_exchanged_ = nullptr;
+  when_tally_acknowledged_ = nullptr;
   network_.HealAll();
   cut_from_platform_.clear();
   slow_platform_.clear();
--- a/lab/simulation/world_zones.cpp
+++ b/lab/simulation/world_zones.cpp
@@ -5,24 +5,20 @@
 
 std::string World::ApplicationsOf(std::size_t zone) { return "applications-" + std::to_string(zone); }
 
-std::vector<std::string> World::MachinesIn(std::size_t zone) const {
-  std::vector<std::string> names{ApplicationsOf(zone)};
-  for (const std::size_t i : Present()) {
-    if (zone_of_[i] == zone) names.push_back(controls_[i]->address());
-  }
-  for (std::size_t i = 0; i < edges_.size(); ++i) {
-    if (i % options_.zones == zone) names.push_back(edges_[i]->name());
-  }
-  return names;
+std::string World::NameOfZone(std::size_t zone) { return "zone-" + std::to_string(zone); }
+
+void World::PlaceInZones() {
+  for (std::size_t zone = 0; zone < options_.zones; ++zone)
+    network_.Place(ApplicationsOf(zone), NameOfZone(zone));
+  for (std::size_t i = 0; i < edges_.size(); ++i)
+    network_.Place(edges_[i]->name(), NameOfZone(i % options_.zones));
 }
 
 void World::CutZones(std::size_t from, std::size_t to, bool both_ways, double for_ms) {
   if (calm_ || from == to) return;
   Tell("zone " + std::to_string(from) + " does not reach zone " + std::to_string(to) +
        (both_ways ? ", nor the other way round" : "") + ", for " + std::to_string(for_ms));
-  for (const std::string& one : MachinesIn(from)) {
-    for (const std::string& other : MachinesIn(to)) CutBoth(one, other, for_ms, both_ways);
-  }
+  CutBoth(NameOfZone(from), NameOfZone(to), for_ms, both_ways);
 }
 
 void World::CutZone(std::size_t zone, double for_ms) {
