Story of the operator's tool: adds to tallies, and shows a machine that is not reached

Cause: tally commands and IsConnected had no test against the built programs.

Changed: a story with three control machines, one of which is killed and started again.

--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -2,13 +2,16 @@
 // Waits are for what the programs say and answer; nothing sleeps.
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "ctl/status_report.h"
+#include "ctl/tally_calls.h"
 #include "http/writer.h"
 #include "lab/fleet/fleet_stand.h"
 
@@ -36,6 +39,15 @@
   return http::ChunkHead(bytes.size()).append(bytes).append(http::kChunkEnd);
 }
 
+// Asks again and again until it holds.
+bool HoldsWithin(std::chrono::seconds time, const std::function<bool()>& holds) {
+  const auto until = std::chrono::steady_clock::now() + time;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > until) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 TEST_CASE("fleet story: a calm day by the whole path") {
@@ -396,6 +408,29 @@
   CHECK(machines[2].result.status == 0);
 }
 
+TEST_CASE("fleet story: the operator's tool adds to tallies and shows that a machine is not reached") {
+  FleetStand fleet(Built());
+  REQUIRE(fleet.Start());
+  std::vector<std::string> controls;
+  for (std::size_t i = 0; i < FleetStand::kControls; ++i) controls.push_back(fleet.ControlAddress(i));
+  ctl::ControlClient client(controls);
+  const auto connected = [&] {
+    std::vector<ctl::MachineStatus> machines;
+    for (const std::string& control : controls) machines.push_back({control, client.Status(control)});
+    return ctl::IsConnected(machines);
+  };
+  REQUIRE(HoldsWithin(std::chrono::seconds(10), connected));
+  CHECK(client.AddToTally("t 1", "a", 4).status == 200);
+  CHECK(client.AddToTally("t 1", "a", 4).status == 200);
+  CHECK(ctl::ReadTotal(client.GetTally("t 1").body) == 4);
+  fleet.KillControl(2);
+  CHECK(HoldsWithin(std::chrono::seconds(5), [&] { return !connected(); }));
+  CHECK(client.AddToTally("t 1", "b", 3).status == 200);
+  CHECK(ctl::ReadTotal(client.GetTally("t 1").body) == 7);
+  fleet.StartControl(2, /*bootstrap=*/false);
+  CHECK(HoldsWithin(std::chrono::seconds(10), connected));
+}
+
 TEST_CASE("fleet story: a router that is told to stop finishes what it holds") {
   FleetStand fleet(Built());
   REQUIRE(fleet.Start());
