Tallies: ask each machine in turn for what is missing; wait longer for those that were never heard

Found by review, by reading: a machine that had told more and fell silent was asked again for ever, so that a newcomer never caught up; a process that stood still, or the first one back after a kill of all, took the others for cut off and answered by its own disk alone. An order that the replica has had is answered 504 and not 503 when its owner loses the role: it may be taken.

--- a/src/fleet/operations/operator_calls.cpp
+++ b/src/fleet/operations/operator_calls.cpp
@@ -24,6 +24,7 @@
   if (replica_.role() == Replica::Role::kOwner) {
     call.held = false;
     if (call.order) {
+      call.begun = true;
       std::visit([&](const auto& order) { replica_.Propose(now_ms, id, order); }, *call.order);
     } else {
       replica_.Read(now_ms, id);
@@ -78,7 +79,8 @@
     const double passed_ms = now_ms - call.asked_ms;
     if (call.held && Route(now_ms, id, call)) continue;
     if (passed_ms < (call.held ? kHoldMs : kCallMs)) continue;
-    const CallOutcome outcome = call.held ? CallOutcome::kUnavailable : CallOutcome::kUndecided;
+    const bool nothing_done = call.held && !call.begun;
+    const CallOutcome outcome = nothing_done ? CallOutcome::kUnavailable : CallOutcome::kUndecided;
     calls_.erase(id);
     Reply(id, outcome);
   }
--- a/src/fleet/operations/operator_calls.h
+++ b/src/fleet/operations/operator_calls.h
@@ -28,7 +28,7 @@
   kTaken,
   kConflict,
   kOld,
-  kRead,         // `value` is the newest
+  kRead,         // the committed value is the newest
   kRedirected,   // to `owner`
   kUnavailable,  // no owner is known; nothing was begun here
   kUndecided,    // it may have been taken
@@ -58,7 +58,8 @@
   struct Call {
     std::optional<OperatorOrder> order;  // none: a read
     double asked_ms = 0;
-    bool held = false;  // no owner is known; else the replica has it
+    bool held = false;   // no owner is known; else the replica has it
+    bool begun = false;  // the replica has had it as an order: it may be taken
   };
   void Begin(double now_ms, std::uint64_t id, Call call);
   // True: the call was answered or handed to the replica.
--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -6,7 +6,7 @@
 namespace bitternmux::fleet {
 
 TallyLedger::TallyLedger(Options options, std::vector<TallyAdds> loaded, double now_ms)
-    : options_(options), started_ms_(now_ms) {
+    : options_(options), started_ms_(now_ms), event_ms_(now_ms) {
   for (TallyAdds& adds : loaded) fold_.Take(std::move(adds));
   for (const TallyExtent& extent : fold_.Extents()) stored_[extent.origin] = extent.length;
 }
@@ -20,10 +20,24 @@
   });
   for (const std::string& address : named) {
     const auto [at, is_new] = peers_.try_emplace(address);
-    if (is_new) at->second.answered_ms = now_ms;
+    if (is_new) CountAsReached(now_ms, at->second);
   }
 }
 
+void TallyLedger::CountAsReached(double now_ms, Peer& peer) const {
+  const double most_ms = peer.heard_ms ? kReachedMs : kFirstReachedMs;
+  peer.answered_ms = std::max(peer.answered_ms, now_ms + most_ms - kReachedMs);
+}
+
+// A process that stood still has not read what the others answered meanwhile: that they are silent is not
+// known.
+void TallyLedger::NoteTime(double now_ms) {
+  const bool stood_still = now_ms - event_ms_ > kPauseMs;
+  event_ms_ = now_ms;
+  if (!stood_still) return;
+  for (auto& [address, peer] : peers_) CountAsReached(now_ms, peer);
+}
+
 // ---- Calls ----
 
 void TallyLedger::Answer(std::uint64_t call, TallyOutcome outcome, std::int64_t total) {
@@ -39,6 +53,7 @@
 // What stands in the log of another process is appended here too: the answer then rests on disks that this
 // process has heard of itself.
 void TallyLedger::Add(double now_ms, std::uint64_t call, TallyAdd add) {
+  NoteTime(now_ms);
   if (waiting_calls_ >= kMaxTallyCalls) return Answer(call, TallyOutcome::kUnavailable);
   const auto known = own_numbers_.find(add.id);
   std::uint64_t number = known == own_numbers_.end() ? 0 : known->second;
@@ -51,7 +66,6 @@
   const auto place = std::ranges::lower_bound(pending_, number, {}, &Pending::number);
   const bool waits = place != pending_.end() && place->number == number;
   const auto pending = waits ? place : pending_.insert(place, {number, now_ms, {}});
-  pending->since_ms = now_ms;
   pending->calls.push_back(call);
   ++waiting_calls_;
   AnswerPending(now_ms);
@@ -103,6 +117,7 @@
 }
 
 void TallyLedger::Stored(double now_ms, std::uint64_t ticket) {
+  NoteTime(now_ms);
   std::set<std::uint64_t> grown;
   while (!writing_.empty() && writing_.front().ticket <= ticket) {
     for (const TallyExtent& extent : writing_.front().until) {
@@ -124,6 +139,7 @@
 }
 
 void TallyLedger::Receive(double now_ms, const std::string& from, const Message& message) {
+  NoteTime(now_ms);
   std::visit([&](const auto& typed) { On(now_ms, from, typed); }, message);
 }
 
@@ -132,7 +148,7 @@
   Send(from, TallyStored{state.origin, state.round, stored == stored_.end() ? 0 : stored->second});
   const auto [found, is_new] = peers_.try_emplace(from);
   Peer& peer = found->second;
-  if (is_new) peer.answered_ms = now_ms;
+  if (is_new) CountAsReached(now_ms, peer);
   if (peer.origin != state.origin) {
     const double answered_ms = peer.answered_ms;
     const bool caught_up = peer.caught_up;
@@ -209,14 +225,23 @@
 void TallyLedger::FetchMissing(double now_ms) {
   if (fetch_ && now_ms - fetch_->sent_ms < kFetchMs) return;
   fetch_.reset();
-  for (const auto& [address, peer] : peers_) {
-    const std::vector<TallyExtent>& wanted = settled_ ? peer.held_before : peer.held;
-    if (fold_.CountMissing(wanted) > 0) return Ask(now_ms, address);
+  const auto after = peers_.upper_bound(asked_);
+  for (auto at = after; at != peers_.end(); ++at) {
+    if (MayHelp(now_ms, at->second)) return Ask(now_ms, at->first);
+  }
+  for (auto at = peers_.begin(); at != after; ++at) {
+    if (MayHelp(now_ms, at->second)) return Ask(now_ms, at->first);
   }
 }
 
+bool TallyLedger::MayHelp(double now_ms, const Peer& peer) const {
+  const std::vector<TallyExtent>& wanted = settled_ ? peer.held_before : peer.held;
+  return IsReached(peer, now_ms) && fold_.CountMissing(wanted) > 0;
+}
+
 void TallyLedger::Ask(double now_ms, const std::string& from) {
   fetch_ = Fetch{from, now_ms};
+  asked_ = from;
   Send(from, TallyFetch{fold_.Extents()});
 }
 
@@ -235,6 +260,7 @@
 }
 
 void TallyLedger::Tick(double now_ms) {
+  NoteTime(now_ms);
   Settle(now_ms);
   if (now_ms - told_ms_ >= kTallyStateMs) TellState(now_ms);
   FetchMissing(now_ms);
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -11,14 +11,16 @@
 //  - What is held of a log is a prefix of it, in memory and on disk.
 //  - An add that stands in the log is never answered as refused.
 //  - An add is answered as added once it is on as many disks as Options::copies says, or, where fewer
-//  machines can be
-//    reached, on this machine's disk and on those of all that can be. A machine counts as reached while it
-//    has answered a state that was sent no longer than kReachedMs ago, and for kReachedMs from the start of
-//    this process.
-//  - A read is answered once this process has caught up with every machine that it can reach.
+//    machines can be reached, on this machine's disk and on those of all that can be. A machine counts as
+//    reached while it has answered a state that was sent no longer than kReachedMs ago; one that was never
+//    heard, for kFirstReachedMs from when it was named; and any for kReachedMs after this process stood
+//    still.
+//  - A read is answered once this process has caught up with every machine that it can reach, and, if it may
+//    have lost its disk, with one that answers reads.
 //
-// Bounds: kMaxAdds adds, kMaxCalls calls that wait, kMostPieceBytes of one answer to a fetch, one fetch under
-// way. Not thread-safe. Times are in milliseconds on one clock that does not go back.
+// Bounds: kMaxAdds adds and what others took before they held as many, kMaxTallyCalls calls that wait,
+// kMostPieceBytes of one answer to a fetch, one fetch under way. Not thread-safe. Times are in milliseconds
+// on one clock that does not go back.
 #ifndef BITTERNMUX_SRC_FLEET_TALLIES_TALLY_LEDGER_H_
 #define BITTERNMUX_SRC_FLEET_TALLIES_TALLY_LEDGER_H_
 
@@ -39,8 +41,11 @@
 
 constexpr double kTallyStateMs = 150;  // between two states that are told to the others
 constexpr double kReachedMs = 450;     // a machine that answers nothing for so long cannot be reached
-constexpr double kAddMs = 900;         // for an add to be on enough disks
-constexpr double kCatchUpMs = 1500;    // for which reads wait after a start for machines that are silent
+// The same, of a machine that this process has never heard: after a kill of all they come back one by one.
+constexpr double kFirstReachedMs = 1500;
+constexpr double kPauseMs = 250;     // between two events of this process, that it stood still for
+constexpr double kAddMs = 900;       // for an add to be on enough disks
+constexpr double kCatchUpMs = 1500;  // for which reads wait after a start for machines that are silent
 constexpr double kCatchUpFromNothingMs = 8000;  // the same, of a process that may have lost its disk
 constexpr double kFetchMs = 400;                // for the answer to a fetch
 constexpr double kStrangerMs = 2000;  // a machine that nobody has named is a peer for so long after its state
@@ -150,12 +155,15 @@
   template <class Other>
   void On(double, const std::string&, const Other&) {}
 
+  void NoteTime(double now_ms);
+  void CountAsReached(double now_ms, Peer& peer) const;
   void TellState(double now_ms);
   bool IsReached(const Peer& peer, double now_ms) const { return now_ms - peer.answered_ms <= kReachedMs; }
   void JudgeCaughtUp();
   void Settle(double now_ms);
   bool HasCaughtUpWithSettled() const;
   void FetchMissing(double now_ms);
+  bool MayHelp(double now_ms, const Peer& peer) const;
   void Ask(double now_ms, const std::string& from);
   bool IsStored(double now_ms, std::uint64_t number) const;
   bool IsStoredByAllReached(double now_ms, std::uint64_t number) const;
@@ -182,6 +190,8 @@
   std::deque<std::pair<std::uint64_t, double>> rounds_;  // that count for reaching, and when they were sent
   double told_ms_ = kNeverMs;
   std::optional<Fetch> fetch_;
+  std::string asked_;  // the machine that was asked last
+  double event_ms_;    // the newest event of this process
   bool settled_ = false;
   TallyOutput output_;
 };
