Take a zone in which two servers are silent for cut off, and go there by single trials

Behind a cut each server was found out alone: a dial of 700 ms, set aside for 0.2 to 0.6 s, then dialed again, while its last report looked better than those of the servers that are reached.

A connection that does not come up in time, or that is not acknowledged, is now told from one that is refused (AttemptEnd). Two such servers of a zone with no word from it since, and the zone is passed over but for one attempt, on a new connection, after 0.5 to 4 s; one word brings it back.

A request that must not run twice goes on too, as no connection came up. What was sent on a kept connection still waits 3 s for an acknowledgement, or for its time.

--- a/src/router/request_attempts.cpp
+++ b/src/router/request_attempts.cpp
@@ -75,8 +75,9 @@
   attempt.server = chosen;
   attempt.sent_ms = SteadyNowMs();
   state_.choice.Sent(attempt.sent_ms, chosen.id, chosen, prompt_ ? &*prompt_ : nullptr);
-  attempt.connection = state_.upstream.Begin({chosen.id, chosen.address, request_id_, HeadFor(chosen), body_},
-                                             shared_from_this());
+  attempt.connection = state_.upstream.Begin(
+      {chosen.id, chosen.address, request_id_, HeadFor(chosen), body_, chosen.zone_cut_off},
+      shared_from_this());
   state_.loads_changed();
 }
 
@@ -198,7 +199,9 @@
   if (whole && answer == Attempt::Answer::kBuffered && success && !attempt_->begun) NoteFirstEvent();
   Attempt attempt = TakeAttempt();
   NoteTornEvent(attempt, end);
-  if (end == AttemptEnd::kUnreachable) {
+  if (end == AttemptEnd::kDialTimedOut || end == AttemptEnd::kUnacknowledged)
+    state_.choice.Silent(SteadyNowMs(), attempt.server.id, attempt.sent_ms);
+  if (end == AttemptEnd::kUnreachable || end == AttemptEnd::kDialTimedOut) {
     AttemptOver(attempt, ServerOutcome::kUnreachable);
     return Failed(/*reached=*/false);
   }
--- a/src/router/server_choice.cpp
+++ b/src/router/server_choice.cpp
@@ -88,7 +88,7 @@
 // By this router's own failures there, or by those of several others: one alone may only have a bad link, and
 // an answer that this router had a moment ago says more.
 bool ServerChoice::IsAside(const Server& server, double now_ms) const {
-  if (now_ms < server.aside_until_ms) return true;
+  if (now_ms < server.aside_until_ms || !reach_.MayTry(now_ms, server.entry.zone)) return true;
   if (!SeesFleet(now_ms) || now_ms - server.answered_ms < kOwnAnswerMs) return false;
   return server.in_fleet.set_aside - server.told.set_aside >= kOthersToBelieve;
 }
@@ -223,7 +223,8 @@
                 kept->uncached_tokens,
                 kept->expected_ms,
                 kept->work,
-                static_cast<int>(ranking.size())};
+                static_cast<int>(ranking.size()),
+                reach_.IsCutOff(kept->server->entry.zone)};
   return {std::move(chosen), Nothing::kNone};
 }
 
@@ -231,6 +232,7 @@
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
   loads_changed_ = true;
+  reach_.Sent(now_ms, found->second.entry.zone);
   ++found->second.own;
   found->second.prefill_tokens += chosen.uncached_tokens;
   if (prompt == nullptr) return;
@@ -241,6 +243,7 @@
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
   Server& server = found->second;
+  reach_.Heard(now_ms, server.entry.zone);
   server.prefill_tokens = std::max(0.0, server.prefill_tokens - chosen.uncached_tokens);
   loads_changed_ = true;
   FirstEventModel& model = models_[server.entry.service];
@@ -263,11 +266,13 @@
   };
   switch (outcome) {
     case ServerOutcome::kAnswered:
+      reach_.Heard(now_ms, server.entry.zone);
       server.failures = 0;
       server.aside_until_ms = server.failed_until_ms = 0;
       server.answered_ms = now_ms;
       return;
     case ServerOutcome::kMisdirected:
+      reach_.Heard(now_ms, server.entry.zone);
       return aside(kMisdirectedMs);
     case ServerOutcome::kFailed:
       kept_.Forget(id);
@@ -278,6 +283,7 @@
       kept_.Forget(id);
       return aside(0);
     case ServerOutcome::kRejected:
+      reach_.Heard(now_ms, server.entry.zone);
       server.aside_until_ms = std::max(server.aside_until_ms, now_ms + kAsideFirstMs * (0.25 + 0.5 * Unit()));
       return;
     case ServerOutcome::kLeft:
@@ -289,11 +295,17 @@
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
   Server& server = found->second;
+  reach_.Heard(now_ms, server.entry.zone);
   server.others = std::max(0.0, report.running + report.waiting - server.own);
   server.reported_ms = now_ms;
   if (report.slots > 0) server.slots = report.slots;
 }
 
+void ServerChoice::Silent(double now_ms, const std::string& id, double since_ms) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) reach_.Silent(now_ms, found->second.entry.zone, id, since_ms);
+}
+
 fleet::ServerLoads ServerChoice::TakeLoads(double now_ms, bool whole) {
   loads_changed_ = false;
   fleet::ServerLoads loads;
--- a/src/router/server_choice.h
+++ b/src/router/server_choice.h
@@ -22,8 +22,8 @@
 // another, so that no share above 0 would keep their sum below the bound.
 //
 // A server that fails is set aside for a time that doubles with each failure and ends with an answer; it is
-// so too while several other routers have set it aside. If all are set aside, none is. A draining one gets
-// nothing new.
+// so too while several other routers have set it aside, or while its zone is cut off (zone_reach.h). If all
+// are set aside, none is. A draining one gets nothing new.
 //
 // Bounds: a row for each server of the list. Not thread-safe. Times are in milliseconds on one clock.
 #ifndef BITTERNMUX_SRC_ROUTER_SERVER_CHOICE_H_
@@ -44,6 +44,7 @@
 #include "router/load_persistence.h"
 #include "router/prefix_index.h"
 #include "router/prompt.h"
+#include "router/zone_reach.h"
 
 namespace bitternmux::router {
 
@@ -84,6 +85,7 @@
     double expected_ms = 0;      // until the first event
     WorkAhead work;              // that this rests on
     int weighed = 0;             // servers that were ranked
+    bool zone_cut_off = false;   // a trial: connections of before the cut say nothing
   };
   enum class Nothing { kNone, kNoServer, kAllBusy, kAllCold };
   struct Answer {
@@ -99,6 +101,8 @@
   void Begun(double now_ms, const std::string& id, const Chosen& chosen, double came_ms);
   void Ended(double now_ms, const std::string& id, bool begun, double uncached_tokens, ServerOutcome outcome);
   void Reported(double now_ms, const std::string& id, const LoadReport& report);
+  // Its machine has said nothing through an attempt that began at `since_ms`; the attempt has ended besides.
+  void Silent(double now_ms, const std::string& id, double since_ms);
 
   // What this router has in work and has not told yet; all of it if `whole`.
   fleet::ServerLoads TakeLoads(double now_ms, bool whole);
@@ -175,6 +179,7 @@
   PrefixIndex kept_;
   std::unordered_map<std::string, ServiceLoad> service_loads_;
   ColdTimes cold_ms_by_service_;
+  ZoneReach reach_;
   double loads_heard_ms_ = -1e18;
   double loads_age_ms_ = 0;  // of what was told, when it was heard
   bool loads_changed_ = false;
--- a/src/router/upstream.cpp
+++ b/src/router/upstream.cpp
@@ -34,6 +34,16 @@
   return std::chrono::duration<double, std::milli>(now).count();
 }
 
+// Nothing came back, as opposed to a word that there is no connection.
+bool IsSilence(const error_code& error) {
+  return error == asio::error::timed_out || error == asio::error::host_unreachable ||
+         error == asio::error::network_unreachable;
+}
+
+AttemptEnd BrokenBy(const error_code& error) {
+  return IsSilence(error) ? AttemptEnd::kUnacknowledged : AttemptEnd::kBroken;
+}
+
 // How long the server keeps an idle connection, by its answer; none if it does not tell.
 std::optional<double> KeepAliveMs(const http::Message& message) {
   const auto value = message.Find("keep-alive");
@@ -112,11 +122,12 @@
     socket_.async_connect(fleet::EndpointFromText(address_), [self](const error_code& error) {
       self->timer_.cancel();
       if (self->state_ != State::kDialing) return;
-      error ? self->End(AttemptEnd::kUnreachable) : self->Connected();
+      error ? self->End(IsSilence(error) ? AttemptEnd::kDialTimedOut : AttemptEnd::kUnreachable)
+            : self->Connected();
     });
     timer_.expires_after(kDialTimeout);
     timer_.async_wait([self](const error_code& error) {
-      if (!error && self->state_ == State::kDialing) self->End(AttemptEnd::kUnreachable);
+      if (!error && self->state_ == State::kDialing) self->End(AttemptEnd::kDialTimedOut);
     });
   }
 
@@ -152,9 +163,10 @@
     if (!error || state_ != State::kBusy) return;
     // A server that has stopped reading may have answered before: that lies in front of the end.
     write_failed_ = true;
+    const AttemptEnd end = BrokenBy(error);
     timer_.expires_after(kAnswerAfterWriteFailed);
-    timer_.async_wait([self = shared_from_this()](const error_code& cancelled) {
-      if (!cancelled && self->state_ == State::kBusy) self->End(AttemptEnd::kBroken);
+    timer_.async_wait([self = shared_from_this(), end](const error_code& cancelled) {
+      if (!cancelled && self->state_ == State::kBusy) self->End(end);
     });
   }
 
@@ -182,7 +194,7 @@
     if (state_ == State::kClosed) return;
     if (error) {
       const bool whole = error == asio::error::eof && !surplus_ && head_told_ && parser_.EndsWhole();
-      return End(whole ? AttemptEnd::kCompleteByClose : AttemptEnd::kBroken);
+      return End(whole ? AttemptEnd::kCompleteByClose : BrokenBy(error));
     }
     buffer_.Commit(size);
     Parse();
@@ -273,6 +285,7 @@
 std::shared_ptr<Upstream::Connection> Upstream::Begin(AttemptRequest request,
                                                       std::shared_ptr<AttemptHandler> handler) {
   Pool& pool = idle_[request.server];
+  if (request.fresh) CloseAll(pool);
   std::shared_ptr<Connection> connection;
   while (!pool.empty() && !connection) {
     const auto candidate = pool.back();
--- a/src/router/upstream.h
+++ b/src/router/upstream.h
@@ -23,8 +23,10 @@
   kComplete,         // the answer came whole
   kCompleteByClose,  // the answer has no length and its connection ended in order: whole as far as HTTP can
                      // tell
-  kUnreachable,      // no connection came up: nothing was sent
+  kUnreachable,      // the connection was refused: nothing was sent
+  kDialTimedOut,     // no connection came up in time: nothing was sent
   kBroken,           // after the first byte may have been sent: it may have run
+  kUnacknowledged,   // the same, as the server's machine does not say that bytes have come
 };
 
 // Who made the attempt. No call comes from within Upstream::Begin, and none after Cancel or OnEnd.
@@ -40,6 +42,7 @@
   std::string server, address, request_id;
   std::string head;
   std::shared_ptr<const std::string> body;
+  bool fresh = false;  // not on a connection that was made before
 };
 
 class Upstream {
--- /dev/null
+++ b/src/router/zone_reach.cpp
@@ -0,0 +1,50 @@
+#include "router/zone_reach.h"
+
+#include <algorithm>
+
+namespace bitternmux::router {
+namespace {
+
+constexpr std::size_t kServersToBelieve = 2;  // that are silent, before their zone is taken for cut off
+constexpr double kFirstPauseMs = 500, kLongestPauseMs = 4000;
+
+}  // namespace
+
+void ZoneReach::Heard(double now_ms, const std::string& zone) {
+  Zone& heard = zones_[zone];
+  heard.heard_ms = now_ms;
+  heard.silent.clear();
+}
+
+void ZoneReach::Silent(double now_ms, const std::string& zone, const std::string& server, double since_ms) {
+  Zone& row = zones_[zone];
+  if (row.heard_ms >= since_ms) return;
+  const bool was_cut_off = IsCutOff(row);
+  row.silent.insert(server);
+  if (was_cut_off || !IsCutOff(row)) return;
+  row.pause_ms = kFirstPauseMs;
+  row.trial_due_ms = now_ms + row.pause_ms;
+}
+
+void ZoneReach::Sent(double now_ms, const std::string& zone) {
+  const auto found = zones_.find(zone);
+  if (found == zones_.end() || !IsCutOff(found->second)) return;
+  Zone& row = found->second;
+  if (now_ms < row.trial_due_ms) return;
+  row.pause_ms = std::min(kLongestPauseMs, 2 * row.pause_ms);
+  row.trial_due_ms = now_ms + row.pause_ms;
+}
+
+bool ZoneReach::IsCutOff(const Zone& zone) { return zone.silent.size() >= kServersToBelieve; }
+
+bool ZoneReach::IsCutOff(const std::string& zone) const {
+  const auto found = zones_.find(zone);
+  return found != zones_.end() && IsCutOff(found->second);
+}
+
+bool ZoneReach::MayTry(double now_ms, const std::string& zone) const {
+  const auto found = zones_.find(zone);
+  return found == zones_.end() || !IsCutOff(found->second) || now_ms >= found->second.trial_due_ms;
+}
+
+}  // namespace bitternmux::router
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -54,6 +54,24 @@
   return configuration;
 }
 
+// A server to which no connection comes up, nor is refused: its queue of new ones is full.
+class SilentServer {
+ public:
+  explicit SilentServer(asio::io_context& io) : acceptor_(io), first_(io), second_(io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    acceptor_.listen(0);
+    for (tcp::socket* socket : {&first_, &second_}) {
+      socket->async_connect(acceptor_.local_endpoint(), [](const boost::system::error_code&) {});
+    }
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+ private:
+  tcp::acceptor acceptor_;
+  tcp::socket first_, second_;
+};
+
 // A router's state before two servers whose connections the test holds.
 class Stand {
  public:
@@ -135,6 +153,19 @@
     state_.choice.Update(SteadyNowMs(), servers_);
   }
 
+  // More servers, in a zone behind a cut, which look better than the others.
+  void AddServersBehindCut(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::string id = "cut" + std::to_string(i);
+      behind_cut_.push_back(std::make_unique<SilentServer>(io_));
+      servers_[id] = {id, "s", behind_cut_.back()->address(), "y", 8, false};
+    }
+    state_.choice.Update(SteadyNowMs(), servers_);
+    for (const auto& [id, entry] : servers_)
+      state_.choice.Reported(SteadyNowMs(), id, {entry.zone == "y" ? 0.0 : 7.0, 0, 8});
+  }
+  std::uint64_t dialed() const { return state_.upstream.figures().dialed; }
+
   // May the router repeat so many more requests?
   bool MayRepeatMore(int count) {
     for (int i = 0; i < count; ++i) {
@@ -156,6 +187,7 @@
   std::array<int, kServers> asked_{};
   std::string request_;
   fleet::ServerMap servers_;
+  std::vector<std::unique_ptr<SilentServer>> behind_cut_;
   std::shared_ptr<MockResponder> responder_ = std::make_shared<MockResponder>();
   RouterState state_{io_,
                      Unheard(),
@@ -271,6 +303,19 @@
   CHECK(retry_s < 4.5);
 }
 
+// A request waited for a dial at each server behind a cut in turn, until it was refused.
+TEST_CASE("request flow: a request leaves a zone in which two servers are silent, whatever its kind") {
+  Stand stand;
+  stand.AddServersBehindCut(3);
+  bool answered = false;
+  REQUIRE_CALL(stand.responder(), Respond(200, _, "late")).LR_SIDE_EFFECT(answered = true);
+  const auto flow = stand.Ask("/once/1", 4000);
+  const auto server = stand.Accept();
+  Send(*server, kLateAnswer);
+  REQUIRE(stand.Until([&] { return answered; }));
+  CHECK(stand.dialed() == 3);
+}
+
 // A client got an event that no server's run had made: the torn one of a first attempt, joined to the
 // second's.
 TEST_CASE("request flow: a first event that is torn is not put before the next server's events") {
--- a/tests/router/server_choice_test.cpp
+++ b/tests/router/server_choice_test.cpp
@@ -1,6 +1,7 @@
 #include "router/server_choice.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -33,6 +34,69 @@
   return counts;
 }
 
+// Requests of one router while all zones but its own are behind a cut: an attempt there ends after a dial's
+// time without a connection, and the request goes on elsewhere.
+class CutPlay {
+ public:
+  CutPlay() {
+    for (const char* zone : {"a", "b", "c", "d"}) {
+      for (int i = 0; i < kServersOfZone; ++i) {
+        const std::string id = zone + std::to_string(i);
+        servers_[id] = {id, "s", "10.0.0.1:80", zone, 64, false};
+      }
+    }
+    choice_.Update(0, servers_);
+    for (const auto& [id, entry] : servers_) choice_.Reported(0, id, {IsCut(id) ? kOldLoad : kLoad, 0, 64});
+  }
+
+  void Run(double until_ms) {
+    for (double at_ms = 0; at_ms < until_ms; at_ms += kBetweenMs)
+      due_.emplace(at_ms, [this, at_ms] { Send(at_ms, 0); });
+    while (!due_.empty()) {
+      const auto next = due_.begin();
+      const auto step = next->second;
+      due_.erase(next);
+      step();
+    }
+  }
+  int requests = 0, served = 0, dials_into_the_cut = 0;
+
+ private:
+  static constexpr int kServersOfZone = 15, kMostSends = 4;
+  static constexpr double kLoad = 30,
+                          kOldLoad = 10;  // of those that are reached; of the others, before the cut
+  static constexpr double kBetweenMs = 150, kDialMs = 700, kAnswerMs = 50;
+
+  void Send(double now_ms, int sends) {
+    if (sends == 0) ++requests;
+    if (sends == kMostSends) return;
+    const auto chosen = choice_.Choose(now_ms, Ask()).chosen;
+    if (!chosen) return;
+    choice_.Sent(now_ms, chosen->id, *chosen, nullptr);
+    IsCut(chosen->id) ? Dial(now_ms, chosen->id, sends) : Answer(now_ms, chosen->id);
+  }
+  bool IsCut(const std::string& id) const { return servers_.at(id).zone != "a"; }
+  void Dial(double sent_ms, const std::string& id, int sends) {
+    ++dials_into_the_cut;
+    due_.emplace(sent_ms + kDialMs, [=, this] {
+      choice_.Silent(sent_ms + kDialMs, id, sent_ms);
+      choice_.Ended(sent_ms + kDialMs, id, false, 0, ServerOutcome::kUnreachable);
+      Send(sent_ms + kDialMs, sends + 1);
+    });
+  }
+  void Answer(double sent_ms, const std::string& id) {
+    due_.emplace(sent_ms + kAnswerMs, [=, this] {
+      ++served;
+      choice_.Reported(sent_ms + kAnswerMs, id, {kLoad, 0, 64});
+      choice_.Ended(sent_ms + kAnswerMs, id, true, 0, ServerOutcome::kAnswered);
+    });
+  }
+
+  fleet::ServerMap servers_;
+  ServerChoice choice_{{0.0015, 4}, "a", 12};
+  std::multimap<double, std::function<void()>> due_;
+};
+
 }  // namespace
 
 TEST_CASE("server choice: by last reported load, ties at random") {
@@ -151,6 +215,33 @@
   for (int i = 0; i < 200; ++i) CHECK(warm.Choose(1, Ask()).chosen->id == cold.Choose(1, Ask()).chosen->id);
 }
 
+// On the side that was cut off a router found out each server behind the cut alone, again and again, while
+// its requests waited for dials.
+TEST_CASE("server choice: behind a cut requests stay with the servers that are reached") {
+  CutPlay play;
+  play.Run(20'000);
+  CHECK(play.served == play.requests);
+  CHECK(play.dials_into_the_cut < play.requests / 2);
+}
+
+TEST_CASE("server choice: one word from a zone that was cut off brings all its servers back") {
+  ServerChoice choice({0, 4}, "z", 13);
+  fleet::ServerMap servers = Servers(4, "far");
+  servers["near"] = {"near", "s", "10.0.1.1:80", "z", 64, false};
+  choice.Update(0, servers);
+  for (int i = 0; i < 4; ++i) choice.Reported(0, "i" + std::to_string(i), {0, 0, 64});
+  for (const char* id : {"i0", "i1"}) choice.Silent(700, id, 1);
+  CHECK(Count(choice, 701, 50, Ask()).at("near") == 50);
+  choice.Reported(702, "near", {30, 0, 64});
+  const auto trial = choice.Choose(1300, Ask()).chosen;
+  REQUIRE(trial);
+  CHECK(trial->zone_cut_off);
+  choice.Sent(1300, trial->id, *trial, nullptr);
+  CHECK(Count(choice, 1301, 50, Ask()).at("near") == 50);
+  choice.Ended(1310, trial->id, true, 0, ServerOutcome::kAnswered);
+  CHECK_FALSE(Count(choice, 1311, 50, Ask()).contains("near"));
+}
+
 TEST_CASE("server choice: all busy is told, and is no choice") {
   ServerChoice choice({0, 4}, "z", 6);
   choice.Update(0, Servers(2));
