--- a/tests/fleet/tallies/tally_ledger_test.cpp
+++ b/tests/fleet/tallies/tally_ledger_test.cpp
@@ -155,10 +155,12 @@
   Group apart;
   apart.Isolate(0);
   apart.Restart(0);
+  const std::size_t early = apart.Add(0, {"id", "t", 1});
+  apart.RunFor(kFirstReachedMs - kSoonMs);
+  CHECK(apart.call(early).Is(TallyOutcome::kUndecided));
   const std::size_t add = apart.Add(0, {"id", "t", 1});
-  apart.RunFor(kReachedMs - 1);
   CHECK_FALSE(apart.call(add).outcome);
-  apart.RunFor(kSoonMs);
+  apart.RunFor(2 * kSoonMs);
   CHECK(apart.call(add).Is(TallyOutcome::kAdded));
 }
 
@@ -287,16 +289,42 @@
   CHECK(served);
 }
 
-// Guards against a total that lacks what only a machine has that is not heard yet.
-TEST_CASE("tally ledger: a machine that lost its disk waits longer for those that are silent") {
+// Guards against a total that lacks what only a machine has that is not heard.
+TEST_CASE("tally ledger: a machine that lost its disk answers no read alone, however long it waits") {
   Group group;
+  group.Add(1, {"id", "t", 4});
+  group.RunFor(kSoonMs);
   group.Isolate(0);
   group.Wipe(0);
   group.Start(0);
   group.RunFor(kCatchUpFromNothingMs - kSoonMs);
   CHECK_FALSE(group.Total(0, "t"));
   group.RunFor(2 * kSoonMs);
-  CHECK(group.Total(0, "t") == 0);
+  CHECK_FALSE(group.Total(0, "t"));
+  group.Heal();
+  group.RunFor(1000);
+  CHECK(group.Total(0, "t") == 4);
+}
+
+// Guards against a machine that asks one that fell silent for ever: it would never catch up.
+TEST_CASE("tally ledger: what a silent machine had told of is fetched from another one") {
+  constexpr int kAdds = 4000, kAtOnce = 100;
+  TallyGroupOptions options;
+  options.link_mbps = 1;
+  Group group(options);
+  group.Isolate(1);
+  for (int i = 0; i < kAdds; ++i) {
+    group.Add(0, {"id" + std::to_string(i), "t", 1});
+    if (i % kAtOnce == 0) group.RunFor(kSoonMs);
+  }
+  group.RunFor(kMergeMs);
+  group.Heal();
+  group.RunFor(2 * kTallyStateMs);
+  group.Kill(0);
+  CHECK(group.ledger(1).adds() < kAdds);
+  group.RunFor(2 * kMergeMs);
+  CHECK(group.ledger(1).adds() == kAdds);
+  CHECK(group.Total(1, "t") == kAdds);
 }
 
 // Guards against a wait for the full time where all are heard before.
