--- a/lab/simulation/checker.cpp
+++ b/lab/simulation/checker.cpp
@@ -145,6 +145,9 @@
   if (state.configuration_version < seen.version) Fault(9, process + ": the configuration has gone back");
   if (state.list_position < seen.list) Fault(9, process + ": the list's position has gone back");
   if (revision < seen.revision) Fault(9, process + ": the list has gone back");
+  if (state.evacuations.position < seen.evacuations)
+    Fault(9, process + ": the evacuations' position has gone back");
+  seen.evacuations = state.evacuations.position;
   seen.version = state.configuration_version;
   seen.list = state.list_position;
   seen.revision = revision;
--- a/lab/simulation/checker.h
+++ b/lab/simulation/checker.h
@@ -45,6 +45,7 @@
     std::uint64_t version = 0;
     fleet::ListPosition list;
     int revision = 0;
+    fleet::Position evacuations = {};
   };
   void CheckCommitted(const std::string& machine, const fleet::AcceptedValue& committed);
   void CheckGroups(std::uint64_t sequence, const fleet::ShardValue& value);
--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -171,6 +171,13 @@
   });
 }
 
+void ControlMachine::Evacuate(std::uint64_t life, const fleet::EvacuationOrder& order, Answered answered) {
+  if (!up() || life != life_) return answered(CallResult::kReset, {});
+  const std::uint64_t id = ++last_call_;
+  calls_[id] = std::move(answered);
+  Input(life, [this, id, order] { core_->Evacuate(clock_.now_ms(), id, order); });
+}
+
 void ControlMachine::BeginTallyCall(std::uint64_t life, TallyAnswered answered,
                                     std::function<void(std::uint64_t call)> begin) {
   if (!up() || life != life_) return answered(CallResult::kReset, {});
--- a/lab/simulation/control_machine.h
+++ b/lab/simulation/control_machine.h
@@ -93,6 +93,7 @@
   void ListRead(std::uint64_t life, const std::optional<fleet::ServerMap>& servers);
   // A call of the operator; an order, or a read where there is none.
   void Call(std::uint64_t life, const std::optional<fleet::Order>& order, Answered answered);
+  void Evacuate(std::uint64_t life, const fleet::EvacuationOrder& order, Answered answered);
   // Calls of applications.
   void AddToTally(std::uint64_t life, const fleet::TallyAdd& add, TallyAnswered answered);
   void ReadTally(std::uint64_t life, const std::string& tally, TallyAnswered answered);
--- a/lab/simulation/edge_machine.cpp
+++ b/lab/simulation/edge_machine.cpp
@@ -134,6 +134,7 @@
     ToRouter(publisher.SetConfiguration(state.configuration_version, state.configuration));
   if (applied.servers) ToRouter(publisher.SetServers(state.list_position, state.servers));
   if (applied.fleet) ToRouter(publisher.SetFleet(state.fleet));
+  if (applied.evacuations) ToRouter(publisher.SetEvacuations(state.evacuations));
   if (applied.gap) surroundings_.ToSource(name_, link_, agent_->follower.Ask(name_));
   surroundings_.ObserveEdge(name_);
 }
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -123,6 +123,9 @@
   // As if an operator had sent the call to that machine alone.
   std::size_t PutAt(std::size_t machine, std::uint64_t version, std::uint64_t builds_on);
   std::size_t GetAt(std::size_t machine);
+  // An order of the operator about a zone, sent to that machine once. The number of the call.
+  std::size_t EvacuateAt(std::size_t machine, const fleet::EvacuationOrder& order);
+  bool evacuation_taken(std::size_t call) const { return evacuations_taken_[call]; }
   const CallRecord& call(std::size_t i) const { return history_.calls[i]; }
   void LoseAnswers(double share) { lost_answers_ = share; }
   bool open(std::size_t call) const { return open_calls_.contains(call); }
@@ -166,6 +169,8 @@
   void Heal();    // the same, and no fault strikes any more
 
  private:
+  std::vector<bool> evacuations_taken_;  // by call
+
   struct Link {
     std::string edge, control;
     std::uint64_t edge_life = 0, control_life = 0;
--- a/lab/simulation/world_operators.cpp
+++ b/lab/simulation/world_operators.cpp
@@ -100,6 +100,18 @@
                10'000, machine);
 }
 
+std::size_t World::EvacuateAt(std::size_t machine, const fleet::EvacuationOrder& order) {
+  const std::size_t call = evacuations_taken_.size();
+  evacuations_taken_.push_back(false);
+  ControlMachine& target = *controls_[machine];
+  target.Evacuate(target.life(), order,
+                  [this, call](ControlMachine::CallResult result, const fleet::CallAnswer& answer) {
+                    evacuations_taken_[call] = result == ControlMachine::CallResult::kAnswered &&
+                                               answer.reply.outcome == fleet::CallOutcome::kTaken;
+                  });
+  return call;
+}
+
 // A repeat is a part of the same call where that has no clear answer, and else a call of its own: what was
 // taken must be acknowledged again.
 void World::PutAgain(std::size_t call, double most_ms) {
