--- a/tests/lab/simulation/evacuations_test.cpp
+++ b/tests/lab/simulation/evacuations_test.cpp
@@ -66,8 +66,6 @@
   }
 }
 
-// Guards against EVAC: a control machine that missed both the end of an evacuation and its second beginning
-// finds the zones unchanged; agents that come to it may hold the word of the end.
 TEST_CASE(
     "evacuations: taken back and begun again while a control machine is cut off, then known everywhere") {
   for (std::uint64_t seed = 41; seed <= 60; ++seed) {
@@ -83,7 +81,7 @@
     world.CutPair(cut_off, (owner + 2) % 3, /*both_ways=*/true, kCutMs);
     Order(world, "maia", false);
     world.RunFor(400);
-    // The routers keep what they heard; some agents come back to the machine that is cut off.
+    // The routers keep what they heard; agents may come back to the machine that is cut off.
     for (std::size_t i = 0; i < world.edges(); ++i) world.KillEdge(i, /*down_ms=*/50, /*both=*/false);
     world.RunFor(200);
     Order(world, "maia", true);
