--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -313,6 +313,15 @@
   return static_cast<float>(sum_ms / static_cast<double>(loads_heard_ms_.size() + 1));
 }
 
+// A machine that waits to join is named by the owner alone: it is told as it tells.
+void ControlCore::TellLoadsToControl(const ServerLoads& own) {
+  ToAllControl(own);
+  const std::vector<Member> peers = replica_.Peers();
+  for (const auto& [address, heard_ms] : loads_heard_ms_) {
+    if (std::ranges::find(peers, address, &Member::internal) == peers.end()) ToControl(address, own);
+  }
+}
+
 void ControlCore::TellLoads(double now_ms) {
   loads_told_ms_ = now_ms;
   std::erase_if(loads_heard_ms_, [&](const auto& entry) {
@@ -325,7 +334,7 @@
   ServerLoads own = own_loads_.TakeChanges();
   fleet_loads_.Set(kOwnLoads, own);
   if (refresh) own = own_loads_.All();
-  if (refresh || !own.rows.empty()) ToAllControl(own);
+  if (refresh || !own.rows.empty()) TellLoadsToControl(own);
   ServerLoads fleet = fleet_loads_.TakeChanges();
   load_rows_ = fleet.rows.size();
   if (refresh) fleet = fleet_loads_.All();
--- a/src/fleet/control/control_core.h
+++ b/src/fleet/control/control_core.h
@@ -140,6 +140,7 @@
   void TakeTallies();
   void TellRole();
   void TellLoads(double now_ms);
+  void TellLoadsToControl(const ServerLoads& own);
   bool LoadsDue(double now_ms) const;
   float LoadsAgeMs(double now_ms) const;
 
--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -142,7 +142,6 @@
     peer.caught_up = caught_up;
   }
   peer.heard_ms = now_ms;
-  peer.settled = state.settled;
   peer.held_before = std::exchange(peer.held, state.held);
   JudgeCaughtUp();
   Settle(now_ms);
@@ -188,17 +187,12 @@
   }
 }
 
-// Nobody else may have what a lost disk had: a process that stands alone cannot tell.
-bool TallyLedger::HasCaughtUpWithSettled() const {
-  return std::ranges::any_of(
-      peers_, [](const auto& entry) { return entry.second.caught_up && entry.second.settled; });
-}
-
+// Nobody at all may be known yet: then there is nobody to wait for.
 void TallyLedger::Settle(double now_ms) {
   if (settled_) return;
   const double patience_ms = options_.may_have_lost_disk ? kCatchUpFromNothingMs : kCatchUpMs;
   const bool patient = now_ms - started_ms_ < patience_ms;
-  if (options_.may_have_lost_disk && !HasCaughtUpWithSettled()) return;
+  if (options_.may_have_lost_disk && peers_.empty()) return;
   settled_ = std::ranges::all_of(peers_, [&](const auto& entry) {
     return entry.second.caught_up || (!patient && !IsReached(entry.second, now_ms));
   });
@@ -209,14 +203,26 @@
 void TallyLedger::FetchMissing(double now_ms) {
   if (fetch_ && now_ms - fetch_->sent_ms < kFetchMs) return;
   fetch_.reset();
+  if (const auto source = NextSource(now_ms)) Ask(now_ms, *source);
+}
+
+// In turn, those that can be reached before the others: one that is gone may have told of adds that this
+// process lacks, and never answers.
+std::optional<std::string> TallyLedger::NextSource(double now_ms) const {
+  std::vector<std::string> reached, silent;
   for (const auto& [address, peer] : peers_) {
     const std::vector<TallyExtent>& wanted = settled_ ? peer.held_before : peer.held;
-    if (fold_.CountMissing(wanted) > 0) return Ask(now_ms, address);
+    if (fold_.CountMissing(wanted) > 0) (IsReached(peer, now_ms) ? reached : silent).push_back(address);
   }
+  const std::vector<std::string>& sources = reached.empty() ? silent : reached;
+  if (sources.empty()) return std::nullopt;
+  const auto next = std::ranges::upper_bound(sources, last_source_);
+  return next == sources.end() ? sources.front() : *next;
 }
 
 void TallyLedger::Ask(double now_ms, const std::string& from) {
   fetch_ = Fetch{from, now_ms};
+  last_source_ = from;
   Send(from, TallyFetch{fold_.Extents()});
 }
 
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -88,8 +88,8 @@
   struct Options {
     std::uint64_t origin = 0;  // of this process; never used before
     std::size_t copies = 2;    // disks that an add has to be on: one more than may be lost at once
-    // It began with an empty disk, and not with the whole fleet: it answers no read before it has caught up
-    // with a machine that does.
+    // It began with an empty disk, and not with the whole fleet: it answers no read while it knows nobody,
+    // and waits longer for those that are silent.
     bool may_have_lost_disk = false;
   };
 
@@ -121,7 +121,6 @@
     std::uint64_t origin = 0;              // of its life; 0: it has told nothing yet
     double answered_ms = 0;                // when the newest state that it answered was sent
     std::optional<double> heard_ms;        // when its newest state came
-    bool settled = false;                  // it answers reads, as it told last
     std::uint64_t stored = 0;              // of this process's log, on its disk
     std::vector<TallyExtent> held;         // as it told last
     std::vector<TallyExtent> held_before;  // and the time before
@@ -154,8 +153,8 @@
   bool IsReached(const Peer& peer, double now_ms) const { return now_ms - peer.answered_ms <= kReachedMs; }
   void JudgeCaughtUp();
   void Settle(double now_ms);
-  bool HasCaughtUpWithSettled() const;
   void FetchMissing(double now_ms);
+  std::optional<std::string> NextSource(double now_ms) const;
   void Ask(double now_ms, const std::string& from);
   bool IsStored(double now_ms, std::uint64_t number) const;
   bool IsStoredByAllReached(double now_ms, std::uint64_t number) const;
@@ -182,6 +181,7 @@
   std::deque<std::pair<std::uint64_t, double>> rounds_;  // that count for reaching, and when they were sent
   double told_ms_ = kNeverMs;
   std::optional<Fetch> fetch_;
+  std::string last_source_;  // that was asked last
   bool settled_ = false;
   TallyOutput output_;
 };
