--- a/lab/simulation/tally_history.h
+++ b/lab/simulation/tally_history.h
@@ -14,6 +14,7 @@
 
 enum class TallyEnd {
   kUnknown,       // no answer, a reset connection, or an answer that promises nothing
+  kAnswerLost,    // there was an answer, and the network lost it
   kAcknowledged,  // an add
   kRefused,       // nothing was done
   kTotal,         // a read
@@ -26,6 +27,7 @@
   double sent_ms = 0;
   double ended_ms = 0;
   TallyEnd end = TallyEnd::kUnknown;
+  bool in_own_zone = false;
 };
 
 struct TallyAddRecord {
@@ -74,6 +76,7 @@
   std::vector<LinkCut> cuts;
   std::vector<DiskLoss> disk_losses;
   std::size_t tolerated = 1;
+  bool loses_messages = false;  // the network does, all day
   // Found by the checker, for people: adds that must be in the last totals, and those that need not.
   std::size_t owed = 0, not_owed = 0;
 };
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -22,6 +22,7 @@
       checker_(clock_, history_),
       watch_(history_.tallies) {
   history_.tallies.tolerated = options.tolerated;
+  history_.tallies.loses_messages = options.network.loss > 0 || options.network.reorder;
   checker_.UseQuota({kTenantRatePerS, kTenantBurst, kQuotaSlack, kQuotaOverage, kQuotaWindowMs});
   for (std::size_t i = 0; i < options.machines; ++i) AddControl(i % options.zones);
   for (std::size_t i = 0; i < std::min(kMostSeeds, options.machines); ++i) seeds_.push_back(i);
