--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -15,8 +15,8 @@
 //    reached while it has answered a state that was sent no longer than kReachedMs ago; one that was never
 //    heard, for kFirstReachedMs from when it was named; and any for kReachedMs after this process stood
 //    still.
-//  - A read is answered once this process has caught up with every machine that it can reach, and, if it may
-//    have lost its disk, with one that answers reads.
+//  - A read is answered once this process has caught up with every machine that it can reach. Those that are
+//    silent are waited for kCatchUpMs, or kCatchUpFromNothingMs by one that may have lost its disk.
 //
 // Bounds: kMaxAdds adds and what others took before they held as many, kMaxTallyCalls calls that wait,
 // kMostPieceBytes of one answer to a fetch, one fetch under way. Not thread-safe. Times are in milliseconds
@@ -93,8 +93,8 @@
   struct Options {
     std::uint64_t origin = 0;  // of this process; never used before
     std::size_t copies = 2;    // disks that an add has to be on: one more than may be lost at once
-    // It began with an empty disk, and not with the whole fleet: it answers no read before it has caught up
-    // with a machine that does.
+    // It began with an empty disk, and not with the whole fleet: it answers no read while it knows nobody,
+    // and waits longer for those that are silent.
     bool may_have_lost_disk = false;
   };
 
@@ -126,7 +126,6 @@
     std::uint64_t origin = 0;              // of its life; 0: it has told nothing yet
     double answered_ms = 0;                // when the newest state that it answered was sent
     std::optional<double> heard_ms;        // when its newest state came
-    bool settled = false;                  // it answers reads, as it told last
     std::uint64_t stored = 0;              // of this process's log, on its disk
     std::vector<TallyExtent> held;         // as it told last
     std::vector<TallyExtent> held_before;  // and the time before
@@ -161,9 +160,8 @@
   bool IsReached(const Peer& peer, double now_ms) const { return now_ms - peer.answered_ms <= kReachedMs; }
   void JudgeCaughtUp();
   void Settle(double now_ms);
-  bool HasCaughtUpWithSettled() const;
   void FetchMissing(double now_ms);
-  bool MayHelp(double now_ms, const Peer& peer) const;
+  std::optional<std::string> NextSource(double now_ms) const;
   void Ask(double now_ms, const std::string& from);
   bool IsStored(double now_ms, std::uint64_t number) const;
   bool IsStoredByAllReached(double now_ms, std::uint64_t number) const;
@@ -190,8 +188,8 @@
   std::deque<std::pair<std::uint64_t, double>> rounds_;  // that count for reaching, and when they were sent
   double told_ms_ = kNeverMs;
   std::optional<Fetch> fetch_;
-  std::string asked_;  // the machine that was asked last
-  double event_ms_;    // the newest event of this process
+  std::string last_source_;  // that was asked last
+  double event_ms_;          // of the newest event of this process
   bool settled_ = false;
   TallyOutput output_;
 };
