--- a/tests/fleet/tallies/tally_ledger_test.cpp
+++ b/tests/fleet/tallies/tally_ledger_test.cpp
@@ -155,13 +155,26 @@
   Group apart;
   apart.Isolate(0);
   apart.Restart(0);
+  apart.RunFor(kFirstReachedMs - kSoonMs);
   const std::size_t add = apart.Add(0, {"id", "t", 1});
-  apart.RunFor(kReachedMs - 1);
+  apart.RunFor(kSoonMs - 1);
   CHECK_FALSE(apart.call(add).outcome);
   apart.RunFor(kSoonMs);
   CHECK(apart.call(add).Is(TallyOutcome::kAdded));
 }
 
+// Guards against a process that stood still, takes the others for gone and answers by its own disk alone.
+TEST_CASE("tally ledger: after it stood still a process does not answer by its own disk alone") {
+  TallyGroupOptions options = Machines(5, 3);
+  options.sync_ms = 0.5;  // sooner done than the others can answer
+  Group group(options);
+  group.Freeze(0, 2000);
+  const std::size_t add = group.Add(0, {"id", "t", 4});
+  group.RunFor(2000 + kSoonMs);
+  CHECK(group.call(add).Is(TallyOutcome::kAdded));
+  CHECK(group.call(add).disks >= 3);
+}
+
 // ---- Ids that come again ----
 
 // Guards against an id that counts twice: while the first waits, later, elsewhere, on both sides of a cut.
@@ -186,6 +199,17 @@
   CheckTotals(group, "t", 4);
 }
 
+// Guards against a call that waits past kAddMs, as each repeat of its id begins the wait anew.
+TEST_CASE("tally ledger: repeats of an id do not make the first call wait longer") {
+  Group group;
+  for (std::size_t machine = 0; machine < group.size(); ++machine) group.StallDisk(machine, 5000);
+  const std::size_t first = group.Add(0, {"id", "t", 4});
+  group.RunFor(kAddMs / 2);
+  group.Add(0, {"id", "t", 4});
+  group.RunFor(kAddMs / 2 + kSoonMs);
+  CHECK(group.call(first).Is(TallyOutcome::kUndecided));
+}
+
 // Guards against an id that is new on both sides of a cut and counts twice after the healing.
 TEST_CASE("tally ledger: an id that both sides of a cut take counts once") {
   Group group;
@@ -573,4 +597,23 @@
   CHECK(scripted.answers.empty());
 }
 
+// Guards against a repair that turns to a silent machine again and again while another holds the same.
+TEST_CASE("tally ledger: what a silent machine was to send is asked of another") {
+  Scripted scripted;
+  scripted.ledger.SetPeers(0, {kPeer, kOtherPeer});
+  const std::vector<TallyExtent> held = {{kPeerOrigin, 5}};
+  const bool first_is_silent = GENERATE(false, true);
+  const std::string& silent = first_is_silent ? kPeer : kOtherPeer;
+  const std::string& heard = first_is_silent ? kOtherPeer : kPeer;
+  for (int i = 0; i < 3; ++i) {
+    scripted.Tell(silent, kPeerOrigin, held);
+    scripted.RunFor(10, [] {});
+  }
+  scripted.RunFor(4 * kFetchMs, [&] {
+    scripted.Tell(heard, kOtherOrigin, held);
+    scripted.ledger.Receive(scripted.now_ms, heard, TallyStored{kOwnOrigin, scripted.round, 0});
+  });
+  CHECK(std::ranges::count(scripted.asked, heard) > 0);
+}
+
 }  // namespace bitternmux::fleet
