--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -20,22 +20,17 @@
   });
   for (const std::string& address : named) {
     const auto [at, is_new] = peers_.try_emplace(address);
-    if (is_new) CountAsReached(now_ms, at->second);
+    if (is_new) at->second.answered_ms = now_ms;
   }
 }
 
-void TallyLedger::CountAsReached(double now_ms, Peer& peer) const {
-  const double most_ms = peer.heard_ms ? kReachedMs : kFirstReachedMs;
-  peer.answered_ms = std::max(peer.answered_ms, now_ms + most_ms - kReachedMs);
-}
-
 // A process that stood still has not read what the others answered meanwhile: that they are silent is not
 // known.
 void TallyLedger::NoteTime(double now_ms) {
   const bool stood_still = now_ms - event_ms_ > kPauseMs;
   event_ms_ = now_ms;
   if (!stood_still) return;
-  for (auto& [address, peer] : peers_) CountAsReached(now_ms, peer);
+  for (auto& [address, peer] : peers_) peer.answered_ms = now_ms;
 }
 
 // ---- Calls ----
@@ -83,7 +78,8 @@
   const auto others =
       std::ranges::count_if(peers_, [&](const auto& entry) { return entry.second.stored >= number; });
   if (static_cast<std::size_t>(others) + (here ? 1 : 0) >= options_.copies) return true;
-  return here && IsStoredByAllReached(now_ms, number);
+  const bool may_know_all = now_ms - started_ms_ > kFirstReachedMs;
+  return here && may_know_all && IsStoredByAllReached(now_ms, number);
 }
 
 // Later adds are stored later, but calls for an earlier one may have come last.
@@ -148,7 +144,7 @@
   Send(from, TallyStored{state.origin, state.round, stored == stored_.end() ? 0 : stored->second});
   const auto [found, is_new] = peers_.try_emplace(from);
   Peer& peer = found->second;
-  if (is_new) CountAsReached(now_ms, peer);
+  if (is_new) peer.answered_ms = now_ms;
   if (peer.origin != state.origin) {
     const double answered_ms = peer.answered_ms;
     const bool caught_up = peer.caught_up;
@@ -157,7 +153,9 @@
     peer.answered_ms = answered_ms;
     peer.caught_up = caught_up;
   }
+  if (!IsReached(peer, now_ms) && round_ > 0) Send(from, StateNow());  // a cut may have healed
   peer.heard_ms = now_ms;
+  peer.settled = state.settled;
   peer.held_before = std::exchange(peer.held, state.held);
   JudgeCaughtUp();
   Settle(now_ms);
@@ -204,11 +202,20 @@
 }
 
 // Nobody at all may be known yet: then there is nobody to wait for.
+// What a lost disk had is told by others alone.
+bool TallyLedger::HasCaughtUpWithSettled() const {
+  return std::ranges::any_of(
+      peers_, [](const auto& entry) { return entry.second.caught_up && entry.second.settled; });
+}
+
 void TallyLedger::Settle(double now_ms) {
   if (settled_) return;
   const double patience_ms = options_.may_have_lost_disk ? kCatchUpFromNothingMs : kCatchUpMs;
   const bool patient = now_ms - started_ms_ < patience_ms;
-  if (options_.may_have_lost_disk && peers_.empty()) return;
+  const bool kept_elsewhere = options_.copies > 1;
+  if (options_.may_have_lost_disk && kept_elsewhere && !HasCaughtUpWithSettled()) return;
+  const bool knows_nobody = peers_.empty() && kept_elsewhere;
+  if (knows_nobody && patient) return;
   settled_ = std::ranges::all_of(peers_, [&](const auto& entry) {
     return entry.second.caught_up || (!patient && !IsReached(entry.second, now_ms));
   });
@@ -248,12 +255,17 @@
   told_ms_ = now_ms;
   rounds_.emplace_back(++round_, now_ms);
   while (now_ms - rounds_.front().second > kReachedMs) rounds_.pop_front();
+  const TallyState state = StateNow();
+  for (const auto& [address, peer] : peers_) Send(address, state);
+}
+
+TallyState TallyLedger::StateNow() const {
   TallyState state;
   state.origin = options_.origin;
   state.round = round_;
   state.held = fold_.Extents();
   state.settled = settled_;
-  for (const auto& [address, peer] : peers_) Send(address, state);
+  return state;
 }
 
 void TallyLedger::Tick(double now_ms) {
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -16,7 +16,8 @@
 //    heard, for kFirstReachedMs from when it was named; and any for kReachedMs after this process stood
 //    still.
 //  - A read is answered once this process has caught up with every machine that it can reach. Those that are
-//    silent are waited for kCatchUpMs, or kCatchUpFromNothingMs by one that may have lost its disk.
+//    silent are waited for kCatchUpMs, or kCatchUpFromNothingMs by one that may have lost its disk; that one
+//    answers none before it has caught up with a machine that answers reads.
 //
 // Bounds: kMaxAdds adds and what others took before they held as many, kMaxTallyCalls calls that wait,
 // kMostPieceBytes of one answer to a fetch, one fetch under way. Not thread-safe. Times are in milliseconds
@@ -41,7 +42,8 @@
 
 constexpr double kTallyStateMs = 150;  // between two states that are told to the others
 constexpr double kReachedMs = 450;     // a machine that answers nothing for so long cannot be reached
-// The same, of a machine that this process has never heard: after a kill of all they come back one by one.
+// From the start of a process its own disk is not enough for so long, whoever is reached: after a kill of all
+// they come back one by one.
 constexpr double kFirstReachedMs = 1500;
 constexpr double kPauseMs = 250;     // between two events of this process, that it stood still for
 constexpr double kAddMs = 900;       // for an add to be on enough disks
@@ -126,6 +128,7 @@
     std::uint64_t origin = 0;              // of its life; 0: it has told nothing yet
     double answered_ms = 0;                // when the newest state that it answered was sent
     std::optional<double> heard_ms;        // when its newest state came
+    bool settled = false;                  // it answers reads, as it told last
     std::uint64_t stored = 0;              // of this process's log, on its disk
     std::vector<TallyExtent> held;         // as it told last
     std::vector<TallyExtent> held_before;  // and the time before
@@ -155,11 +158,12 @@
   void On(double, const std::string&, const Other&) {}
 
   void NoteTime(double now_ms);
-  void CountAsReached(double now_ms, Peer& peer) const;
   void TellState(double now_ms);
+  TallyState StateNow() const;
   bool IsReached(const Peer& peer, double now_ms) const { return now_ms - peer.answered_ms <= kReachedMs; }
   void JudgeCaughtUp();
   void Settle(double now_ms);
+  bool HasCaughtUpWithSettled() const;
   void FetchMissing(double now_ms);
   std::optional<std::string> NextSource(double now_ms) const;
   void Ask(double now_ms, const std::string& from);
