--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -18,7 +18,8 @@
 constexpr double kStartMs = 4000;
 constexpr double kTroubleMs = 26'000;
 constexpr double kLookEveryMs = 50;
-constexpr std::size_t kReadsAtEnd = 3;
+// On a network that loses messages a read and its answer come through with 0.92.
+constexpr std::size_t kReadsAtEnd = 8;
 constexpr double kReadAnswerMs = 1100;
 constexpr double kLoadsSettleMs = 2500;      // until the requests that were under way have ended
 constexpr std::uint64_t kSlowDisksEach = 8;  // day that ends so
--- a/lab/simulation/tally_checker.cpp
+++ b/lab/simulation/tally_checker.cpp
@@ -103,7 +103,8 @@
     return Overlaps(fault.from_ms, fault.until_ms, called ? call.sent_ms - kCaughtUpMs : from_ms, until_ms);
   });
   const bool removed = std::ranges::any_of(history_.machines, [&](const TallyMachine& one) {
-    return one.until_ms > from_ms && one.until_ms <= call.ended_ms;
+    const bool lately = one.until_ms > from_ms || one.name == call.machine;
+    return lately && one.until_ms <= call.ended_ms;
   });
   return machines && !removed && std::ranges::none_of(history_.cuts, [&](const LinkCut& cut) {
            return cut.from_ms > from_ms && cut.from_ms < call.ended_ms;
