--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -63,10 +63,16 @@
 // ---- Start and end ----
 
 void ControlNode::Start() {
+  for (const std::string& contract : settings_.unknown_contracts)
+    events_.Write(fleet_events::kContractUnknown, {{"contract", contract}});
+  OpenAndServe();
+}
+
+void ControlNode::OpenAndServe() {
   if (OpenStore()) return StartServing();
   tick_.expires_after(kOpenAgainAfter);
   tick_.async_wait([this](const fleet::ErrorCode& error) {
-    if (!error) Start();
+    if (!error) OpenAndServe();
   });
 }
 
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -42,6 +42,8 @@
 
  private:
   double NowMs() const;
+  // Tries again until the store can be opened.
+  void OpenAndServe();
   // False: it cannot be opened now.
   bool OpenStore();
   bool OpenTallies();
--- a/src/events/fleet_catalogue.h
+++ b/src/events/fleet_catalogue.h
@@ -10,6 +10,7 @@
 inline constexpr EventKind kStarted{"process.started", Severity::kInfo};
 inline constexpr EventKind kStopping{"process.stopping", Severity::kInfo};
 inline constexpr EventKind kSettingsFaulty{"settings.faulty", Severity::kError};
+inline constexpr EventKind kContractUnknown{"settings.contract_unknown", Severity::kWarning};
 inline constexpr EventKind kProcessFailed{"process.failed", Severity::kError};
 // Control machines.
 inline constexpr EventKind kRoleChanged{"replica.role", Severity::kInfo};
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -3,11 +3,25 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
+#include <string_view>
 
 namespace bitternmux::fleet {
 namespace {
 
+// The parts of the rules that this program was written for. Not among them: "places" (homes in regions).
+constexpr std::array<std::string_view, 13> kKnownContracts = {
+    "base", "drain", "config", "cost",   "retry",   "recover", "health",
+    "pool", "apart", "engine", "stream", "tenants", "quota"};
+
+std::vector<std::string> UnknownAmong(std::vector<std::string> contracts) {
+  std::erase_if(contracts, [](const std::string& contract) {
+    return std::ranges::find(kKnownContracts, contract) != kKnownContracts.end();
+  });
+  return contracts;
+}
+
 // Reads keys of one file, with the path of a key in each error.
 class Reader {
  public:
@@ -137,6 +151,7 @@
   out.quota_overage = bounds.Get<double>("quota_overage", out.quota_overage);
   out.quota_slack = bounds.Get<double>("quota_slack", out.quota_slack);
   if (bounds.Has("cold_overage")) out.cold_overage = bounds.Need<double>("cold_overage");
+  out.unknown_contracts = UnknownAmong(file.Get<std::vector<std::string>>("contracts", {}));
   out.cold_slack = bounds.Get<double>("cold_slack", out.cold_slack);
   return out;
 }
--- a/src/fleet/settings/node_settings.h
+++ b/src/fleet/settings/node_settings.h
@@ -42,6 +42,8 @@
   // What cold servers may get, as a multiple of what they bear and beyond it; none: no bound.
   std::optional<double> cold_overage;
   double cold_slack = 0;
+  // Parts of the rules that the deployment has in force, and that this program was not written for.
+  std::vector<std::string> unknown_contracts;
 };
 
 // Fields that it does not know are passed over. Throws SettingsError.
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -84,6 +84,14 @@
   CHECK(read.agent_listen == "127.0.0.1:7680");
 }
 
+// Guards against a part of the rules that is in force and was never built: nothing told of it before its
+// calls failed.
+TEST_CASE("node settings: contracts that the program was not written for are named") {
+  const File file(std::string(kGood) + "contracts:\n  - \"base\"\n  - \"apart\"\n  - \"ferries\"\n");
+  CHECK(ReadNodeSettings(file.path()).unknown_contracts == std::vector<std::string>{"ferries"});
+  CHECK(ReadNodeSettings(File(kGood).path()).unknown_contracts.empty());
+}
+
 TEST_CASE("node settings: links may be listened for at another address than the one others reach") {
   const File file(std::string(kGood) + "bitternmux:\n  internal_listen: \"127.0.0.1:7680\"\n");
   CHECK(ReadNodeSettings(file.path()).internal_listen == "127.0.0.1:7680");
