--- a/lab/simulation/applications.cpp
+++ b/lab/simulation/applications.cpp
@@ -34,7 +34,8 @@
   std::vector<std::size_t> machines = world_.Present();
   for (std::size_t i = machines.size(); i > 1; --i)
     std::swap(machines[i - 1], machines[world_.clock().Below(i)]);
-  std::ranges::stable_partition(machines, [&](std::size_t i) { return world_.ZoneOf(i) == zone; });
+  std::stable_partition(machines.begin(), machines.end(),
+                        [&](std::size_t i) { return world_.ZoneOf(i) == zone; });
   return machines;
 }
 
--- a/lab/simulation/tally_checker.cpp
+++ b/lab/simulation/tally_checker.cpp
@@ -112,8 +112,7 @@
 }
 
 void TallyChecker::CheckRead(const TallyReadRecord& read) {
-  const bool alone = MayReadAlone(read.call.machine, read.call.sent_ms);
-  const double merged_before_ms = alone ? -1 : MergedBefore(read.call.sent_ms);
+  const double merged_before_ms = MergedBefore(read.call.sent_ms);
   std::int64_t least = 0, most = 0;
   for (const Add& add : adds_[read.tally]) {
     const std::int64_t amount = add.record->amount;
@@ -136,12 +135,6 @@
   });
 }
 
-bool TallyChecker::MayReadAlone(const std::string& machine, double at_ms) const {
-  return std::ranges::any_of(losses_, [&](const Loss& loss) {
-    return loss.machine == machine && loss.back_ms + kAloneMs <= at_ms && at_ms < loss.until_ms;
-  });
-}
-
 double TallyChecker::MergedBefore(double at_ms) const {
   double newest_ms = -1;
   for (const Span& span : calm_) {
--- a/lab/simulation/tally_checker.h
+++ b/lab/simulation/tally_checker.h
@@ -3,8 +3,7 @@
 //
 // 17. A total holds at least every add that the same life of the same machine had acknowledged before the
 //     read was sent, and every add that any machine had acknowledged before a span of kMergeMs without fault
-//     which ended before the read was sent. The latter is not asked of a machine that lost its disk and has
-//     not come to be in connection for kAloneMs since: it serves by what it has (docs/design/apart.md).
+//     which ended before the read was sent.
 // 18. A total holds at most the adds that had been sent when its answer came, without those that were only
 //     ever refused.
 // 19. After all trouble each machine answers reads, and every acknowledged add that is owed is in its totals.
@@ -32,7 +31,6 @@
 constexpr double kMergeMs = 3000;
 constexpr double kCaughtUpMs = 4000;
 constexpr double kSteadyMs = 1500;  // for machines that cannot be reached to be known as such
-constexpr double kAloneMs = 8000;   // after which a machine that lost its disk serves by what it has
 
 constexpr int kTallyMissesAdd = 17;
 constexpr int kTallyHoldsTooMuch = 18;
@@ -67,8 +65,6 @@
   bool IsSteady(const TallyTry& call) const;
   void CheckRead(const TallyReadRecord& read);
   bool MustBeIn(const Add& add, const TallyReadRecord& read, double merged_before_ms) const;
-  // It lost its disk and has been alone since it was back, for kAloneMs or longer.
-  bool MayReadAlone(const std::string& machine, double at_ms) const;
   // The start of the newest span of kMergeMs without fault that was over by then; below 0: there was none.
   double MergedBefore(double at_ms) const;
   bool Owed(const TallyAddRecord& add) const;
--- a/tests/lab/simulation/tally_checker_test.cpp
+++ b/tests/lab/simulation/tally_checker_test.cpp
@@ -72,6 +72,15 @@
   }
 }
 
+// Guards against a total of a machine that lost its disk and has heard of nobody.
+TEST_CASE("tally checker: a machine that lost its disk serves no total by itself, however long it is alone") {
+  TallyHistory history = Sound();
+  history.disk_losses = {{"b", 14'000, 14'100}};
+  history.cuts = {{"a", "b", 14'000, 40'000}};
+  history.reads = {Read("b", 23'000, 0)};
+  CHECK(Invariants(history) == std::vector<int>{kTallyMissesAdd});
+}
+
 TEST_CASE("tally checker: what nobody owes is no violation") {
   TallyHistory history = Sound();
   history.reads.clear();
@@ -88,11 +97,6 @@
     history.adds.push_back({"4", "t", 1, {Call("a", 10'000, TallyEnd::kUnknown)}});
     history.adds.back().tries[0].in_own_zone = true;
   }
-  SECTION("a machine that lost its disk and has been alone for long serves by what it has") {
-    history.disk_losses = {{"b", 14'000, 14'100}};
-    history.cuts = {{"a", "b", 14'000, 40'000}};
-    history.reads = {Read("b", 23'000, 0)};
-  }
   SECTION("more disks are lost at once than may be") {
     history.disk_losses = {{"a", 10'020, 10'100}, {"b", 10'020, 10'100}};
     history.reads = {Read("c", 30'000, 0)};
