Sidecar's restart-window test: dials until the window ends, not fifty times

The test dialed 50 times in a row after SIGTERM and asked for 50 answers, however long they took. Now it dials for the whole 500 ms, counted from before the signal: any refusal within it fails, which the old loop (over after some 50 ms on a quiet machine) did not look for, and what was accepted within it must be answered.

--- a/tests/apps/sidecar_stories.cpp
+++ b/tests/apps/sidecar_stories.cpp
@@ -1,6 +1,8 @@
 // The built program over loopback, between a submitter, scripted execute nodes and a scripted discovery.
 #include <array>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
 
 #include "support/peers.h"
 
@@ -13,6 +15,20 @@
 const char kDeclined[] = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 const char kError[] = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 
+// So long after SIGTERM new connections are accepted. Counted from before the signal it ends no later than
+// that.
+constexpr std::chrono::milliseconds kRestartWindow{500};
+
+// A new connection; nothing where the dial was refused and `end` is past by then. Refused before it: throws.
+std::optional<Peer> DialBefore(std::chrono::steady_clock::time_point end, int port) {
+  try {
+    return Dial(port);
+  } catch (const std::runtime_error&) {
+    if (std::chrono::steady_clock::now() < end) throw;
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 TEST_CASE("what a submitter asks and a node answers passes on unchanged, on one connection") {
@@ -412,12 +428,15 @@
   held.Send(Post("id-1"));
   Peer node = bed.nodes[0].Accept();
   node.Read();
+  const auto window_end = std::chrono::steady_clock::now() + kRestartWindow;
   bed.program.Terminate();
   bed.program.AwaitLog("stopping held=1");
   Peer late = bed.Submitter();
   Peer second(-1);
-  for (int i = 0; i < 50; ++i) {
-    late = bed.Submitter();
+  for (int i = 0; std::chrono::steady_clock::now() < window_end; ++i) {
+    std::optional<Peer> submitter = DialBefore(window_end, bed.program.port());
+    if (!submitter) break;
+    late = std::move(*submitter);
     late.Send(Post("late-" + std::to_string(i)));
     if (i == 0) second = bed.nodes[0].Accept();
     second.Read();
