--- a/tests/router/upstream_test.cpp
+++ b/tests/router/upstream_test.cpp
@@ -108,6 +108,12 @@
   void Begin(const std::string& id, const std::shared_ptr<Attempt>& attempt) {
     connection_ = upstream_.Begin(Request(id, ""), attempt);
   }
+  // An attempt, run until it has ended.
+  std::shared_ptr<Attempt> Play(const std::string& id, const std::string& body = "") {
+    const auto attempt = Begin(id, body);
+    Await(*attempt);
+    return attempt;
+  }
   void Post(std::function<void()> call) { asio::post(io_, std::move(call)); }
   void Cancel() { Upstream::Cancel(connection_); }
   // Runs until the attempt has ended.
@@ -171,10 +177,8 @@
     server.Send(Answer("b", "two"));
     server.ReadToEnd();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
-  const auto second = stage.Begin("b");
-  stage.Await(*second);
+  const auto first = stage.Play("a");
+  const auto second = stage.Play("b");
   CHECK(first->body == "one");
   CHECK(second->body == "two");
   CHECK(stage.upstream().figures().dialed == 1);
@@ -193,12 +197,10 @@
     other.Send(Answer("b", "two", "Connection: close\r\n"));
     first_connection = server.ReadToEnd();  // the rest is read late
   });
-  const auto first = stage.Begin("a", LongBody());
-  stage.Await(*first);
+  const auto first = stage.Play("a", LongBody());
   CHECK(first->end == AttemptEnd::kComplete);
   CHECK(first->body == "early");
-  const auto second = stage.Begin("b");
-  stage.Await(*second);
+  const auto second = stage.Play("b");
   CHECK(second->body == "two");
   stage.ServerDone();
   CHECK(first_connection.find("POST /b") == std::string::npos);
@@ -215,8 +217,7 @@
     s.told.get_future().wait();
     server.Reset();
   });
-  const auto first = stage.Begin("a", LongBody());
-  stage.Await(*first);
+  const auto first = stage.Play("a", LongBody());
   stage.told.set_value();
   CHECK(first->end == AttemptEnd::kComplete);
   CHECK(first->body == "early");
@@ -229,8 +230,7 @@
     server.ReadHead();
     server.Reset();
   });
-  const auto attempt = stage.Begin("a", LongBody());
-  stage.Await(*attempt);
+  const auto attempt = stage.Play("a", LongBody());
   CHECK(attempt->end == AttemptEnd::kBroken);
   for (int i = 0; i < 20; ++i) stage.RunSome();
   CHECK(attempt->ends == 1);
@@ -244,8 +244,7 @@
     server.Send(Answer("other", "wrong") + Answer("a", "right"));
     server.ReadToEnd();
   });
-  const auto attempt = stage.Begin("a");
-  stage.Await(*attempt);
+  const auto attempt = stage.Play("a");
   CHECK(attempt->body == "right");
   stage.Cancel();
 }
@@ -261,11 +260,9 @@
     other.Send(Answer("b", "two"));
     other.ReadToEnd();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
+  const auto first = stage.Play("a");
   CHECK(first->body == "right");
-  const auto second = stage.Begin("b");
-  stage.Await(*second);
+  const auto second = stage.Play("b");
   CHECK(second->body == "two");
   CHECK(stage.upstream().figures().dialed == 2);
   stage.Cancel();
@@ -287,13 +284,11 @@
     other.Send(Answer("b", "two"));
     other.ReadToEnd();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
+  const auto first = stage.Play("a");
   stage.told.set_value();
   sent.get_future().wait();
   if (seen) stage.RunSome();
-  const auto second = stage.Begin("b");
-  stage.Await(*second);
+  const auto second = stage.Play("b");
   CHECK(second->body == "two");
   CHECK(stage.upstream().figures().dialed == 2);
   stage.Cancel();
@@ -311,10 +306,8 @@
     server.Send(Answer("b", "two"));
     server.ReadToEnd();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
-  const auto second = stage.Begin("b");
-  stage.Await(*second);
+  const auto first = stage.Play("a");
+  const auto second = stage.Play("b");
   CHECK(second->body == "two");
   stage.Cancel();
 }
@@ -327,8 +320,7 @@
     server.Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
     server.ReadToEnd();
   });
-  const auto attempt = stage.Begin("a");
-  stage.Await(*attempt);
+  const auto attempt = stage.Play("a");
   CHECK(attempt->end == AttemptEnd::kBroken);
   CHECK(attempt->status == 0);
 }
@@ -345,10 +337,8 @@
     if (after_first_byte) server.Send("HTTP/1.1 200 OK\r\nX-Requ");
     server.Reset();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
-  const auto second = stage.Begin("b");
-  stage.Await(*second);
+  const auto first = stage.Play("a");
+  const auto second = stage.Play("b");
   CHECK(second->end == AttemptEnd::kBroken);
   CHECK(stage.upstream().figures().dialed == 1);  // it is not sent again from here
 }
@@ -368,8 +358,7 @@
     other.Send(Answer("b", "two"));
     other.ReadToEnd();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
+  const auto first = stage.Play("a");
   stage.told.set_value();
   closed.get_future().wait();
   const auto second = stage.Begin("b");  // nothing has run in between
@@ -389,8 +378,7 @@
     server.HalfClose();
     server.ReadToEnd();
   });
-  const auto attempt = stage.Begin("a");
-  stage.Await(*attempt);
+  const auto attempt = stage.Play("a");
   CHECK(attempt->end == (before ? AttemptEnd::kBroken : AttemptEnd::kComplete));
   // The end of the other half closes the connection here too, which the server sees.
   for (int i = 0; i < 50; ++i) stage.RunSome();
@@ -423,8 +411,7 @@
                 (says_so ? "Connection: close\r\n" : "") + "\r\nbody");
     server.Close();
   });
-  const auto attempt = stage.Begin("a");
-  stage.Await(*attempt);
+  const auto attempt = stage.Play("a");
   CHECK(attempt->end == (says_so ? AttemptEnd::kCompleteByClose : AttemptEnd::kBroken));
 }
 
@@ -454,8 +441,7 @@
                 Answer("a", "one"));
     server.ReadToEnd();
   });
-  const auto attempt = stage.Begin("a");
-  stage.Await(*attempt);
+  const auto attempt = stage.Play("a");
   CHECK(attempt->status == 200);
   CHECK(attempt->body == "one");
   stage.Cancel();
@@ -489,8 +475,7 @@
     other.Send(Answer("a", "two"));
     other.ReadToEnd();
   });
-  const auto first = stage.Begin("a");
-  stage.Await(*first);
+  const auto first = stage.Play("a");
   const auto second = stage.Begin("a");
   stage.told.set_value();
   stage.Await(*second);
