Lab report: columns, blame and service sums in files of their own

analysis.cpp had grown to 720 lines, with a result that was written by one function of 130. Columns by second, the spans of blame, and the sums over requests are modules now, and each part of the result is a function.

--- a/lab/report/analysis.cpp
+++ b/lab/report/analysis.cpp
@@ -12,6 +12,9 @@
 #include <vector>
 
 #include "lab/back/comeback.h"
+#include "lab/report/blame.h"
+#include "lab/report/columns.h"
+#include "lab/report/service_tally.h"
 #include "lab/rules/checker.h"
 #include "lab/scenario/scenario.h"
 
@@ -23,102 +26,9 @@
 using record::Entry;
 
 constexpr std::size_t kWindowS = 10;
-// A machine is blamed for a second in which at least this share of its claims that ended did so badly, and
-// for a span of such seconds, with gaps of no more than kBlameGapS, that has this many of them.
-constexpr double kBlameShare = 0.25;
-constexpr int kBlameCount = 3;
-constexpr std::size_t kBlameGapS = 2;
-// The sidecars have turned away from a machine when it gets less than this share of what it got before.
-constexpr double kTurnedAway = 0.1;
-constexpr std::size_t kBeforeS = 5;
 // No run is longer: guards the columns' memory against a record whose times are noise.
 constexpr std::size_t kMostSeconds = 200'000;
 
-enum End : std::size_t { kInTime, kLate, kRefused, kFailed, kLost, kLeft, kNotTaken, kOpen };
-
-double Share(double part, double whole) { return whole > 0 ? part / whole : 1; }
-
-// To six digits after the point: more is noise.
-ordered_json Number(double value) {
-  if (!std::isfinite(value)) return nullptr;
-  if (value == std::trunc(value) && std::abs(value) < 1e15) return static_cast<std::int64_t>(value);
-  return std::round(value * 1e6) / 1e6;
-}
-
-// By the nearest rank; NaN of none.
-double Percentile(std::vector<float>& values, double share) {
-  if (values.empty()) return std::numeric_limits<double>::quiet_NaN();
-  const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
-  const auto at = values.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(rank, 1) - 1);
-  std::nth_element(values.begin(), at, values.end());
-  return std::round(static_cast<double>(*at) * 1000) / 1000;  // of milliseconds
-}
-
-// A column by second that grows as it is counted in.
-class Column {
- public:
-  double& At(std::size_t second) {
-    if (second >= values_.size()) values_.resize(second + 1);
-    return values_[second];
-  }
-  double Get(std::size_t second) const { return second < values_.size() ? values_[second] : 0; }
-  std::size_t size() const { return values_.size(); }
-  double Sum() const {
-    double sum = 0;
-    for (const double value : values_) sum += value;
-    return sum;
-  }
-  // The mean over [from, until).
-  double Mean(std::size_t from, std::size_t until) const {
-    double sum = 0;
-    for (std::size_t s = from; s < until; ++s) sum += Get(s);
-    return until > from ? sum / static_cast<double>(until - from) : 0;
-  }
-  ordered_json Json(std::size_t length) const {
-    ordered_json out = ordered_json::array();
-    for (std::size_t s = 0; s < length; ++s) out.push_back(Number(Get(s)));
-    return out;
-  }
-
- private:
-  std::vector<double> values_;
-};
-
-struct Wish {
-  std::size_t second = 0;  // in which it was first due
-  std::int64_t due_us = 0;
-  std::uint32_t klass = 0;
-  double worth = 0;
-  float took_ms = 0;
-  std::size_t end = kOpen;
-};
-
-struct Tally {
-  std::array<double, kOutcomes.size()> ends{};
-  double asked = 0, worth = 0, earned = 0, with_late = 0;
-  std::vector<float> took_ms;
-
-  void Add(const Wish& wish, double late_worth) {
-    ++asked;
-    ++ends[wish.end];
-    worth += wish.worth;
-    if (wish.end == kInTime) earned += wish.worth;
-    if (wish.end != kInTime && wish.end != kLate) return;
-    with_late += wish.worth * (wish.end == kInTime ? 1 : late_worth);
-    took_ms.push_back(wish.took_ms);
-  }
-};
-
-struct Machine {
-  std::string id;
-  std::uint32_t zone = 0, kind = 0;
-  double capacity = 0;
-  record::MachineChanged::State state = record::MachineChanged::GONE;
-  double warm = 1;  // share of its capacity
-  Column claims, ended, failed, silent, declined;
-  double worked_s = 0;
-};
-
 // A record that was not made from a scenario of this version has no goal, and its time is its own.
 std::optional<model::Figures> FiguresOf(const record::Header& header) {
   try {
@@ -177,7 +87,7 @@
 
  private:
   struct Try {
-    std::size_t wish = 0;
+    std::size_t request = 0;  // in requests_
     bool left = false;
   };
   struct Claim {
@@ -187,10 +97,16 @@
   struct Held {  // what a sidecar's last sample said
     double jobs = 0, memory_mb = 0;
   };
-  struct Trouble {
-    std::string name, detail;
-    double from_s = 0, until_s = std::numeric_limits<double>::quiet_NaN();
-    std::vector<std::uint32_t> machines, sidecars;
+  // The kWindowS seconds in which the smallest share of the worth was earned.
+  struct Window {
+    std::size_t from = 0, seconds = 0;
+    double share = 1;
+  };
+  struct Served {
+    ServiceTally all;
+    std::vector<ServiceTally> classes;
+    std::size_t worst_class = 0;
+    double worst_class_share = 1;
   };
 
   std::size_t Second(std::int64_t at_us) const {
@@ -215,12 +131,22 @@
   void Event(std::int64_t at, const std::string& what, const std::string& whom, const std::string& detail);
   // Levels hold until they change: those of all seconds before this one are settled.
   void Level(std::int64_t at);
-  std::vector<Tally> BySecond(std::size_t length) const;
+  // The run's length, with the seconds behind it in which something was still sent.
+  std::size_t LengthS() const;
+  std::vector<ServiceTally> BySecond(std::size_t length) const;
+  Served CountServed() const;
+  Window WorstWindow(std::size_t length) const;
+  double Goal(double worth, double worst_window, double worst_class) const;
+  // Percentiles reorder the times that were counted.
+  ordered_json FiguresJson(Served& served, const Window& worst_window) const;
+  ordered_json ClassesJson(Served& served) const;
+  void AddEnds(const ServiceTally& tally, ordered_json& out) const;
+  ordered_json ClaimEndsJson() const;
+  ordered_json TroublesJson() const;
+  ordered_json CountsJson() const;
+  ordered_json BreachesJson();
   ordered_json SecondsJson(std::size_t length) const;
   ordered_json MachinesJson(std::size_t length) const;
-  ordered_json Blame(std::size_t length) const;
-  void BlameOf(std::uint32_t number, const Machine& machine, const Column& bad, const char* what,
-               std::size_t length, ordered_json& out) const;
 
   const record::Header& header_;
   rules::Checker checker_;
@@ -228,10 +154,10 @@
   std::int64_t first_us_ = 0, length_us_ = 0;
   back::Comeback back_;
   std::uint64_t entries_ = 1;
-  std::vector<Wish> wishes_;
+  std::vector<RequestRecord> requests_;
   std::unordered_map<std::uint64_t, Try> tries_;  // looked up only
   std::unordered_map<std::uint64_t, Claim> claims_;
-  std::map<std::uint32_t, Machine> machines_;
+  std::map<std::uint32_t, ServerRecord> machines_;
   std::map<std::uint32_t, Held> held_;
   std::array<double, ClaimEnded::How_ARRAYSIZE> claim_ends_{};
   Column tries_sent_, claims_sent_, probes_, dials_, refusals_, retry_afters_;
@@ -239,7 +165,7 @@
   std::size_t levels_until_ = 0;
   double open_ = 0;  // connections
   double fallen_ = 0;
-  std::vector<Trouble> troubles_;
+  std::vector<TroubleSpan> troubles_;
   ordered_json events_ = ordered_json::array();
   std::size_t events_seen_ = 0;
 };
@@ -339,52 +265,52 @@
   ++tries_sent_.At(Second(at));
   const auto first = tries_.find(sent.first_id());
   if (first != tries_.end()) {
-    const std::size_t wish = first->second.wish;
-    tries_[sent.try_id()] = {wish, false};
-    wishes_[wish].end = kOpen;
+    const std::size_t request = first->second.request;
+    tries_[sent.try_id()] = {request, false};
+    requests_[request].end = kOpen;
     return;
   }
-  Wish wish;
-  wish.due_us = sent.due_us() > 0 ? sent.due_us() : at;
-  wish.second = Second(wish.due_us);
-  wish.klass = sent.class_();
+  RequestRecord request;
+  request.due_us = sent.due_us() > 0 ? sent.due_us() : at;
+  request.second = Second(request.due_us);
+  request.klass = sent.class_();
   const auto klass = static_cast<int>(sent.class_());
-  wish.worth = klass < header_.classes_size() ? header_.classes(klass).worth() : 1;
-  if (header_.rules().worth_by_work()) wish.worth *= static_cast<double>(sent.work_us()) / 1000;
-  tries_[sent.try_id()] = {wishes_.size(), false};
-  wishes_.push_back(wish);
+  request.worth = klass < header_.classes_size() ? header_.classes(klass).worth() : 1;
+  if (header_.rules().worth_by_work()) request.worth *= static_cast<double>(sent.work_us()) / 1000;
+  tries_[sent.try_id()] = {requests_.size(), false};
+  requests_.push_back(request);
 }
 
 void Analysis::Ended(std::int64_t at, const record::TryEnded& ended) {
   using record::TryEnded;
   const auto found = tries_.find(ended.try_id());
   if (found == tries_.end()) return;
-  Wish& wish = wishes_[found->second.wish];
+  RequestRecord& request = requests_[found->second.request];
   switch (ended.how()) {
     case TryEnded::SERVED: {
-      wish.took_ms = static_cast<float>(static_cast<double>(at - wish.due_us) / 1000);
-      const auto klass = static_cast<int>(wish.klass);
+      request.took_ms = static_cast<float>(static_cast<double>(at - request.due_us) / 1000);
+      const auto klass = static_cast<int>(request.klass);
       const std::int64_t aim = klass < header_.classes_size() ? header_.classes(klass).aim_us() : 0;
-      wish.end = at - wish.due_us <= aim ? kInTime : kLate;
+      request.end = at - request.due_us <= aim ? kInTime : kLate;
       return;
     }
     case TryEnded::REFUSED:
       ++refusals_.At(Second(at));
       if (ended.retry_after_us() > 0) ++retry_afters_.At(Second(at));
-      wish.end = kRefused;
+      request.end = kRefused;
       return;
     case TryEnded::LEFT:
       found->second.left = true;
-      wish.end = kLeft;
+      request.end = kLeft;
       return;
     case TryEnded::LOST:
-      wish.end = kLost;
+      request.end = kLost;
       return;
     case TryEnded::NOT_TAKEN:
-      wish.end = kNotTaken;
+      request.end = kNotTaken;
       return;
     default:
-      wish.end = kFailed;
+      request.end = kFailed;
       return;
   }
 }
@@ -392,7 +318,7 @@
 void Analysis::ClaimOver(std::int64_t at, const ClaimEnded& ended) {
   const auto claim = claims_.find(ended.claim_id());
   if (claim == claims_.end()) return;
-  Machine& machine = machines_[claim->second.machine];
+  ServerRecord& machine = machines_[claim->second.machine];
   const auto attempt = tries_.find(claim->second.attempt);
   const bool left = attempt != tries_.end() && attempt->second.left;
   claims_.erase(claim);
@@ -423,7 +349,7 @@
 }
 
 void Analysis::Changed(std::int64_t at, const record::MachineChanged& changed) {
-  Machine& machine = machines_[changed.machine()];
+  ServerRecord& machine = machines_[changed.machine()];
   machine.id = changed.id();
   machine.zone = changed.zone();
   machine.kind = changed.kind();
@@ -436,7 +362,7 @@
 
 void Analysis::TakeTrouble(std::int64_t at, const record::Trouble& trouble) {
   if (trouble.begins()) {
-    Trouble& begun = troubles_.emplace_back();
+    TroubleSpan& begun = troubles_.emplace_back();
     begun.name = trouble.name();
     begun.detail = trouble.detail();
     begun.from_s = Since(at);
@@ -444,38 +370,39 @@
     begun.sidecars.assign(trouble.on_sidecars().begin(), trouble.on_sidecars().end());
     return;
   }
-  for (Trouble& begun : troubles_) {
+  for (TroubleSpan& begun : troubles_) {
     if (begun.name != trouble.name() || std::isfinite(begun.until_s)) continue;
     begun.until_s = Since(at);
     return;
   }
 }
 
-std::vector<Tally> Analysis::BySecond(std::size_t length) const {
-  std::vector<Tally> tallies(length);
-  for (const Wish& wish : wishes_) tallies[wish.second].Add(wish, LateWorth(wish.klass));
+std::vector<ServiceTally> Analysis::BySecond(std::size_t length) const {
+  std::vector<ServiceTally> tallies(length);
+  for (const RequestRecord& request : requests_)
+    tallies[request.second].Add(request, LateWorth(request.klass));
   return tallies;
 }
 
 ordered_json Analysis::SecondsJson(std::size_t length) const {
-  const std::vector<Tally> seconds = BySecond(length);
+  const std::vector<ServiceTally> seconds = BySecond(length);
   ordered_json out;
   const auto column = [&](const char* name, auto value) {
     ordered_json& list = out[name] = ordered_json::array();
-    for (const Tally& tally : seconds) list.push_back(value(tally));
+    for (const ServiceTally& tally : seconds) list.push_back(value(tally));
   };
-  column("asked", [](const Tally& tally) { return Number(tally.asked); });
+  column("asked", [](const ServiceTally& tally) { return Number(tally.asked); });
   for (std::size_t end = 0; end < kOutcomes.size(); ++end) {
-    column(kOutcomes[end], [end](const Tally& tally) { return Number(tally.ends[end]); });
+    column(kOutcomes[end], [end](const ServiceTally& tally) { return Number(tally.ends[end]); });
   }
   const auto share = [](double part, double whole) {
     return whole > 0 ? Number(part / whole) : ordered_json();
   };
-  column("worth", [&](const Tally& tally) { return share(tally.with_late, tally.worth); });
-  column("worth_in_time", [&](const Tally& tally) { return share(tally.earned, tally.worth); });
+  column("worth", [&](const ServiceTally& tally) { return share(tally.with_late, tally.worth); });
+  column("worth_in_time", [&](const ServiceTally& tally) { return share(tally.earned, tally.worth); });
   const std::pair<const char*, double> percentiles[] = {{"p50_ms", 0.5}, {"p90_ms", 0.9}, {"p99_ms", 0.99}};
   for (const auto& [name, at] : percentiles) {
-    column(name, [at = at](const Tally& tally) {
+    column(name, [at = at](const ServiceTally& tally) {
       std::vector<float> took = tally.took_ms;
       return Number(Percentile(took, at));
     });
@@ -509,72 +436,148 @@
   return out;
 }
 
-void Analysis::BlameOf(std::uint32_t number, const Machine& machine, const Column& bad, const char* what,
-                       std::size_t length, ordered_json& out) const {
-  for (std::size_t s = 0; s < length; ++s) {
-    const auto blamed = [&](std::size_t at) {
-      return bad.Get(at) > 0 && bad.Get(at) >= kBlameShare * machine.ended.Get(at);
-    };
-    if (!blamed(s)) continue;
-    const std::size_t from = s;
-    std::size_t until = s + 1;
-    for (std::size_t next = until; next < length && next <= until + kBlameGapS; ++next) {
-      if (blamed(next)) until = next + 1;
-    }
-    s = until;
-    double count = 0, ended = 0;
-    for (std::size_t at = from; at < until; ++at) {
-      count += bad.Get(at);
-      ended += machine.ended.Get(at);
-    }
-    if (count < kBlameCount) continue;
-    const double before = machine.claims.Mean(from > kBeforeS ? from - kBeforeS : 0, from);
-    ordered_json turned;  // null: they did not
-    for (std::size_t at = from; before > 0 && at < until + kBeforeS && at < length && turned.is_null();
-         ++at) {
-      if (machine.claims.Get(at) < kTurnedAway * before) turned = at;
-    }
-    ordered_json scripted = ordered_json::array();
-    for (const Trouble& trouble : troubles_) {
-      const double end = std::isfinite(trouble.until_s) ? trouble.until_s : static_cast<double>(length);
-      const auto& hit = trouble.machines;
-      if (trouble.from_s < static_cast<double>(until) && end + 1 > static_cast<double>(from) &&
-          std::find(hit.begin(), hit.end(), number) != hit.end()) {
-        scripted.push_back(trouble.name);
-      }
+std::size_t Analysis::LengthS() const {
+  std::size_t length = Second(std::max<std::int64_t>(length_us_ - 1, first_us_)) + 1;
+  for (const RequestRecord& request : requests_) length = std::max(length, request.second + 1);
+  for (const Column* column : {&tries_sent_, &claims_sent_}) length = std::max(length, column->size());
+  return length;
+}
+
+// Of the seconds in which requests were due.
+Analysis::Window Analysis::WorstWindow(std::size_t length) const {
+  std::size_t arrivals = 0;
+  for (const RequestRecord& request : requests_) arrivals = std::max(arrivals, request.second + 1);
+  const std::vector<ServiceTally> seconds = BySecond(length);
+  Window worst;
+  worst.seconds = std::min(kWindowS, arrivals);
+  for (std::size_t from = 0; from + worst.seconds <= arrivals; ++from) {
+    double worth = 0, got = 0;
+    for (std::size_t at = from; at < from + worst.seconds; ++at) {
+      worth += seconds[at].worth;
+      got += seconds[at].with_late;
     }
-    out.push_back({{"machine", number},
-                   {"id", machine.id},
-                   {"what", what},
-                   {"from_s", from},
-                   {"until_s", until},
-                   {"claims", Number(count)},
-                   {"of_ended", Number(ended)},
-                   {"claims_a_second_before", Number(before)},
-                   {"claims_a_second_in_it", Number(machine.claims.Mean(from, until))},
-                   {"turned_away_at_s", turned},
-                   {"scripted", scripted}});
+    if (Share(got, worth) >= worst.share) continue;
+    worst.share = Share(got, worth);
+    worst.from = from;
+  }
+  return worst;
+}
+
+Analysis::Served Analysis::CountServed() const {
+  Served served;
+  served.classes.resize(static_cast<std::size_t>(header_.classes_size()));
+  for (const RequestRecord& request : requests_) {
+    served.all.Add(request, LateWorth(request.klass));
+    if (request.klass < served.classes.size())
+      served.classes[request.klass].Add(request, LateWorth(request.klass));
+  }
+  for (std::size_t i = 0; i < served.classes.size(); ++i) {
+    const double share = Share(served.classes[i].with_late, served.classes[i].worth);
+    if (share >= served.worst_class_share) continue;
+    served.worst_class_share = share;
+    served.worst_class = i;
+  }
+  return served;
+}
+
+// NaN where the scenario states no goal.
+double Analysis::Goal(double worth, double worst_window, double worst_class) const {
+  if (!figures_) return std::numeric_limits<double>::quiet_NaN();
+  const model::RuleFigures& rules = figures_->rules;
+  const double weights = rules.goal_whole + rules.goal_worst_window + rules.goal_worst_class;
+  if (weights <= 0) return worth;
+  return (rules.goal_whole * worth + rules.goal_worst_window * worst_window +
+          rules.goal_worst_class * worst_class) /
+         weights;
+}
+
+ordered_json Analysis::FiguresJson(Served& served, const Window& worst_window) const {
+  const ServiceTally& all = served.all;
+  const double worth = Share(all.with_late, all.worth);
+  const double requests = std::max(1.0, all.asked);
+  return {{"goal", Number(Goal(worth, worst_window.share, served.worst_class_share))},
+          {"worth", Number(worth)},
+          {"in_time", Number(Share(all.earned, all.worth))},
+          {"worst_window", Number(worst_window.share)},
+          {"worst_class", Number(served.worst_class_share)},
+          {"p50_ms", Number(Percentile(served.all.took_ms, 0.5))},
+          {"p99_ms", Number(Percentile(served.all.took_ms, 0.99))},
+          {"refused", Number(all.ends[kRefused] / requests)},
+          {"tries", Number(tries_sent_.Sum() / requests)},
+          {"claims", Number(claims_sent_.Sum() / requests)},
+          {"dials", Number(dials_.Sum() / requests)},
+          {"breaches", checker_.found()}};
+}
+
+void Analysis::AddEnds(const ServiceTally& tally, ordered_json& out) const {
+  for (std::size_t end = 0; end < kOutcomes.size(); ++end) out[kOutcomes[end]] = Number(tally.ends[end]);
+}
+
+ordered_json Analysis::ClaimEndsJson() const {
+  ordered_json out = ordered_json::object();
+  for (std::size_t i = 0; i < claim_ends_.size(); ++i) {
+    if (claim_ends_[i] == 0) continue;
+    out[ClaimEnded::How_Name(static_cast<ClaimEnded::How>(i))] = Number(claim_ends_[i]);
+  }
+  return out;
+}
+
+ordered_json Analysis::ClassesJson(Served& served) const {
+  ordered_json out = ordered_json::array();
+  for (std::size_t i = 0; i < served.classes.size(); ++i) {
+    ServiceTally& klass = served.classes[i];
+    ordered_json one{{"name", header_.classes(static_cast<int>(i)).name()}, {"asked", Number(klass.asked)}};
+    AddEnds(klass, one);
+    one["worth"] = Number(Share(klass.with_late, klass.worth));
+    one["p50_ms"] = Number(Percentile(klass.took_ms, 0.5));
+    one["p90_ms"] = Number(Percentile(klass.took_ms, 0.9));
+    one["p99_ms"] = Number(Percentile(klass.took_ms, 0.99));
+    out.push_back(one);
   }
+  return out;
 }
 
-ordered_json Analysis::Blame(std::size_t length) const {
+ordered_json Analysis::TroublesJson() const {
   ordered_json out = ordered_json::array();
-  for (const auto& [number, machine] : machines_) {
-    BlameOf(number, machine, machine.failed, "failed", length, out);
-    BlameOf(number, machine, machine.silent, "silent", length, out);
+  for (const TroubleSpan& trouble : troubles_) {
+    out.push_back({{"name", trouble.name},
+                   {"from_s", Number(trouble.from_s)},
+                   {"until_s", Number(trouble.until_s)},
+                   {"machines", trouble.machines},
+                   {"sidecars", trouble.sidecars},
+                   {"detail", trouble.detail}});
+  }
+  return out;
+}
+
+ordered_json Analysis::CountsJson() const {
+  ordered_json out = ordered_json::object();
+  for (std::size_t i = 0; i < rules::kRules; ++i) {
+    const std::uint64_t count = checker_.counts()[i];
+    if (count > 0) out[std::string(rules::kRuleNames[i])] = count;
+  }
+  return out;
+}
+
+ordered_json Analysis::BreachesJson() {
+  ordered_json out = ordered_json::array();
+  for (const rules::Breach& breach : checker_.Breaches()) {
+    if (out.size() == kMostLines) break;
+    out.push_back({{"rule", rules::NameOf(breach.rule)},
+                   {"s", Number(Since(breach.at_us))},
+                   {"job", breach.job},
+                   {"server", breach.server},
+                   {"detail", breach.detail}});
   }
-  std::stable_sort(out.begin(), out.end(), [](const ordered_json& a, const ordered_json& b) {
-    return a["from_s"].get<std::size_t>() < b["from_s"].get<std::size_t>();
-  });
   return out;
 }
 
 ordered_json Analysis::Result(const record::Trailer& trailer, const back::Comeback* calm) {
   checker_.Finish();
-  std::size_t length = Second(std::max<std::int64_t>(length_us_ - 1, first_us_)) + 1;
-  for (const Wish& wish : wishes_) length = std::max(length, wish.second + 1);
-  for (const Column* column : {&tries_sent_, &claims_sent_}) length = std::max(length, column->size());
+  const std::size_t length = LengthS();
   Level(first_us_ + static_cast<std::int64_t>(length) * 1'000'000);
+  Served served = CountServed();
+  const Window worst_window = WorstWindow(length);
 
   ordered_json out;
   out["format"] = kResultFormat;
@@ -585,116 +588,26 @@
   out["length_s"] = length;
   out["entries"] = entries_ + 1;
   if (trailer.void_()) out["void"] = trailer.reason();
-
-  Tally all;
-  std::vector<Tally> classes(static_cast<std::size_t>(header_.classes_size()));
-  for (const Wish& wish : wishes_) {
-    all.Add(wish, LateWorth(wish.klass));
-    if (wish.klass < classes.size()) classes[wish.klass].Add(wish, LateWorth(wish.klass));
-  }
-  // Of the seconds in which wishes were due.
-  std::size_t arrivals = 0;
-  for (const Wish& wish : wishes_) arrivals = std::max(arrivals, wish.second + 1);
-  const std::vector<Tally> seconds = BySecond(length);
-  const std::size_t window = std::min(kWindowS, arrivals);
-  std::size_t worst_from = 0;
-  double worst_window = 1;
-  for (std::size_t from = 0; from + window <= arrivals; ++from) {
-    double worth = 0, got = 0;
-    for (std::size_t at = from; at < from + window; ++at) {
-      worth += seconds[at].worth;
-      got += seconds[at].with_late;
-    }
-    if (Share(got, worth) < worst_window) {
-      worst_window = Share(got, worth);
-      worst_from = from;
-    }
-  }
-  std::size_t worst_class = 0;
-  double worst_class_share = 1;
-  for (std::size_t i = 0; i < classes.size(); ++i) {
-    const double share = Share(classes[i].with_late, classes[i].worth);
-    if (share >= worst_class_share) continue;
-    worst_class_share = share;
-    worst_class = i;
-  }
-
-  const double worth = Share(all.with_late, all.worth);
-  double goal = std::numeric_limits<double>::quiet_NaN();
-  if (figures_) {
-    const model::RuleFigures& rules = figures_->rules;
-    const double weights = rules.goal_whole + rules.goal_worst_window + rules.goal_worst_class;
-    goal = weights > 0 ? (rules.goal_whole * worth + rules.goal_worst_window * worst_window +
-                          rules.goal_worst_class * worst_class_share) /
-                             weights
-                       : worth;
-  }
-  const double wishes = std::max(1.0, all.asked);
-  out["figures"] = {{"goal", Number(goal)},
-                    {"worth", Number(worth)},
-                    {"in_time", Number(Share(all.earned, all.worth))},
-                    {"worst_window", Number(worst_window)},
-                    {"worst_class", Number(worst_class_share)},
-                    {"p50_ms", Number(Percentile(all.took_ms, 0.5))},
-                    {"p99_ms", Number(Percentile(all.took_ms, 0.99))},
-                    {"refused", Number(all.ends[kRefused] / wishes)},
-                    {"tries", Number(tries_sent_.Sum() / wishes)},
-                    {"claims", Number(claims_sent_.Sum() / wishes)},
-                    {"dials", Number(dials_.Sum() / wishes)},
-                    {"breaches", checker_.found()}};
+  out["figures"] = FiguresJson(served, worst_window);
   out["back"] = back_.ToJson(calm);
   AddBack(out["back"], out["figures"]);
-  out["worst_window"] = {{"from_s", worst_from}, {"seconds", window}};
-  if (!classes.empty()) out["worst_class"] = header_.classes(static_cast<int>(worst_class)).name();
-  out["asked"] = Number(all.asked);
+  out["worst_window"] = {{"from_s", worst_window.from}, {"seconds", worst_window.seconds}};
+  if (!served.classes.empty())
+    out["worst_class"] = header_.classes(static_cast<int>(served.worst_class)).name();
+  out["asked"] = Number(served.all.asked);
   out["servers_fallen"] = Number(fallen_);
-  for (std::size_t end = 0; end < kOutcomes.size(); ++end)
-    out["outcomes"][kOutcomes[end]] = Number(all.ends[end]);
-  out["claim_ends"] = ordered_json::object();
-  for (std::size_t i = 0; i < claim_ends_.size(); ++i) {
-    if (claim_ends_[i] == 0) continue;
-    out["claim_ends"][ClaimEnded::How_Name(static_cast<ClaimEnded::How>(i))] = Number(claim_ends_[i]);
-  }
-  out["classes"] = ordered_json::array();
-  for (std::size_t i = 0; i < classes.size(); ++i) {
-    Tally& klass = classes[i];
-    ordered_json one{{"name", header_.classes(static_cast<int>(i)).name()}, {"asked", Number(klass.asked)}};
-    for (std::size_t end = 0; end < kOutcomes.size(); ++end) one[kOutcomes[end]] = Number(klass.ends[end]);
-    one["worth"] = Number(Share(klass.with_late, klass.worth));
-    one["p50_ms"] = Number(Percentile(klass.took_ms, 0.5));
-    one["p90_ms"] = Number(Percentile(klass.took_ms, 0.9));
-    one["p99_ms"] = Number(Percentile(klass.took_ms, 0.99));
-    out["classes"].push_back(one);
-  }
+  AddEnds(served.all, out["outcomes"]);
+  out["claim_ends"] = ClaimEndsJson();
+  out["classes"] = ClassesJson(served);
   out["seconds"] = SecondsJson(length);
   out["seconds"].update(back_.Columns(length, calm));
   out["machines"] = MachinesJson(length);
-  out["blame"] = Blame(length);
-  out["troubles"] = ordered_json::array();
-  for (const Trouble& trouble : troubles_) {
-    out["troubles"].push_back({{"name", trouble.name},
-                               {"from_s", Number(trouble.from_s)},
-                               {"until_s", Number(trouble.until_s)},
-                               {"machines", trouble.machines},
-                               {"sidecars", trouble.sidecars},
-                               {"detail", trouble.detail}});
-  }
+  out["blame"] = BlameServers(machines_, troubles_, length);
+  out["troubles"] = TroublesJson();
   out["events"] = events_;
   out["events_left_out"] = events_seen_ - events_.size();
-  out["counts"] = ordered_json::object();
-  for (std::size_t i = 0; i < rules::kRules; ++i) {
-    const std::uint64_t count = checker_.counts()[i];
-    if (count > 0) out["counts"][std::string(rules::kRuleNames[i])] = count;
-  }
-  out["breaches"] = ordered_json::array();
-  for (const rules::Breach& breach : checker_.Breaches()) {
-    if (out["breaches"].size() == kMostLines) break;
-    out["breaches"].push_back({{"rule", rules::NameOf(breach.rule)},
-                               {"s", Number(Since(breach.at_us))},
-                               {"job", breach.job},
-                               {"server", breach.server},
-                               {"detail", breach.detail}});
-  }
+  out["counts"] = CountsJson();
+  out["breaches"] = BreachesJson();
   return out;
 }
 
