Tallies: copies outlast the loss of as many zones as the settings say

An add was answered once it was on `fault_tolerance.machines` + 1 disks, wherever these stood; `zones` was not read. With machines 1 and zones 1 both disks may stand in one zone, and its loss takes an acknowledged add with it.

Now the settings are read (a bad value is named like that of its neighbours), each machine tells its zone with its state, and an add counts as stored on more than `machines` disks and in more than `zones` zones. Where that is out of reach it is answered as before, on all disks that can be reached. A machine whose zone is not known adds a disk and no zone. Internal protocol 7.

Weighed: the zone in the member's row of the shard's value (another form of replica.db, and machines that wait to join are not in it); the zone in the greeting of a link (the ledger knows no links).

--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -30,7 +30,9 @@
   options.replica.incarnation = NextUnique(clock_);
   options.replica.new_store = NextUnique(clock_);
   options.tallies.origin = NextUnique(clock_);
-  options.tallies.copies = options_.tolerated + 1;
+  options.tallies.copies = std::max(options_.tolerated, options_.tolerated_zones) + 1;
+  options.tallies.zones = options_.tolerated_zones + 1;
+  options.tallies.zone = options_.zone;
   options.tallies.may_have_lost_disk = !bootstrap && !disk_.content();
   options.loaded_tallies = tally_disk_.Load();
   ++life_;
--- a/lab/simulation/control_machine.h
+++ b/lab/simulation/control_machine.h
@@ -40,7 +40,9 @@
   struct Options {
     fleet::Member self;
     std::size_t group_size = 3;
-    std::size_t tolerated = 1;
+    std::string zone;
+    std::size_t tolerated = 1;  // machines that may be lost at once
+    std::size_t tolerated_zones = 1;
     double sync_ms = 5;
     fleet::QuotaBounds quota;
   };
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -50,6 +50,7 @@
   options.self = {ip + ":7680", ip + ":8665", 0};
   options.group_size = 2 * options_.tolerated + 1;
   options.sync_ms = options_.sync_ms;
+  options.zone = NameOfZone(zone);
   options.tolerated = options_.tolerated;
   options.quota = {kQuotaWindowMs, kQuotaOverage, kQuotaSlack};
   ControlSurroundings& surroundings = *this;
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -126,7 +126,10 @@
   options.replica.new_store = RandomStore();
   options.quota = {settings_.quota_window_s * 1000, settings_.quota_overage, settings_.quota_slack};
   options.tallies.origin = incarnation_;
-  options.tallies.copies = settings_.tolerated_machines + 1;
+  // At least one machine goes with each zone.
+  options.tallies.copies = std::max(settings_.tolerated_machines, settings_.tolerated_zones) + 1;
+  options.tallies.zones = settings_.tolerated_zones + 1;
+  options.tallies.zone = settings_.zone;
   options.tallies.may_have_lost_disk = tallies_lost_ || (!loaded_ && !settings_.bootstrap);
   options.loaded_tallies = std::move(loaded_tallies_);
   core_ =
--- a/src/fleet/messages/messages.h
+++ b/src/fleet/messages/messages.h
@@ -17,7 +17,7 @@
 
 namespace bitternmux::fleet {
 
-constexpr std::uint32_t kProtocolVersion = 6;
+constexpr std::uint32_t kProtocolVersion = 7;
 
 constexpr double kNeverMs = -1e18;  // a time before all others
 
--- a/src/fleet/messages/tally_messages.h
+++ b/src/fleet/messages/tally_messages.h
@@ -52,10 +52,11 @@
   std::uint64_t round = 0;        // rises with each state of this life, from 1
   std::vector<TallyExtent> held;  // in memory, by rising origin
   bool settled = false;           // the sender answers reads
+  std::string zone;               // in which the sender stands; empty: its settings name none
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(origin, round, held, settled);
+    archive(origin, round, held, settled, zone);
   }
 };
 
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -136,7 +136,9 @@
   const Reader limits = file.Section("limits");
   out.memory_mb = limits.Get<std::size_t>("memory_mb", 256);
   out.max_fds = limits.Get<std::size_t>("max_fds", 1024);
-  out.tolerated_machines = file.Section("fault_tolerance").Get<std::size_t>("machines", 1);
+  const Reader tolerance = file.Section("fault_tolerance");
+  out.tolerated_machines = tolerance.Get<std::size_t>("machines", 1);
+  out.tolerated_zones = tolerance.Get<std::size_t>("zones", 0);
   const Reader cloud = file.Section("cloud");
   out.platform_address = cloud.Address("address");
   out.platform_calls_per_s = cloud.Get<double>("rate_per_s", 10);
--- a/src/fleet/settings/node_settings.h
+++ b/src/fleet/settings/node_settings.h
@@ -33,7 +33,8 @@
   bool bootstrap = false;
   std::string data_dir;  // empty: no disk
   std::size_t memory_mb = 0, max_fds = 0;
-  std::size_t tolerated_machines = 0;
+  std::size_t tolerated_machines = 0;  // control machines that may be lost at once with all rules kept
+  std::size_t tolerated_zones = 0;     // or zones, with all that stands there
   std::string platform_address;
   double platform_calls_per_s = 0;
   double drain_ms = 3000, grace_s = 8, loss_slack_ms = 200;
--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace bitternmux::fleet {
 
@@ -72,12 +73,25 @@
   });
 }
 
+// Where a zone more than may be lost at once has the add, one that has it is left.
+bool TallyLedger::IsInEnoughZones(bool here, std::uint64_t number) const {
+  if (options_.zones <= 1) return true;
+  std::set<std::string_view> zones;
+  if (here) zones.insert(options_.zone);
+  for (const auto& [address, peer] : peers_) {
+    if (peer.stored >= number) zones.insert(peer.zone);
+  }
+  zones.erase("");
+  return zones.size() >= options_.zones;
+}
+
 bool TallyLedger::IsStored(double now_ms, std::uint64_t number) const {
   const auto own = stored_.find(options_.origin);
   const bool here = own != stored_.end() && own->second >= number;
   const auto others =
       std::ranges::count_if(peers_, [&](const auto& entry) { return entry.second.stored >= number; });
-  if (static_cast<std::size_t>(others) + (here ? 1 : 0) >= options_.copies) return true;
+  const std::size_t disks = static_cast<std::size_t>(others) + (here ? 1 : 0);
+  if (disks >= options_.copies && IsInEnoughZones(here, number)) return true;
   const bool may_know_all = now_ms - started_ms_ > kFirstReachedMs;
   return here && may_know_all && IsStoredByAllReached(now_ms, number);
 }
@@ -156,6 +170,7 @@
   if (!IsReached(peer, now_ms) && round_ > 0) Send(from, StateNow());  // a cut may have healed
   peer.heard_ms = now_ms;
   peer.settled = state.settled;
+  peer.zone = state.zone;
   peer.held_before = std::exchange(peer.held, state.held);
   JudgeCaughtUp();
   Settle(now_ms);
@@ -265,6 +280,7 @@
   state.round = round_;
   state.held = fold_.Extents();
   state.settled = settled_;
+  state.zone = options_.zone;
   return state;
 }
 
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -10,8 +10,9 @@
 //  - The number of an add in its log never means another add: an origin is never used by a second process.
 //  - What is held of a log is a prefix of it, in memory and on disk.
 //  - An add that stands in the log is never answered as refused.
-//  - An add is answered as added once it is on as many disks as Options::copies says, or, where fewer
-//    machines can be reached, on this machine's disk and on those of all that can be. A machine counts as
+//  - An add is answered as added once it is on as many disks as Options::copies says, in as many different
+//    zones as Options::zones says, or, where that is out of reach, on this machine's disk and on those of all
+//    that can be reached. A machine whose zone is not known adds a disk and no zone. A machine counts as
 //    reached while it has answered a state that was sent no longer than kReachedMs ago; one that was never
 //    heard, for kFirstReachedMs from when it was named; and any for kReachedMs after this process stood
 //    still.
@@ -95,6 +96,8 @@
   struct Options {
     std::uint64_t origin = 0;  // of this process; never used before
     std::size_t copies = 2;    // disks that an add has to be on: one more than may be lost at once
+    std::size_t zones = 1;     // different zones that these stand in: one more than may be lost at once
+    std::string zone;          // of this machine; empty: its settings name none
     // It began with an empty disk, and not with the whole fleet: it answers no read while it knows nobody,
     // and waits longer for those that are silent.
     bool may_have_lost_disk = false;
@@ -126,6 +129,7 @@
  private:
   struct Peer {
     std::uint64_t origin = 0;              // of its life; 0: it has told nothing yet
+    std::string zone;                      // as it told last; empty: not known
     double answered_ms = 0;                // when the newest state that it answered was sent
     std::optional<double> heard_ms;        // when its newest state came
     bool settled = false;                  // it answers reads, as it told last
@@ -168,6 +172,7 @@
   std::optional<std::string> NextSource(double now_ms) const;
   void Ask(double now_ms, const std::string& from);
   bool IsStored(double now_ms, std::uint64_t number) const;
+  bool IsInEnoughZones(bool here, std::uint64_t number) const;
   bool IsStoredByAllReached(double now_ms, std::uint64_t number) const;
   void AnswerPending(double now_ms);
   void Answer(std::uint64_t call, TallyOutcome outcome, std::int64_t total = 0);
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -33,6 +33,7 @@
   memory_mb: 260
 fault_tolerance:
   machines: 2
+  zones: 1
 cloud:
   address: "10.200.0.96:8667"
 bounds:
@@ -77,6 +78,7 @@
   CHECK(read.control.empty());
   CHECK(read.data_dir.empty());
   CHECK(read.tolerated_machines == 2);
+  CHECK(read.tolerated_zones == 1);
   CHECK(read.zones == std::vector<std::string>{"braga", "maia"});
   CHECK(read.quota_slack == 110000);
   CHECK(read.drain_ms == 3000);
@@ -84,6 +86,17 @@
   CHECK(read.agent_listen == "127.0.0.1:7680");
 }
 
+// Guards against a loss that is to be borne and that the programs never heard of.
+TEST_CASE("node settings: the losses that are to be borne") {
+  CHECK(FaultOf(kGood, "  zones: 1\n", "  zones: all\n").find("fault_tolerance.zones") != std::string::npos);
+  CHECK(FaultOf(kGood, "  zones: 1\n", "  zones: -1\n").find("fault_tolerance.zones") != std::string::npos);
+  CHECK(FaultOf(kGood, "  zones: 1\n", "  zones: [1]\n").find("fault_tolerance.zones") != std::string::npos);
+  CHECK(FaultOf(kGood, "  zones: 1\n", "  zones: 0.5\n").find("fault_tolerance.zones") != std::string::npos);
+  std::string without = kGood;
+  without.erase(without.find("  zones: 1\n"), std::string("  zones: 1\n").size());
+  CHECK(ReadNodeSettings(File(without).path()).tolerated_zones == 0);
+}
+
 // Guards against a part of the rules that is in force and was never built: nothing told of it before its
 // calls failed.
 TEST_CASE("node settings: contracts that the program was not written for are named") {
--- a/tests/fleet/tallies/tally_group.cpp
+++ b/tests/fleet/tallies/tally_group.cpp
@@ -100,6 +100,7 @@
   call.total = answer.total;
   if (call.is_read) return;
   call.disks = DisksWith(call.add.id);
+  call.zones = ZonesWith(call.add.id);
   call.apart = HasCutLink(machine.index);
   if (call.Is(TallyOutcome::kAdded)) ++acknowledged_;
 }
@@ -137,6 +138,8 @@
   TallyLedger::Options options;
   options.origin = random_();
   options.copies = options_.copies;
+  options.zones = options_.zones_of_copies;
+  if (index < options_.zones.size()) options.zone = options_.zones[index];
   options.may_have_lost_disk = machine.lost_disk;
   std::vector<TallyAdds> loaded;
   for (const auto& [origin, log] : machine.disk) loaded.push_back({origin, 1, log});
@@ -222,11 +225,27 @@
   }
 }
 
+std::vector<std::size_t> TallyGroup::MachinesIn(const std::string& zone) const {
+  std::vector<std::size_t> machines;
+  for (std::size_t machine = 0; machine < options_.zones.size(); ++machine) {
+    if (options_.zones[machine] == zone) machines.push_back(machine);
+  }
+  return machines;
+}
+
 std::size_t TallyGroup::DisksWith(const std::string& id) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       machines_, [&](const auto& machine) { return machine->ids_on_disk.contains(id); }));
 }
 
+std::size_t TallyGroup::ZonesWith(const std::string& id) const {
+  std::set<std::string> zones;
+  for (std::size_t machine = 0; machine < options_.zones.size(); ++machine) {
+    if (machines_[machine]->ids_on_disk.contains(id)) zones.insert(options_.zones[machine]);
+  }
+  return zones.size();
+}
+
 // ---- Network ----
 
 void TallyGroup::CutOneWay(std::size_t from, std::size_t to) {
--- a/tests/fleet/tallies/tally_group.h
+++ b/tests/fleet/tallies/tally_group.h
@@ -24,6 +24,8 @@
   std::uint64_t seed = 1;
   std::size_t machines = 3;
   std::size_t copies = 2;
+  std::size_t zones_of_copies = 1;  // in which these stand
+  std::vector<std::string> zones;   // of the machines, by their number; empty: not known
   double sync_ms = 5;
   double delay_ms = 1;
   double link_mbps = 0;     // of what a machine sends; 0: unbounded
@@ -42,6 +44,7 @@
   double answered_ms = 0;
   std::int64_t total = 0;
   std::size_t disks = 0;  // that held the add when it was answered
+  std::size_t zones = 0;  // in which these stood
   bool apart = false;     // one of the machine's links was cut when it was answered
 
   bool Is(TallyOutcome expected) const { return outcome == expected; }
@@ -84,8 +87,11 @@
   void StallDisk(std::size_t machine, double for_ms);
   // The process stands still; what comes meanwhile reaches it afterwards.
   void Freeze(std::size_t machine, double for_ms);
+  std::vector<std::size_t> MachinesIn(const std::string& zone) const;
   // Disks that hold an add with that id.
   std::size_t DisksWith(const std::string& id) const;
+  // Zones in which these stand.
+  std::size_t ZonesWith(const std::string& id) const;
 
   // ---- Network ----
 
--- a/tests/fleet/tallies/tally_histories_test.cpp
+++ b/tests/fleet/tallies/tally_histories_test.cpp
@@ -40,6 +40,16 @@
   double at_ms;
 };
 
+// Zones of unlike sizes, maybe one alone; the loss of one is to be borne, and so that of a machine.
+void DrawZones(TallyGroupOptions& options, std::mt19937_64& random) {
+  const std::size_t zones = 2 + random() % 3;
+  for (std::size_t machine = 0; machine < options.machines; ++machine) {
+    options.zones.push_back(std::string(1, static_cast<char>('a' + random() % zones)));
+  }
+  options.copies = std::max<std::size_t>(options.copies, 2);
+  options.zones_of_copies = 2;
+}
+
 TallyGroupOptions DrawOptions(std::uint64_t seed) {
   std::mt19937_64 random(seed * 7919);
   TallyGroupOptions options;
@@ -51,6 +61,7 @@
   options.link_mbps = random() % 4 == 0 ? 10 : 0;
   options.cuts_delay = random() % 2 == 0;
   options.datagrams = random() % 6 == 0;
+  if (random() % 2 == 0) DrawZones(options, random);
   return options;
 }
 
@@ -190,16 +201,29 @@
   }
   // At most as many disks as may be lost at once; machines that are lost in another way count among them.
   void LoseDisks() {
+    if (!options_.zones.empty() && Chance(0.5)) return LoseZone();
     for (std::size_t drawn = options_.copies; drawn > 1; --drawn) {
       const std::size_t machine = group_.Below(group_.size());
       std::set<std::size_t> lost = lost_;
       lost.insert(machine);
       if (lost.size() >= options_.copies) continue;
-      End(machine, 100 + 1500 * group_.Unit());
-      group_.Wipe(machine);
-      disk_losses_.push_back({machine, group_.now()});
+      LoseDisk(machine);
     }
   }
+  // All disks of a zone, where no machine elsewhere is lost in any way: copies stand in two zones.
+  void LoseZone() {
+    const std::string& zone = options_.zones[group_.Below(group_.size())];
+    const std::vector<std::size_t> machines = group_.MachinesIn(zone);
+    const bool elsewhere =
+        std::ranges::any_of(lost_, [&](std::size_t lost) { return options_.zones[lost] != zone; });
+    if (elsewhere || machines.size() == group_.size()) return;
+    for (const std::size_t machine : machines) LoseDisk(machine);
+  }
+  void LoseDisk(std::size_t machine) {
+    End(machine, 100 + 1500 * group_.Unit());
+    group_.Wipe(machine);
+    disk_losses_.push_back({machine, group_.now()});
+  }
   void Split() {
     const std::size_t first_of_other_side = group_.Below(group_.size());
     for (std::size_t one = 0; one < first_of_other_side; ++one) {
@@ -282,6 +306,10 @@
       Wrong("not added in a calm time: " + Describe(call));
     }
     if (call.disks < options_.copies) Wrong("on too few disks: " + Describe(call));
+    const std::set<std::string> zones(options_.zones.begin(), options_.zones.end());
+    if (call.zones < std::min(zones.size(), options_.zones_of_copies)) {
+      Wrong("in too few zones: " + Describe(call));
+    }
   }
 
   void CheckTotal(const TallyCall& read, const std::map<std::string, Id>& ids) {
--- a/tests/fleet/tallies/tally_ledger_test.cpp
+++ b/tests/fleet/tallies/tally_ledger_test.cpp
@@ -37,6 +37,14 @@
   return options;
 }
 
+// Machines in zones, of which one may be lost.
+TallyGroupOptions MachinesInZones(std::vector<std::string> zones, std::size_t copies) {
+  TallyGroupOptions options = Machines(zones.size(), copies);
+  options.zones_of_copies = 2;
+  options.zones = std::move(zones);
+  return options;
+}
+
 // All machines answer a read with that total.
 void CheckTotals(TallyGroup& group, const std::string& tally, std::int64_t total) {
   for (std::size_t machine = 0; machine < group.size(); ++machine) {
@@ -87,6 +95,57 @@
   CHECK(group.call(add).disks >= 3);
 }
 
+// Guards against an add whose copies all stand in the zone that is lost.
+TEST_CASE("tally ledger: an add outlasts the loss of the zone that took it") {
+  Group group(MachinesInZones({"a", "a", "b"}, 2));
+  group.StallDisk(2, 400);
+  const std::size_t add = group.Add(0, {"id", "t", 4});
+  for (int step = 0; step < 500 && !group.call(add).outcome; ++step) group.RunFor(1);
+  REQUIRE(group.call(add).Is(TallyOutcome::kAdded));
+  group.LosePower(2);
+  for (const std::size_t machine : group.MachinesIn("a")) group.Wipe(machine);
+  for (std::size_t machine = 0; machine < group.size(); ++machine) group.Start(machine);
+  group.RunFor(kMergeMs);
+  CheckTotals(group, "t", 4);
+}
+
+// Guards against an add that waits for more than its copies, in the zones that they have to stand in.
+TEST_CASE("tally ledger: copies in enough zones do not wait for further disks") {
+  Group group(MachinesInZones({"a", "a", "b", "b", "c"}, 2));
+  for (const std::size_t machine : {1, 2, 4}) group.StallDisk(machine, 5000);
+  const std::size_t add = group.Add(0, {"id", "t", 4});
+  group.RunFor(kSoonMs);
+  CHECK(group.call(add).Is(TallyOutcome::kAdded));
+  CHECK(group.call(add).disks == 2);
+}
+
+// Guards against adds that stop in a zone that is cut off: no other zone can be reached.
+TEST_CASE("tally ledger: a zone that is cut off goes on by all the disks that it can reach") {
+  Group group(MachinesInZones({"a", "a", "b", "b", "c"}, 2));
+  for (const std::size_t machine : group.MachinesIn("a")) {
+    for (const std::size_t other : {2, 3, 4}) group.Cut(machine, other);
+  }
+  group.RunFor(kReachedMs + kSoonMs);
+  group.StallDisk(1, 200);
+  const std::size_t add = group.Add(0, {"id", "t", 4});
+  group.RunFor(kSoonMs);
+  CHECK_FALSE(group.call(add).outcome);
+  group.RunFor(200);
+  CHECK(group.call(add).Is(TallyOutcome::kAdded));
+  CHECK(group.call(add).disks == 2);
+}
+
+// Guards against machines without a zone in their settings that count as a zone: it may be that of another.
+TEST_CASE("tally ledger: a machine whose zone is not known counts as a disk and not as a zone") {
+  Group group(MachinesInZones({"a", "", "b"}, 2));
+  group.StallDisk(2, 400);
+  const std::size_t add = group.Add(0, {"id", "t", 4});
+  group.RunFor(kSoonMs);
+  CHECK_FALSE(group.call(add).outcome);
+  group.RunFor(400);
+  CHECK(group.call(add).Is(TallyOutcome::kAdded));
+}
+
 // Guards against an add that waits for the own disk although others hold it.
 TEST_CASE("tally ledger: others make up for the own disk that stands still") {
   Group group;
