Tallies: a control machine that was replaced is waited for by nobody any more

Peers() of a replica named the group, what it was told of the group before it joined, and the seeds of its settings, and the tallies took all of these for machines that hold tallies. What was told was never dropped, so that a successor went on naming the machine that it stands for; and who was there before names a seed that is gone until its settings are read anew. Such a machine is written to and never answers: it stands as not reached in `/status`, and `bitternmuxctl status` ends with 1 for as long as the process lives; a process that starts waits for it before it answers reads of tallies (1.5 s).

Group() is the group as it is known now: by the newest of the accepted value and what was told, and who waits to join; seeds only for one that knows no group. Tallies go by it. Peers() names all as before but what is out of date: links are kept to seeds too, as these may know nobody but each other, and to the voters of the accepted value, whom a candidate asks. A machine that is in nobody's group and tells its state (replaced while it was away, or one more than the group takes) is a peer of the tallies as before, while it is heard.

--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -45,8 +45,19 @@
   return world.clock().now_ms() - began_ms;
 }
 
-// The group has all its members, and each of them has on disk what is committed.
+// Nobody that is gone is waited for.
+bool ReachesAllPeers(World& world, std::size_t control) {
+  const fleet::ControlCore* core = world.control(control).core();
+  return core != nullptr &&
+         std::ranges::all_of(core->tallies().Peers(world.clock().now_ms()), &fleet::TallyPeerStatus::reached);
+}
+
+// The group has all its members, each of them has on disk what is committed, and all machines reach each
+// other.
 bool IsWhole(World& world) {
+  const std::vector<std::size_t> present = world.Present();
+  const auto reaches = [&](std::size_t control) { return ReachesAllPeers(world, control); };
+  if (!std::ranges::all_of(present, reaches)) return false;
   if (world.history().committed.empty()) return false;
   const fleet::ShardValue& value = world.history().committed.rbegin()->second;
   const std::size_t wanted = std::min(2 * world.options().tolerated + 1, world.Present().size());
--- a/src/fleet/control/control_core.cpp
+++ b/src/fleet/control/control_core.cpp
@@ -196,7 +196,7 @@
 
 void ControlCore::UseTallyPeers(double now_ms) {
   std::vector<std::string> addresses;
-  for (const Member& peer : replica_.Peers()) addresses.push_back(peer.internal);
+  for (const Member& member : replica_.Group()) addresses.push_back(member.internal);
   tallies_.SetPeers(now_ms, addresses);
 }
 
--- a/src/fleet/replication/replica.cpp
+++ b/src/fleet/replication/replica.cpp
@@ -6,6 +6,17 @@
 #include "fleet/replication/quorum.h"
 
 namespace bitternmux::fleet {
+namespace {
+
+// Appends the members at addresses that are not there yet.
+void AddNew(std::vector<Member>& members, const std::vector<Member>& others) {
+  for (const Member& other : others) {
+    if (std::ranges::find(members, other.internal, &Member::internal) == members.end())
+      members.push_back(other);
+  }
+}
+
+}  // namespace
 
 Replica::Replica(Options options, std::optional<DurableState> loaded, double now_ms)
     : options_(std::move(options)),
@@ -196,14 +207,19 @@
   return behind_since_ms_ == kNeverMs || now_ms - behind_since_ms_ <= kBehindMs;
 }
 
+std::vector<Member> Replica::Group() const {
+  const bool told_newer = told_position_ > accepted_.position;
+  std::vector<Member> group = told_newer ? told_members_ : Voters(accepted_.value);
+  for (const auto& [address, learner] : learners_) AddNew(group, {learner.member});
+  if (group.empty()) group = seeds_;
+  std::erase_if(group, [&](const Member& member) { return member.internal == self_.internal; });
+  return group;
+}
+
 std::vector<Member> Replica::Peers() const {
   std::vector<Member> peers = Voters(accepted_.value);
-  const auto add = [&](const Member& member) {
-    if (std::ranges::find(peers, member.internal, &Member::internal) == peers.end()) peers.push_back(member);
-  };
-  for (const Member& member : told_members_) add(member);
-  for (const Member& seed : seeds_) add(seed);
-  for (const auto& [address, learner] : learners_) add(learner.member);
+  AddNew(peers, Group());
+  AddNew(peers, seeds_);
   std::erase_if(peers, [&](const Member& member) { return member.internal == self_.internal; });
   return peers;
 }
--- a/src/fleet/replication/replica.h
+++ b/src/fleet/replication/replica.h
@@ -193,7 +193,10 @@
   bool ConfirmedWithin(double now_ms, double within_ms) const { return MajorityConfirmed(now_ms, within_ms); }
   // As an owner: the members that answer it, itself included, in the agreed order.
   std::vector<LiveProcess> LiveMembers(double now_ms) const;
-  // Other control machines to keep links to.
+  // The members of the group and those that wait to join, as far as this replica knows, without itself; the
+  // seeds for one that knows no group. Who is gone from the group is not among them.
+  std::vector<Member> Group() const;
+  // Other control machines to keep links to: those and the seeds, which may know nobody but each other.
   std::vector<Member> Peers() const;
   // Bytes of values that were sent to peers and not answered for.
   std::uint64_t UnansweredBytes() const;
--- a/tests/fleet/replication/replica_test.cpp
+++ b/tests/fleet/replication/replica_test.cpp
@@ -278,6 +278,25 @@
   }
 }
 
+// Guards against a machine that is gone and waited for, told of and written to for ever: as a seed by those
+// that were there, and by its successor, which was told of the group when it was in it.
+TEST_CASE("replica: a member that was replaced belongs to nobody's group any more") {
+  for (const std::size_t gone : {0U, 2U, 4U}) {
+    Simulation simulation({21, 5, 2, 5, 0});
+    simulation.RunFor(3000);
+    simulation.Replace(gone, 500);
+    simulation.RunFor(6000);
+    for (std::size_t i = 0; i < simulation.size(); ++i) {
+      if (!simulation.up(i)) continue;
+      INFO("machine " << gone << " is gone, machine " << i << " tells");
+      const std::vector<Member> group = simulation.replica(i)->Group();
+      CHECK(group.size() == 4);
+      CHECK(std::ranges::count(group, simulation.member(gone).internal, &Member::internal) == 0);
+    }
+    CheckEnd(simulation);
+  }
+}
+
 // The successor may fail within the change: had a live member been exchanged, the new group would lack two.
 TEST_CASE("replica: one that is gone is replaced before one that answers and is to stop") {
   for (const std::uint64_t seed : {17U, 18U, 19U, 20U}) {
