--- a/lab/apps/fleet_simulation.cpp
+++ b/lab/apps/fleet_simulation.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-using bitternmux::lab::simulation::CallKind;
 using bitternmux::lab::simulation::History;
 
 struct Totals {
@@ -37,9 +36,9 @@
   if (!FLAGS_history) return;
   for (const std::string& line : history.lines) std::cout << "  " << line << '\n';
   for (const auto& call : history.calls) {
-    std::cout << "  " << call.began_ms << " to " << call.ended_ms << " ms  " << call.by
-              << (call.kind == CallKind::kPut ? " PUT " : " GET ") << call.version << " on " << call.builds_on
-              << ": end " << static_cast<int>(call.end) << ", " << call.answered_by << '\n';
+    std::cout << "  " << call.began_ms << " to " << call.ended_ms << " ms  " << call.by << ' '
+              << NameOf(call.kind) << ' ' << call.zone << call.version << " on " << call.builds_on << ": end "
+              << static_cast<int>(call.end) << ", " << call.answered_by << '\n';
   }
 }
 
--- a/lab/simulation/checker.cpp
+++ b/lab/simulation/checker.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 
+#include "lab/simulation/evacuation_checker.h"
 #include "lab/simulation/platform.h"
 
 namespace bitternmux::lab::simulation {
@@ -43,7 +44,7 @@
 };
 
 std::string Name(const CallRecord& call) {
-  return call.by + (call.kind == CallKind::kPut ? " PUT " : " GET ") + std::to_string(call.version) + " on " +
+  return call.by + " " + NameOf(call.kind) + " " + std::to_string(call.version) + " on " +
          std::to_string(call.builds_on) + ", " + std::to_string(call.began_ms) + " to " +
          std::to_string(call.ended_ms) + " ms, answered by " + call.answered_by;
 }
@@ -79,7 +80,10 @@
 void Checker::CheckCommitted(const std::string& machine, const fleet::AcceptedValue& committed) {
   if (committed.position == fleet::Position{}) return;
   const auto [found, added] = history_.committed.emplace(committed.position.sequence, committed.value);
-  if (added) return CheckGroups(committed.position.sequence, committed.value);
+  if (added) {
+    history_.committed_ms[committed.position.sequence] = clock_.now_ms();
+    return CheckGroups(committed.position.sequence, committed.value);
+  }
   if (found->second != committed.value) {
     Fault(1, machine + " holds another committed value at " + std::to_string(committed.position.sequence));
   }
@@ -147,6 +151,7 @@
   if (revision < seen.revision) Fault(9, process + ": the list has gone back");
   if (state.evacuations.position < seen.evacuations)
     Fault(9, process + ": the evacuations' position has gone back");
+  CheckTold(process, state.evacuations);
   seen.evacuations = state.evacuations.position;
   seen.version = state.configuration_version;
   seen.list = state.list_position;
@@ -154,6 +159,15 @@
   CheckContent(state.list_position, state.servers);
 }
 
+// What a feed has brought is what stands in the committed value of that position.
+void Checker::CheckTold(const std::string& process, const fleet::Evacuations& evacuations) {
+  if (evacuations.position == fleet::Position{}) return;
+  const auto found = history_.committed.find(evacuations.position.sequence);
+  if (found != history_.committed.end() && found->second.evacuated == evacuations.zones) return;
+  Fault(kEvacuationsToldWrong, process + " holds other evacuations than were committed at " +
+                                   std::to_string(evacuations.position.sequence));
+}
+
 void Checker::Granted(double tokens) { grants_.emplace_back(clock_.now_ms(), tokens); }
 
 void Checker::Admitted(double tokens) { admitted_.emplace_back(clock_.now_ms(), tokens); }
@@ -179,6 +193,12 @@
   }
 }
 
+void Checker::CheckEvacuations() {
+  EvacuationChecker checker(history_,
+                            [&](int invariant, const std::string& what) { Fault(invariant, what); });
+  checker.Check();
+}
+
 void Checker::CheckCalls() {
   static const std::vector<fleet::TakenOrder> kNone;
   const auto& committed = history_.committed;
--- a/lab/simulation/checker.h
+++ b/lab/simulation/checker.h
@@ -36,6 +36,7 @@
   // All that was acknowledged, refused and read, against the order in which values were committed.
   void CheckCalls();
   void CheckQuota();
+  void CheckEvacuations();
   void Fault(int invariant, std::string what);
 
  private:
@@ -48,6 +49,7 @@
     fleet::Position evacuations = {};
   };
   void CheckCommitted(const std::string& machine, const fleet::AcceptedValue& committed);
+  void CheckTold(const std::string& process, const fleet::Evacuations& evacuations);
   void CheckGroups(std::uint64_t sequence, const fleet::ShardValue& value);
   using Tokens = std::deque<std::pair<double, double>>;  // when, and how many
   void CheckWindows(const Tokens& tokens, const std::string& name);
--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -158,26 +158,20 @@
   Input(life, [this, servers] { core_->ListRead(clock_.now_ms(), servers); });
 }
 
-void ControlMachine::Call(std::uint64_t life, const std::optional<fleet::Order>& order, Answered answered) {
+void ControlMachine::Call(std::uint64_t life, const std::optional<fleet::OperatorOrder>& order,
+                          Answered answered) {
   if (!up() || life != life_) return answered(CallResult::kReset, {});
   const std::uint64_t id = ++last_call_;
   calls_[id] = std::move(answered);
   Input(life, [this, id, order] {
     if (order) {
-      core_->Put(clock_.now_ms(), id, *order);
+      std::visit([&](const auto& wanted) { Ask(id, wanted); }, *order);
     } else {
       core_->Get(clock_.now_ms(), id);
     }
   });
 }
 
-void ControlMachine::Evacuate(std::uint64_t life, const fleet::EvacuationOrder& order, Answered answered) {
-  if (!up() || life != life_) return answered(CallResult::kReset, {});
-  const std::uint64_t id = ++last_call_;
-  calls_[id] = std::move(answered);
-  Input(life, [this, id, order] { core_->Evacuate(clock_.now_ms(), id, order); });
-}
-
 void ControlMachine::BeginTallyCall(std::uint64_t life, TallyAnswered answered,
                                     std::function<void(std::uint64_t call)> begin) {
   if (!up() || life != life_) return answered(CallResult::kReset, {});
--- a/lab/simulation/control_machine.h
+++ b/lab/simulation/control_machine.h
@@ -92,8 +92,7 @@
   void LoadsTold(std::uint64_t life, fleet::SubscriberId id, const fleet::ServerLoads& loads);
   void ListRead(std::uint64_t life, const std::optional<fleet::ServerMap>& servers);
   // A call of the operator; an order, or a read where there is none.
-  void Call(std::uint64_t life, const std::optional<fleet::Order>& order, Answered answered);
-  void Evacuate(std::uint64_t life, const fleet::EvacuationOrder& order, Answered answered);
+  void Call(std::uint64_t life, const std::optional<fleet::OperatorOrder>& order, Answered answered);
   // Calls of applications.
   void AddToTally(std::uint64_t life, const fleet::TallyAdd& add, TallyAnswered answered);
   void ReadTally(std::uint64_t life, const std::string& tally, TallyAnswered answered);
@@ -106,6 +105,10 @@
   void TakeInput(std::uint64_t life, std::function<void()> input);
   void Tick(std::uint64_t life);
   void Thaw();
+  void Ask(std::uint64_t call, const fleet::Order& order) { core_->Put(clock_.now_ms(), call, order); }
+  void Ask(std::uint64_t call, const fleet::EvacuationOrder& order) {
+    core_->Evacuate(clock_.now_ms(), call, order);
+  }
   void Drain();
   void DrainTallies(const fleet::ControlOutput& output);
   void BeginTallyCall(std::uint64_t life, TallyAnswered answered,
--- a/lab/simulation/day.cpp
+++ b/lab/simulation/day.cpp
@@ -8,9 +8,11 @@
 #include <utility>
 
 #include "lab/simulation/applications.h"
+#include "lab/simulation/evacuation_checker.h"
 #include "lab/simulation/faults.h"
 #include "lab/simulation/operators.h"
 #include "lab/simulation/tally_checker.h"
+#include "lab/simulation/zone_operator.h"
 
 namespace bitternmux::lab::simulation {
 namespace {
@@ -163,6 +165,30 @@
   if (took_ms > kVersionWithinMs) world.checker().Fault(14, "a change is not everywhere in time");
 }
 
+// An order about a zone is acknowledged, and all routers hear of it.
+void CheckZoneOrder(World& world, const fleet::EvacuationOrder& order) {
+  const std::size_t call = world.Evacuate("last-evacuator", order, kAcknowledgedWithinMs);
+  Await(world, kAcknowledgedWithinMs, [&] { return !world.open(call); });
+  if (world.call(call).end != CallEnd::kTaken) {
+    world.TellGroup();
+    return world.checker().Fault(14, "no order about a zone is acknowledged in calm");
+  }
+  const std::vector<std::string>& zones = world.history().committed.rbegin()->second.evacuated;
+  const double took_ms = Await(world, kVersionWithinMs, [&] {
+    return AllRouters(world, [&](const auto& state) { return state.evacuations.zones == zones; });
+  });
+  if (took_ms > kVersionWithinMs)
+    world.checker().Fault(14, "an order about a zone is not everywhere in time");
+}
+
+// Requests go on for so long that a router which still chooses the zone's servers is seen.
+void CheckEvacuation(World& world) {
+  const std::string zone = World::NameOfZone(world.options().seed % world.zones());
+  CheckZoneOrder(world, {zone, true});
+  world.RunFor(kEvacuationWithinMs + kContactMs);
+  CheckZoneOrder(world, {zone, false});
+}
+
 // Reads each tally at each machine; where no answer comes, again.
 void ReadTotals(World& world) {
   for (const std::size_t machine : world.Present()) {
@@ -202,6 +228,7 @@
   options.edges = 3;
   options.sync_ms = seed % 2 == 0 ? 5 : 0.5;
   options.network.latency_ms = seed % 4 == 1 ? 3 : 0.9;
+  options.evacuations = ZoneOperator::WorksOn(seed);
   options.network.reorder = seed % 5 == 2;
   options.network.loss = seed % 10 == 7 ? 0.04 : options.network.reorder ? 0.01 : 0;
   return options;
@@ -236,6 +263,7 @@
   }
   CheckList(world);
   CheckChange(world);
+  if (world.options().evacuations) CheckEvacuation(world);
   CheckLoads(world);
 }
 
@@ -243,11 +271,13 @@
   CheckCalm(world);
   world.checker().CheckCalls();
   world.checker().CheckQuota();
+  world.checker().CheckEvacuations();
 }
 
 History PlayDay(std::uint64_t seed) {
   World world(DrawOptions(seed));
   Operators operators(world, 3);
+  ZoneOperator zone_operator(world);
   Applications applications(world);
   Faults faults(world, operators);
   KeepBusy(world);
@@ -255,8 +285,10 @@
   world.clock().After(1000, [&] { applications.Begin(); });
   world.RunFor(kStartMs);
   faults.Draw(kTroubleMs);
+  zone_operator.Draw(kTroubleMs);
   world.RunFor(kTroubleMs);
   operators.End();
+  zone_operator.Close();
   faults.Close();
   faults.CloseOnTallies();
   if (seed % kSlowDisksEach == 0) CheckSlowDisks(world);
--- a/lab/simulation/edge_machine.cpp
+++ b/lab/simulation/edge_machine.cpp
@@ -147,10 +147,20 @@
   const fleet::FeedFollower::Applied applied = router_->follower.Apply(entry);
   const std::size_t routers = router_->follower.state().fleet.routers;
   if (applied.fleet && routers > 0) router_->ledger.SetRouters(routers);
-  if (applied.servers) router_->choice.Update(clock_.now_ms(), router_state().servers);
+  const bool zones_changed =
+      applied.evacuations && router_->evacuated.Set(clock_.now_ms(), router_state().evacuations.zones);
+  if (applied.servers || zones_changed || !router_->servers_known) UseServers();
   if (applied.gap) FeedRouter();
 }
 
+// Nothing is sent before it is known which zones are evacuated.
+void EdgeMachine::UseServers() {
+  const fleet::FeedState& known = router_state();
+  if (known.list_position == fleet::ListPosition{} || known.evacuations.position == fleet::Position{}) return;
+  router_->choice.Update(clock_.now_ms(), router_->evacuated.Drained(known.servers));
+  router_->servers_known = true;
+}
+
 void EdgeMachine::FeedRouter() {
   for (const fleet::FeedEntry& entry : agent_->publisher.CatchUp(router_->follower.Ask(name_))) Apply(entry);
 }
@@ -234,6 +244,7 @@
 
 void EdgeMachine::TickLoads(std::uint64_t router_life) {
   if (!router_up() || router_life != router_life_) return;
+  if (router_->evacuated.Tick(clock_.now_ms())) UseServers();
   const bool whole = clock_.now_ms() - router_->loads_refreshed_ms >= kLoadsRefreshMs;
   if (whole) router_->loads_refreshed_ms = clock_.now_ms();
   if (whole || router_->choice.loads_changed()) TellLoads(router_->choice.TakeLoads(clock_.now_ms(), whole));
--- a/lab/simulation/edge_machine.h
+++ b/lab/simulation/edge_machine.h
@@ -17,6 +17,7 @@
 #include "fleet/messages/messages.h"
 #include "fleet/quota/quota_ledger.h"
 #include "lab/simulation/clock.h"
+#include "router/evacuated_zones.h"
 #include "router/server_choice.h"
 
 namespace bitternmux::lab::simulation {
@@ -44,6 +45,7 @@
   const std::string& name() const { return name_; }
   bool up() const { return agent_ != nullptr; }
   bool router_up() const { return router_ != nullptr; }
+  bool frozen() const { return clock_.now_ms() < frozen_until_ms_; }
   std::uint64_t life() const { return life_; }
   std::uint64_t router_life() const { return router_life_; }
   const fleet::FeedState& agent_state() const { return agent_->follower.state(); }
@@ -89,6 +91,8 @@
     std::map<std::uint64_t, double> waiting;  // tokens of requests that wait for a grant
     bool ticking = false;
     router::ServerChoice choice;
+    router::EvacuatedZones evacuated;
+    bool servers_known = false;
     std::map<std::uint32_t, fleet::ServerLoad> fleet_loads;
     double loads_refreshed_ms = 0;
   };
@@ -103,6 +107,7 @@
   void ToRouter(bool news);
   void FeedRouter();
   void Apply(const fleet::FeedEntry& entry);
+  void UseServers();
   void QuotaChanged();
   void TickQuota(std::uint64_t router_life);
   void Serve();
--- a/lab/simulation/history.h
+++ b/lab/simulation/history.h
@@ -13,7 +13,7 @@
 
 namespace bitternmux::lab::simulation {
 
-enum class CallKind { kPut, kGet };
+enum class CallKind { kPut, kGet, kEvacuate, kTakeBack };
 enum class CallEnd { kUnknown, kTaken, kRefused, kRead };
 
 // One call of an operator, with all its tries.
@@ -28,6 +28,30 @@
   CallEnd end = CallEnd::kUnknown;
   bool stale = false;  // a PUT that is refused for its age alone
   std::string answered_by;
+  std::string zone = {};  // of an evacuation, or of its end
+  // The evacuated zones that the answer told of, where there was a clear one.
+  std::optional<std::vector<std::string>> told_zones = {};
+};
+
+inline const char* NameOf(CallKind kind) {
+  switch (kind) {
+    case CallKind::kPut:
+      return "PUT";
+    case CallKind::kGet:
+      return "GET";
+    case CallKind::kEvacuate:
+      return "EVACUATE";
+    case CallKind::kTakeBack:
+      return "TAKE BACK";
+  }
+  return "";
+}
+
+// A router has sent a request to a server of a zone that is evacuated as far as any machine knew then.
+struct ZoneChoice {
+  std::string router, zone;
+  double at_ms = 0;
+  double no_trouble_since_ms = 0;  // of the router's machine and the control machines
 };
 
 // A rule that does not hold, by its number in docs/design/control-review.md.
@@ -48,7 +72,9 @@
 struct History {
   std::vector<CallRecord> calls;
   std::map<std::uint64_t, fleet::ShardValue> committed;  // by sequence
-  std::vector<std::string> lines;                        // faults and roles, for people
+  std::map<std::uint64_t, double> committed_ms;          // when each was first seen to be committed
+  std::vector<ZoneChoice> zone_choices;
+  std::vector<std::string> lines;  // faults and roles, for people
   std::vector<Violation> violations;
   Measure measure;
   TallyHistory tallies;
--- a/lab/simulation/platform.h
+++ b/lab/simulation/platform.h
@@ -22,7 +22,10 @@
 
 class Platform {
  public:
-  explicit Platform(Clock& clock) : clock_(clock) { Change(); }
+  // Servers stand in these zones, in turn.
+  Platform(Clock& clock, std::vector<std::string> zones) : clock_(clock), zones_(std::move(zones)) {
+    Change();
+  }
 
   void Change() { changed_ms_.push_back(clock_.now_ms()); }
   int revision() const { return static_cast<int>(changed_ms_.size()); }
@@ -38,7 +41,7 @@
     servers[kRevisionEntry] = {kRevisionEntry, "none", "0:0", "z", shown, false};
     for (int i = shown; i < shown + 3; ++i) {
       const std::string id = "s" + std::to_string(i);
-      servers[id] = {id, "model", "10.9.0.1:80", "z", 8, i == shown};
+      servers[id] = {id, "model", "10.9.0.1:80", ZoneOf(i), 8, i == shown};
     }
     return servers;
   }
@@ -46,7 +49,12 @@
  private:
   static constexpr double kLagMs = 800;
 
+  const std::string& ZoneOf(int server) const {
+    return zones_[static_cast<std::size_t>(server) % zones_.size()];
+  }
+
   Clock& clock_;
+  const std::vector<std::string> zones_;
   std::vector<double> changed_ms_;
 };
 
--- a/lab/simulation/world.cpp
+++ b/lab/simulation/world.cpp
@@ -18,7 +18,7 @@
     : options_(options),
       clock_(options.seed),
       network_(clock_, options.network),
-      platform_(clock_),
+      platform_(clock_, ZonesOfServers(options)),
       checker_(clock_, history_),
       watch_(history_.tallies) {
   history_.tallies.tolerated = options.tolerated;
@@ -314,7 +314,11 @@
   const fleet::ServerMap& listed = FindEdge(edge)->router_state().servers;
   const auto found = listed.find(server);
   if (found == listed.end() || found->second.draining)
-    checker_.Fault(16, edge + " has chosen " + server + ", which its list does not offer");
+    return checker_.Fault(16, edge + " has chosen " + server + ", which its list does not offer");
+  const std::string& zone = found->second.zone;
+  const auto& committed = history_.committed;
+  if (committed.empty() || std::ranges::count(committed.rbegin()->second.evacuated, zone) == 0) return;
+  history_.zone_choices.push_back({edge, zone, clock_.now_ms(), no_trouble_since_ms_[edge]});
 }
 
 void World::HoldRequests() {
--- a/lab/simulation/world.h
+++ b/lab/simulation/world.h
@@ -30,7 +30,8 @@
   std::size_t machines = 3;  // control machines
   std::size_t tolerated = 1;
   std::size_t edges = 3;
-  std::size_t zones = 2;  // in which machines and applications stand, in turn
+  std::size_t zones = 2;     // in which machines and applications stand, in turn
+  bool evacuations = false;  // servers stand in these zones too, and operators evacuate some
   double sync_ms = 5;
   NetworkOptions network;
 };
@@ -84,6 +85,7 @@
   std::size_t ZoneOf(std::size_t control) const { return zone_of_[control]; }
   // The name that the applications of a zone have on the network.
   static std::string ApplicationsOf(std::size_t zone);
+  static std::string NameOfZone(std::size_t zone);
   // From all other zones, both ways.
   void CutZone(std::size_t zone, double for_ms);
   // A cut between two zones; a third one may still reach both.
@@ -123,9 +125,11 @@
   // As if an operator had sent the call to that machine alone.
   std::size_t PutAt(std::size_t machine, std::uint64_t version, std::uint64_t builds_on);
   std::size_t GetAt(std::size_t machine);
-  // An order of the operator about a zone, sent to that machine once. The number of the call.
+  // An order about a zone. `acknowledged`: once, in the moment in which a machine answers that it is taken.
+  using Acknowledged = std::function<void(std::size_t machine)>;
+  std::size_t Evacuate(const std::string& by, const fleet::EvacuationOrder& order, double most_ms,
+                       Acknowledged acknowledged = nullptr);
   std::size_t EvacuateAt(std::size_t machine, const fleet::EvacuationOrder& order);
-  bool evacuation_taken(std::size_t call) const { return evacuations_taken_[call]; }
   const CallRecord& call(std::size_t i) const { return history_.calls[i]; }
   void LoseAnswers(double share) { lost_answers_ = share; }
   bool open(std::size_t call) const { return open_calls_.contains(call); }
@@ -169,8 +173,6 @@
   void Heal();    // the same, and no fault strikes any more
 
  private:
-  std::vector<bool> evacuations_taken_;  // by call
-
   struct Link {
     std::string edge, control;
     std::uint64_t edge_life = 0, control_life = 0;
@@ -179,7 +181,7 @@
   };
   struct Try {
     std::size_t call = 0;
-    std::optional<fleet::Order> order;
+    std::optional<fleet::OperatorOrder> order;
     std::size_t target = 0;
     int redirects = 0;
     double pause_ms = 100;
@@ -212,7 +214,7 @@
   void Chosen(const std::string& edge, const std::string& server) override;
 
   void AddControl(std::size_t zone);
-  static std::string NameOfZone(std::size_t zone);
+  static std::vector<std::string> ZonesOfServers(const WorldOptions& options);
   void PlaceInZones();
   void ComePlanned(std::size_t i, std::size_t successor, double before_ms);
   void RemoveWhenBorne(std::size_t i);
@@ -231,8 +233,9 @@
   std::size_t IndexOf(const std::string& address) const;
   EdgeMachine* FindEdge(const std::string& name);
   std::optional<fleet::SubscriberId> FindLink(const std::string& edge, std::uint64_t number) const;
-  std::size_t Begin(CallRecord record, std::optional<fleet::Order> order, double most_ms,
+  std::size_t Begin(CallRecord record, std::optional<fleet::OperatorOrder> order, double most_ms,
                     std::optional<std::size_t> only_there);
+  void Taken(const Try& attempt);
   void Send(Try attempt);
   void GoOn(Try attempt);
   void Answered(Try attempt, const fleet::CallAnswer& answer, const std::string& by);
@@ -240,6 +243,9 @@
   void SendTallyCall(std::size_t zone, std::size_t machine, TallyCall call);
   void WatchFaults();
   void NoteFaults();
+  bool ControlIsCalm();
+  bool EdgeIsCalm(std::size_t i);
+  void NoteCalm();
   void NoteDiskLost(std::size_t i);
   void NoteDiskBack(const std::string& machine);
   void Remove(std::size_t i);
@@ -266,7 +272,11 @@
   bool holding_ = false;
   bool calm_ = false;  // faults that were planned before do not strike any more
   std::set<std::size_t> open_calls_;
-  std::map<std::size_t, fleet::Order> orders_;
+  std::map<std::size_t, fleet::OperatorOrder> orders_;
+  std::map<std::size_t, Acknowledged> acknowledged_;  // by call
+  std::vector<std::uint64_t> control_lives_;          // when it was last looked at
+  std::map<std::size_t, std::pair<std::uint64_t, std::uint64_t>> edge_lives_;
+  std::map<std::string, double> no_trouble_since_ms_;  // by edge machine
   std::function<void(std::size_t)> when_acknowledged_, when_prepared_, when_promised_;
   std::function<void(std::size_t)> when_exchanging_, when_exchanged_, when_tally_acknowledged_;
 };
--- a/lab/simulation/world_operators.cpp
+++ b/lab/simulation/world_operators.cpp
@@ -33,6 +33,20 @@
   return "";
 }
 
+CallRecord RecordOf(const std::string& by, const fleet::EvacuationOrder& order) {
+  CallRecord record;
+  record.kind = order.begins ? CallKind::kEvacuate : CallKind::kTakeBack;
+  record.by = by;
+  record.zone = order.zone;
+  return record;
+}
+
+std::size_t BytesOf(const std::optional<fleet::OperatorOrder>& order) {
+  if (!order) return 0;
+  const auto* const configuration = std::get_if<fleet::Order>(&*order);
+  return configuration == nullptr ? 0 : configuration->text.size();
+}
+
 }  // namespace
 
 std::string ConfigurationText(std::uint64_t version, const std::string& by, std::size_t padding) {
@@ -56,7 +70,7 @@
 
 // ---- Operators ----
 
-std::size_t World::Begin(CallRecord record, std::optional<fleet::Order> order, double most_ms,
+std::size_t World::Begin(CallRecord record, std::optional<fleet::OperatorOrder> order, double most_ms,
                          std::optional<std::size_t> only_there) {
   record.began_ms = clock_.now_ms();
   record.ended_ms = clock_.now_ms();
@@ -100,24 +114,24 @@
                10'000, machine);
 }
 
-std::size_t World::EvacuateAt(std::size_t machine, const fleet::EvacuationOrder& order) {
-  const std::size_t call = evacuations_taken_.size();
-  evacuations_taken_.push_back(false);
-  ControlMachine& target = *controls_[machine];
-  target.Evacuate(target.life(), order,
-                  [this, call](ControlMachine::CallResult result, const fleet::CallAnswer& answer) {
-                    evacuations_taken_[call] = result == ControlMachine::CallResult::kAnswered &&
-                                               answer.reply.outcome == fleet::CallOutcome::kTaken;
-                  });
+std::size_t World::Evacuate(const std::string& by, const fleet::EvacuationOrder& order, double most_ms,
+                            Acknowledged acknowledged) {
+  const std::size_t call = Begin(RecordOf(by, order), order, most_ms, std::nullopt);
+  if (acknowledged) acknowledged_[call] = std::move(acknowledged);
   return call;
 }
 
+std::size_t World::EvacuateAt(std::size_t machine, const fleet::EvacuationOrder& order) {
+  return Begin(RecordOf("operator", order), order, 10'000, machine);
+}
+
 // A repeat is a part of the same call where that has no clear answer, and else a call of its own: what was
 // taken must be acknowledged again.
 void World::PutAgain(std::size_t call, double most_ms) {
-  const fleet::Order order = orders_.at(call);
+  const fleet::OperatorOrder order = orders_.at(call);
   CallRecord record = history_.calls[call];
   record.end = CallEnd::kUnknown;
+  record.told_zones.reset();
   Begin(std::move(record), order, most_ms, std::nullopt);
 }
 
@@ -127,7 +141,7 @@
   ControlMachine& machine = *controls_[attempt.target];
   const std::string name = history_.calls[attempt.call].by + " at " + machine.address();
   const auto done = std::make_shared<bool>(false);
-  const std::size_t bytes = kCallBytes + (attempt.order ? attempt.order->text.size() : 0);
+  const std::size_t bytes = kCallBytes + BytesOf(attempt.order);
   const double silent_ms = kCallSilentMs + static_cast<double>(bytes) / kSlowLink;
   clock_.After(silent_ms, [this, attempt, done, name] {
     if (*done) return;
@@ -142,10 +156,7 @@
                  [this, attempt, done, &machine](ControlMachine::CallResult result, const auto& answer) {
                    const bool taken = result == ControlMachine::CallResult::kAnswered &&
                                       answer.reply.outcome == fleet::CallOutcome::kTaken;
-                   if (taken && when_acknowledged_) {
-                     const auto then = std::exchange(when_acknowledged_, nullptr);
-                     clock_.After(clock_.Between(0, 4), [then, target = attempt.target] { then(target); });
-                   }
+                   if (taken) Taken(attempt);
                    if (clock_.Chance(lost_answers_)) return;
                    clock_.After(network_.Latency(), [this, attempt, done, result, answer, &machine] {
                      if (*done) return;
@@ -160,6 +171,15 @@
   });
 }
 
+// In the moment in which a machine answers so.
+void World::Taken(const Try& attempt) {
+  if (const auto found = acknowledged_.extract(attempt.call); !found.empty())
+    clock_.After(0, [then = found.mapped(), target = attempt.target] { then(target); });
+  if (!when_acknowledged_) return;
+  const auto then = std::exchange(when_acknowledged_, nullptr);
+  clock_.After(clock_.Between(0, 4), [then, target = attempt.target] { then(target); });
+}
+
 void World::GoOn(Try attempt) {
   if (attempt.only_there) return End(attempt.call, CallEnd::kUnknown, "nobody");
   attempt.redirects = 0;
@@ -174,6 +194,10 @@
 
 void World::Answered(Try attempt, const fleet::CallAnswer& answer, const std::string& by) {
   Tell(history_.calls[attempt.call].by + " at " + by + ": " + NameOf(answer.reply.outcome));
+  const bool tells_zones =
+      answer.reply.outcome == fleet::CallOutcome::kTaken || answer.reply.outcome == fleet::CallOutcome::kRead;
+  if (tells_zones && open_calls_.contains(attempt.call))
+    history_.calls[attempt.call].told_zones = answer.evacuated;
   switch (answer.reply.outcome) {
     case fleet::CallOutcome::kTaken:
       return End(attempt.call, CallEnd::kTaken, by);
--- a/lab/simulation/world_tallies.cpp
+++ b/lab/simulation/world_tallies.cpp
@@ -125,6 +125,7 @@
 
 void World::WatchFaults() {
   NoteFaults();
+  if (options_.evacuations) NoteCalm();
   clock_.After(kWatchEveryMs, [this] { WatchFaults(); });
 }
 
--- a/lab/simulation/world_zones.cpp
+++ b/lab/simulation/world_zones.cpp
@@ -1,4 +1,7 @@
 // What befalls whole zones of the simulated world.
+#include <algorithm>
+#include <utility>
+
 #include "lab/simulation/world.h"
 
 namespace bitternmux::lab::simulation {
@@ -7,6 +10,13 @@
 
 std::string World::NameOfZone(std::size_t zone) { return "zone-" + std::to_string(zone); }
 
+std::vector<std::string> World::ZonesOfServers(const WorldOptions& options) {
+  if (!options.evacuations) return {"z"};
+  std::vector<std::string> zones;
+  for (std::size_t zone = 0; zone < options.zones; ++zone) zones.push_back(NameOfZone(zone));
+  return zones;
+}
+
 void World::PlaceInZones() {
   for (std::size_t zone = 0; zone < options_.zones; ++zone)
     network_.Place(ApplicationsOf(zone), NameOfZone(zone));
@@ -14,6 +24,45 @@
     network_.Place(edges_[i]->name(), NameOfZone(i % options_.zones));
 }
 
+// ---- Machines in touch ----
+
+// No control machine has started or is in trouble, and no two are cut off from each other.
+bool World::ControlIsCalm() {
+  std::vector<std::uint64_t> lives;
+  for (const auto& machine : controls_) lives.push_back(machine->life());
+  const bool same_lives = std::exchange(control_lives_, lives) == lives;
+  const std::vector<std::size_t> present = Present();
+  const auto is_calm = [&](std::size_t i) {
+    const std::string& address = controls_[i]->address();
+    const auto is_cut = [&](std::size_t other) {
+      return network_.IsCut(address, controls_[other]->address());
+    };
+    return !controls_[i]->InTrouble() && !controls_[i]->disk().InTrouble() && !network_.IsSlow(address) &&
+           std::ranges::none_of(present, is_cut);
+  };
+  return same_lives && std::ranges::all_of(present, is_calm);
+}
+
+bool World::EdgeIsCalm(std::size_t i) {
+  const EdgeMachine& edge = *edges_[i];
+  const std::pair lives{edge.life(), edge.router_life()};
+  const bool same_lives = std::exchange(edge_lives_[i], lives) == lives;
+  const auto is_cut = [&](std::size_t control) {
+    const std::string& address = controls_[control]->address();
+    return network_.IsCut(edge.name(), address) || network_.IsCut(address, edge.name());
+  };
+  return same_lives && edge.up() && edge.router_up() && !edge.frozen() &&
+         std::ranges::none_of(Present(), is_cut);
+}
+
+void World::NoteCalm() {
+  const bool control_is_calm = ControlIsCalm() && !history_.tallies.loses_messages;
+  for (std::size_t i = 0; i < edges_.size(); ++i) {
+    const bool edge_is_calm = EdgeIsCalm(i);
+    if (!control_is_calm || !edge_is_calm) no_trouble_since_ms_[edges_[i]->name()] = clock_.now_ms();
+  }
+}
+
 void World::CutZones(std::size_t from, std::size_t to, bool both_ways, double for_ms) {
   if (calm_ || from == to) return;
   Tell("zone " + std::to_string(from) + " does not reach zone " + std::to_string(to) +
--- a/tests/lab/simulation/evacuations_test.cpp
+++ b/tests/lab/simulation/evacuations_test.cpp
@@ -24,8 +24,8 @@
   const auto owner = world.ActingOwner();
   REQUIRE(owner);
   const std::size_t call = world.EvacuateAt(*owner, {zone, begins});
-  for (int ms = 0; ms < 1000 && !world.evacuation_taken(call); ++ms) world.RunFor(1);
-  REQUIRE(world.evacuation_taken(call));
+  for (int ms = 0; ms < 1000 && world.open(call); ++ms) world.RunFor(1);
+  REQUIRE(world.call(call).end == CallEnd::kTaken);
 }
 
 bool AllRoutersHold(World& world, const Zones& zones) {
@@ -36,6 +36,7 @@
 }
 
 void CheckNoViolation(World& world) {
+  world.checker().CheckEvacuations();
   for (const Violation& violation : world.history().violations)
     FAIL_CHECK("invariant " << violation.invariant << ": " << violation.what);
 }
