Quota: only a silent grantor is not waited for; one that answers is

The limit of a fifth of a route's aim (30 ms of an aim of 150) also ended requests whose grantor was about to answer: one grant at a time is asked for, so that a burst waits for several round trips, and a machine with a tenth of a core may stand still for 100 ms. Such a request is served in time or late; refused, it earns nothing. Now the limit counts once the grantor has left a request unanswered for 100 ms, whatever the tenant, and not before it has answered at all (a link that is on its way).

--- a/src/fleet/quota/quota_ledger.cpp
+++ b/src/fleet/quota/quota_ledger.cpp
@@ -108,6 +108,7 @@
   request.returned = std::exchange(row.lapsed, 0);
   row.asked = request.id;
   row.asked_ms = now_ms;
+  if (!unanswered_since_ms_) unanswered_since_ms_ = now_ms;
   row.asked_for = 0;
   if (!row.waiting.empty()) {
     // The level is left for what comes while no grantor answers.
@@ -191,10 +192,14 @@
   verdicts_.push_back({ended.request, admitted, retry_ms});
 }
 
-// After a start the link to the grantor may still be on its way.
-double QuotaLedger::EndMs(const Row& row, const Waiting& waiting) {
+// After a start the link to the grantor may still be on its way. A grantor that answers is worth the wait, as
+// a request that is granted late is served all the same; one that has been silent is not.
+double QuotaLedger::EndMs(const Row& row, const Waiting& waiting) const {
   const double patience_ms = row.answered ? kGrantPatienceMs : kFirstGrantPatienceMs;
-  return waiting.since_ms + std::min(patience_ms, waiting.hold_ms);
+  const double patience_end_ms = waiting.since_ms + patience_ms;
+  if (!heard_grantor_ || !unanswered_since_ms_) return patience_end_ms;
+  const double silent_ms = *unanswered_since_ms_ + kSilentGrantorMs;
+  return std::min(patience_end_ms, std::max(waiting.since_ms + waiting.hold_ms, silent_ms));
 }
 
 // A request may have less time than those before it.
@@ -225,6 +230,8 @@
 void QuotaLedger::Granted(double now_ms, const QuotaGrant& grant) {
   const auto found = rows_.find(grant.tenant);
   if (found == rows_.end() || grant.holder != options_.holder) return;
+  heard_grantor_ = true;
+  unanswered_since_ms_.reset();
   Row& row = found->second;
   if (row.asked != grant.id) {
     row.lapsed += std::erase(row.given_up, grant.id) > 0 ? grant.tokens : 0;
--- a/src/fleet/quota/quota_ledger.h
+++ b/src/fleet/quota/quota_ledger.h
@@ -35,6 +35,7 @@
 constexpr double kGrantPatienceMs = 200;       // of a request that waits
 constexpr double kAnswerPatienceMs = 300;      // after which the grantor is asked anew
 constexpr double kFirstGrantPatienceMs = 700;  // of a ledger that has had no answer yet
+constexpr double kSilentGrantorMs = 100;       // without an answer, from which on it is not waited for
 constexpr double kNoHoldLimit = std::numeric_limits<double>::infinity();  // in milliseconds
 constexpr std::size_t kMaxWaiting = 256;
 constexpr double kUntoldRouters = 64;  // until the control machines have told how many there are
@@ -67,8 +68,8 @@
   // As many divide what may be used without a grantor.
   void SetRouters(std::size_t count) { routers_ = count > 0 ? static_cast<double>(count) : 1; }
 
-  // A request of the tenant that costs so much, and waits for `hold_ms` at most. kWait: its verdict comes
-  // from TakeVerdicts.
+  // A request of the tenant that costs so much, and waits for `hold_ms` at most where the grantor is silent.
+  // kWait: its verdict comes from TakeVerdicts.
   QuotaAnswer Ask(double now_ms, std::uint64_t request, const Tenant& tenant, double cost,
                   double hold_ms = kNoHoldLimit);
   // A request that was let through at `charged_ms` never ran: what it cost is there again, for a moment.
@@ -138,7 +139,7 @@
   void TakeLease(double now_ms, Row& row, const QuotaGrant& grant);
   static void GiveUp(Row& row);
   // When a request that waits has done so long enough.
-  static double EndMs(const Row& row, const Waiting& waiting);
+  double EndMs(const Row& row, const Waiting& waiting) const;
   void EndFirst(Row& row, bool admitted, double retry_ms);
   void EndOverdue(double now_ms, Row& row);
   void GrowUngranted(double now_ms, Row& row) const;
@@ -148,6 +149,8 @@
   const Options options_;
   double routers_ = kUntoldRouters;
   std::uint64_t last_id_ = 0;
+  bool heard_grantor_ = false;                 // ever, whatever the tenant
+  std::optional<double> unanswered_since_ms_;  // when the first request since its last answer was asked
   std::size_t waiting_count_ = 0;
   std::map<std::string, Row> rows_;
   std::vector<QuotaRequest> requests_;
--- a/tests/router/request_flow_test.cpp
+++ b/tests/router/request_flow_test.cpp
@@ -162,6 +162,17 @@
     configuration.tenants = {tenant};
     state_.table = std::make_shared<const RouteTable>(configuration);
   }
+  // The grantor answers, and lets one request through.
+  void GrantOne() {
+    const auto requests = state_.quota.TakeRequests();
+    REQUIRE(requests.size() == 1);
+    fleet::QuotaGrant grant;
+    grant.id = requests.front().id;
+    grant.holder = requests.front().holder;
+    grant.tenant = requests.front().tenant;
+    grant.tokens = 1;
+    state_.quota.Granted(SteadyNowMs(), grant);
+  }
   const fleet::QuotaLedger& quota() const { return state_.quota; }
 
   // All servers are cold for so long and get nothing.
@@ -326,6 +337,8 @@
   Stand stand;
   stand.LimitTenant();
   FORBID_CALL(stand.responder(), Respond(_, _, _));
+  const auto granted = stand.Ask("/once/1", 4000);
+  stand.GrantOne();
   const double asked_ms = SteadyNowMs();
   const auto flow = stand.Ask("/once/1", 4000);
   const std::optional<double> end_ms = stand.quota().NextEndMs();
