Tallies: a disk is trusted once it is marked as caught up, not once it holds something

A machine that lost its disk, or joined, and was killed before its tallies had caught up was taken in its next life for one that had everything: the control program asked whether the replica's state was on disk, which is so a moment after the start. Alone behind a cut it then answered totals that were too low. So did one whose tallies.db had been spoilt and set aside in an earlier life.

The ledger now has its disk marked when it first answers reads, behind all that it had taken, and a process that finds no mark may have lost its disk. Marked from the start are the disks of a fleet's first start and those of versions without marks: were they not, all machines of a fleet would wait for each other for good.

Ruled out: to keep that in the replica's state (another file with another sync: the mark could be there without the adds); a mark at each settling (the first one is enough, adds are never forgotten).

The group of the ledger's tests goes by the mark on its simulated disks, as the program and the simulation do. It asked the dying process before, which no program can; a mark that did not reach the disk counts for nothing now, so that it is stricter.

Evidence: "a machine that was killed before it had caught up is not trusted in its next life" failed with the former rule in the group (trial: a disk that holds something is trusted; the machine answered reads while it was alone), and passes now.

--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -31,7 +31,9 @@
   options.replica.new_store = NextUnique(clock_);
   options.tallies.origin = NextUnique(clock_);
   options.tallies.copies = options_.tolerated + 1;
-  options.tallies.may_have_lost_disk = !bootstrap && !disk_.content();
+  const bool fleet_begins = bootstrap && !disk_.content();
+  if (fleet_begins) tally_disk_.MarkCaughtUp();
+  options.tallies.may_have_lost_disk = !tally_disk_.HasCaughtUp();
   options.loaded_tallies = tally_disk_.Load();
   ++life_;
   ending_ = false;
--- a/lab/simulation/tally_disk.h
+++ b/lab/simulation/tally_disk.h
@@ -47,7 +47,12 @@
     syncing_ = false;
     ++life_;
   }
-  void Wipe() { rows_.clear(); }
+  void Wipe() {
+    rows_.clear();
+    caught_up_ = false;
+  }
+  bool HasCaughtUp() const { return caught_up_; }
+  void MarkCaughtUp() { caught_up_ = true; }
 
  private:
   struct Waiting {
@@ -82,6 +87,7 @@
   }
   void Keep() {
     for (const Waiting& append : batch_) {
+      caught_up_ |= append.write.caught_up;
       for (const fleet::TallyAdds& log : append.write.logs) {
         std::uint64_t number = log.first;
         for (const fleet::TallyAdd& add : log.adds) rows_[log.origin].emplace(number++, add);
@@ -92,6 +98,7 @@
   Clock& clock_;
   const Disk& disk_;
   std::map<std::uint64_t, std::map<std::uint64_t, fleet::TallyAdd>> rows_;  // by origin and number
+  bool caught_up_ = false;                                                  // was it marked so?
   std::vector<Waiting> batch_, waiting_;
   bool syncing_ = false;
   std::uint64_t life_ = 0;
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -107,8 +107,13 @@
 
 bool ControlNode::OpenTallies() {
   try {
+    const bool existed = fleet::SqliteTallyStore::EverExisted(settings_.data_dir);
     auto store = std::make_unique<fleet::SqliteTallyStore>(settings_.data_dir);
     loaded_tallies_ = store->Load();
+    const bool fleet_begins = !loaded_ && settings_.bootstrap;
+    const bool older_than_tallies = loaded_ && !existed;
+    if (!tallies_lost_ && (fleet_begins || older_than_tallies)) store->MarkCaughtUp();
+    tallies_caught_up_ = store->HasCaughtUp();
     tally_store_ = std::move(store);
     return true;
   } catch (const fleet::StorageUnreadable& error) {
@@ -130,7 +135,7 @@
   options.quota = {settings_.quota_window_s * 1000, settings_.quota_overage, settings_.quota_slack};
   options.tallies.origin = incarnation_;
   options.tallies.copies = settings_.tolerated_machines + 1;
-  options.tallies.may_have_lost_disk = tallies_lost_ || (!loaded_ && !settings_.bootstrap);
+  options.tallies.may_have_lost_disk = !tallies_caught_up_;
   options.loaded_tallies = std::move(loaded_tallies_);
   core_ =
       std::make_unique<fleet::ControlCore>(std::move(options), std::exchange(loaded_, std::nullopt), NowMs());
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -76,6 +76,7 @@
   std::unique_ptr<fleet::TallyStore> tally_store_;
   std::vector<fleet::TallyAdds> loaded_tallies_;
   bool tallies_lost_ = false;                 // their store could not be read
+  bool tallies_caught_up_ = false;            // their store was marked so, in this life or one before it
   std::unique_ptr<fleet::ControlCore> core_;  // null until the store is open
   std::unique_ptr<ControlLinks> links_;
   std::unique_ptr<StorageThread> storage_;
--- a/src/control/tally_storage_thread.cpp
+++ b/src/control/tally_storage_thread.cpp
@@ -29,7 +29,8 @@
 
 bool TallyStorageThread::TryAppend(const Batch& batch) {
   try {
-    store_.Append(batch.logs);
+    if (!batch.logs.empty()) store_.Append(batch.logs);
+    if (batch.caught_up) store_.MarkCaughtUp();
   } catch (const fleet::StorageError& error) {
     if (!std::exchange(failing_, true)) handlers_.failed(error.what());
     return false;
@@ -42,6 +43,7 @@
 void TallyStorageThread::MoveInto(Batch& batch, std::vector<fleet::TallyWrite>& writes) {
   for (fleet::TallyWrite& write : writes) {
     batch.last_ticket = write.ticket;
+    batch.caught_up |= write.caught_up;
     std::ranges::move(write.logs, std::back_inserter(batch.logs));
   }
   writes.clear();
--- a/src/control/tally_storage_thread.h
+++ b/src/control/tally_storage_thread.h
@@ -44,6 +44,7 @@
   struct Batch {
     std::uint64_t last_ticket = 0;
     std::vector<fleet::TallyAdds> logs;
+    bool caught_up = false;
   };
   void Run();
   bool TryAppend(const Batch& batch);
--- a/src/fleet/storage/sqlite_database.cpp
+++ b/src/fleet/storage/sqlite_database.cpp
@@ -13,7 +13,6 @@
 
 constexpr int kCachePages = 64;  // of 4 KB
 constexpr int kLogBytes = 1024 * 1024;
-constexpr const char* kSetAside = ".unreadable";
 
 // Where it fails SQLite hands out a handle all the same, which has to be closed.
 sqlite3* Open(const std::string& path) {
@@ -125,7 +124,8 @@
 
 void SetDatabaseAside(const std::string& folder, const std::string& file) {
   const std::string path = folder + "/" + file;
-  if (std::rename(path.c_str(), (path + kSetAside).c_str()) != 0) throw StorageError("cannot move " + path);
+  if (std::rename(path.c_str(), (path + kSetAsideSuffix).c_str()) != 0)
+    throw StorageError("cannot move " + path);
   for (const char* suffix : {"-wal", "-shm", "-journal"}) std::remove((path + suffix).c_str());
   SyncFolder(folder);
 }
--- a/src/fleet/storage/sqlite_database.h
+++ b/src/fleet/storage/sqlite_database.h
@@ -77,6 +77,7 @@
 
 // Makes the names of files that were made or renamed in it outlast a loss of power. Throws StorageError.
 void SyncFolder(const std::string& folder);
+constexpr const char* kSetAsideSuffix = ".unreadable";
 // Moves a database that cannot be read out of the way (FILE.unreadable), in place of the last one that was,
 // and removes its log. Throws StorageError.
 void SetDatabaseAside(const std::string& folder, const std::string& file);
--- a/src/fleet/storage/sqlite_tally_store.cpp
+++ b/src/fleet/storage/sqlite_tally_store.cpp
@@ -1,5 +1,6 @@
 #include "fleet/storage/sqlite_tally_store.h"
 
+#include <filesystem>
 #include <utility>
 
 #include "fleet/storage/sqlite_database.h"
@@ -8,6 +9,7 @@
 namespace {
 
 constexpr const char* kFile = "tallies.db";
+constexpr const char* kInsertMark = "INSERT OR IGNORE INTO marks (name) VALUES ('caught_up')";
 
 void Insert(SqliteStatement& insert, std::uint64_t origin, std::uint64_t number, const TallyAdd& add) {
   insert.Bind(1, origin);
@@ -23,14 +25,28 @@
 
 SqliteTallyStore::SqliteTallyStore(const std::string& folder) {
   database_ = std::make_unique<SqliteDatabase>(folder + "/" + kFile);
+  MakeTables();
+  SyncFolder(folder);
+}
+
+void SqliteTallyStore::MakeTables() {
+  const bool knew_no_marks = database_->HasTable("adds") && !database_->HasTable("marks");
+  SqliteTransaction transaction(*database_);
   database_->Run(
       "CREATE TABLE IF NOT EXISTS adds (origin INTEGER NOT NULL, number INTEGER NOT NULL, id TEXT NOT NULL, "
       "tally TEXT NOT NULL, amount INTEGER NOT NULL, PRIMARY KEY (origin, number)) WITHOUT ROWID");
-  SyncFolder(folder);
+  database_->Run("CREATE TABLE IF NOT EXISTS marks (name TEXT PRIMARY KEY) WITHOUT ROWID");
+  if (knew_no_marks) database_->Run(kInsertMark);
+  transaction.Commit();
 }
 
 SqliteTallyStore::~SqliteTallyStore() = default;
 
+bool SqliteTallyStore::EverExisted(const std::string& folder) {
+  const std::string path = folder + "/" + kFile;
+  return std::filesystem::exists(path) || std::filesystem::exists(path + kSetAsideSuffix);
+}
+
 void SqliteTallyStore::SetAside(const std::string& folder) { SetDatabaseAside(folder, kFile); }
 
 std::vector<TallyAdds> SqliteTallyStore::Load() {
@@ -60,4 +76,11 @@
   transaction.Commit();
 }
 
+bool SqliteTallyStore::HasCaughtUp() {
+  SqliteStatement mark(*database_, "SELECT 1 FROM marks WHERE name = 'caught_up'");
+  return mark.Step();
+}
+
+void SqliteTallyStore::MarkCaughtUp() { database_->Run(kInsertMark); }
+
 }  // namespace bitternmux::fleet
--- a/src/fleet/storage/tally_store.h
+++ b/src/fleet/storage/tally_store.h
@@ -17,6 +17,12 @@
   // Returns once all of it will outlast a loss of power; it is there whole or not at all. Adds that are there
   // already are passed over. Throws StorageError; the call may be made again.
   virtual void Append(const std::vector<TallyAdds>& logs) = 0;
+  // Was it ever marked? Who finds it without a mark has to take its adds for fewer than it acknowledged.
+  // Throws StorageError.
+  virtual bool HasCaughtUp() = 0;
+  // Marks it for good: it holds all that it has to. Returns once that will outlast a loss of power. Throws
+  // StorageError; the call may be made again.
+  virtual void MarkCaughtUp() = 0;
 };
 
 }  // namespace bitternmux::fleet
--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -110,12 +110,13 @@
 }
 
 void TallyLedger::FlushWrite() {
-  if (unwritten_.empty()) return;
+  if (unwritten_.empty() && !mark_unwritten_) return;
   Writing writing{++last_ticket_, {}};
   for (const TallyAdds& adds : unwritten_)
     writing.until.push_back({adds.origin, adds.first + adds.adds.size() - 1});
   writing_.push_back(std::move(writing));
-  output_.writes.push_back({last_ticket_, std::exchange(unwritten_, {})});
+  output_.writes.push_back(
+      {last_ticket_, std::exchange(unwritten_, {}), std::exchange(mark_unwritten_, false)});
 }
 
 void TallyLedger::Stored(double now_ms, std::uint64_t ticket) {
@@ -229,6 +230,7 @@
   settled_ = std::ranges::all_of(peers_, [&](const auto& entry) {
     return entry.second.caught_up || (!patient && !IsReached(entry.second, now_ms));
   });
+  mark_unwritten_ = settled_ && options_.may_have_lost_disk;
 }
 
 // New adds are on their way from their origin: what is missing counts once it has been so for a state's time,
--- a/src/fleet/tallies/tally_ledger.h
+++ b/src/fleet/tallies/tally_ledger.h
@@ -17,6 +17,8 @@
 //    still.
 //  - What was known before an add was called for is not enough to answer it without a machine: that one was
 //    sent a probe, a state out of turn, after the call had come, and has not answered it in kProbeMs.
+//  - The disk is marked as caught up only behind all that this process had when it first answered reads; one
+//    that began with whatever it had may have lost adds, and its mark is what tells so in its next life.
 //  - A read is answered once this process has caught up with every machine that it can reach. Those that are
 //    silent are waited for kCatchUpMs, or kCatchUpFromNothingMs by one that may have lost its disk; that one
 //    answers none before it has caught up with a machine that answers reads.
@@ -82,6 +84,7 @@
 struct TallyWrite {
   std::uint64_t ticket = 0;
   std::vector<TallyAdds> logs;
+  bool caught_up = false;  // behind the logs, the mark that this disk has caught up with the others
 };
 
 struct TallyOutput {
@@ -103,8 +106,8 @@
   struct Options {
     std::uint64_t origin = 0;  // of this process; never used before
     std::size_t copies = 2;    // disks that an add has to be on: one more than may be lost at once
-    // It began with an empty disk, and not with the whole fleet: it answers no read while it knows nobody,
-    // and waits longer for those that are silent.
+    // Its disk was never marked as caught up, and it did not begin with the whole fleet: it answers no read
+    // before it has caught up with a machine that does, and waits longer for those that are silent.
     bool may_have_lost_disk = false;
   };
 
@@ -206,6 +209,7 @@
   std::deque<Writing> writing_;
   std::uint64_t last_ticket_ = 0;
   std::vector<TallyAdds> unwritten_;  // taken since the last output
+  bool mark_unwritten_ = false;       // it has caught up since the last output
   std::uint64_t told_adds_ = 0;       // of the own log, sent to the others
   std::uint64_t round_ = 0;
   std::deque<std::pair<std::uint64_t, double>> rounds_;  // that count for reaching, and when they were sent
--- a/tests/control/tally_storage_thread_test.cpp
+++ b/tests/control/tally_storage_thread_test.cpp
@@ -17,6 +17,8 @@
  public:
   MAKE_MOCK0(Load, std::vector<TallyAdds>(), override);
   MAKE_MOCK1(Append, void(const std::vector<TallyAdds>&), override);
+  MAKE_MOCK0(HasCaughtUp, bool(), override);
+  MAKE_MOCK0(MarkCaughtUp, void(), override);
 };
 
 constexpr auto kLong = std::chrono::seconds(20);  // a test that fails ends by then
@@ -49,10 +51,13 @@
 struct Told {
   std::vector<std::uint64_t> saved;
   std::vector<std::string> failed;
-  Gate first_failure;
+  Gate first_failure, first_saved;
 
   TallyStorageThread::Handlers Handlers() {
-    return {[this](std::uint64_t ticket) { saved.push_back(ticket); },
+    return {[this](std::uint64_t ticket) {
+              saved.push_back(ticket);
+              if (saved.size() == 1) first_saved.Open();
+            },
             [this](const std::string& why) {
               failed.push_back(why);
               if (failed.size() == 1) first_failure.Open();
@@ -138,4 +143,32 @@
   CHECK(told.saved.empty());
 }
 
+// Guards against a mark that outlasts a loss of power while adds before it do not.
+TEST_CASE("tally storage thread: the mark is made after the adds before it, and again if it fails") {
+  MockStore store;
+  Told told;
+  trompeloeil::sequence order;
+  REQUIRE_CALL(store, Append(LogsOf({1}))).IN_SEQUENCE(order).THROW(fleet::StorageError("full"));
+  REQUIRE_CALL(store, Append(LogsOf({1}))).IN_SEQUENCE(order);
+  REQUIRE_CALL(store, MarkCaughtUp()).IN_SEQUENCE(order).THROW(fleet::StorageError("full"));
+  REQUIRE_CALL(store, Append(LogsOf({1}))).IN_SEQUENCE(order);
+  REQUIRE_CALL(store, MarkCaughtUp()).IN_SEQUENCE(order);
+  {
+    TallyStorageThread thread(store, told.Handlers(), kNoPause);
+    TallyWrite write = Write(1);
+    write.caught_up = true;
+    thread.Write(std::move(write));
+    told.first_saved.Wait();  // a thread that is to stop tries no more than once
+  }
+  CHECK(told.saved == std::vector<std::uint64_t>{1});
+}
+
+TEST_CASE("tally storage thread: a mark alone is made without an append") {
+  MockStore store;
+  Told told;
+  REQUIRE_CALL(store, MarkCaughtUp());
+  { TallyStorageThread(store, told.Handlers(), kNoPause).Write({1, {}, true}); }
+  CHECK(told.saved == std::vector<std::uint64_t>{1});
+}
+
 }  // namespace bitternmux::control
--- a/tests/fleet/storage/sqlite_tally_store_test.cpp
+++ b/tests/fleet/storage/sqlite_tally_store_test.cpp
@@ -12,6 +12,8 @@
 #include <limits>
 #include <string>
 
+#include "fleet/storage/sqlite_database.h"
+
 namespace bitternmux::fleet {
 namespace {
 
@@ -139,6 +141,44 @@
   CHECK(store.Load() == Logs{Log(3, 1, 2000)});
 }
 
+TEST_CASE("tally store: it has caught up once it was marked so, also after it is opened again") {
+  const Folder folder;
+  CHECK_FALSE(SqliteTallyStore::EverExisted(folder.path()));
+  {
+    SqliteTallyStore store(folder.path());
+    store.Append({Log(3, 1, 2)});
+    CHECK_FALSE(store.HasCaughtUp());
+  }
+  {
+    SqliteTallyStore store(folder.path());
+    CHECK_FALSE(store.HasCaughtUp());
+    store.MarkCaughtUp();
+    store.MarkCaughtUp();
+    CHECK(store.HasCaughtUp());
+  }
+  CHECK(SqliteTallyStore(folder.path()).HasCaughtUp());
+  CHECK(SqliteTallyStore::EverExisted(folder.path()));
+}
+
+// Guards against machines that wait for each other after a change of version: none was marked by the old one.
+TEST_CASE("tally store: one of a version without marks has caught up") {
+  const Folder folder;
+  SqliteDatabase(folder.File("tallies.db"))
+      .Run(
+          "CREATE TABLE adds (origin INTEGER NOT NULL, number INTEGER NOT NULL, id TEXT NOT NULL, "
+          "tally TEXT NOT NULL, amount INTEGER NOT NULL, PRIMARY KEY (origin, number)) WITHOUT ROWID");
+  CHECK(SqliteTallyStore(folder.path()).HasCaughtUp());
+}
+
+// Guards against an empty store that is trusted like the one that was spoilt.
+TEST_CASE("tally store: the one that takes the place of one that was set aside has not caught up") {
+  const Folder folder;
+  SqliteTallyStore(folder.path()).MarkCaughtUp();
+  SqliteTallyStore::SetAside(folder.path());
+  CHECK(SqliteTallyStore::EverExisted(folder.path()));
+  CHECK_FALSE(SqliteTallyStore(folder.path()).HasCaughtUp());
+}
+
 TEST_CASE("tally store: a folder that is not there, or that cannot be written, is told") {
   CHECK_THROWS_AS(SqliteTallyStore("/nonexistent/folder"), StorageError);
   const Folder folder;
--- a/tests/fleet/tallies/tally_group.cpp
+++ b/tests/fleet/tallies/tally_group.cpp
@@ -137,7 +137,7 @@
   TallyLedger::Options options;
   options.origin = random_();
   options.copies = options_.copies;
-  options.may_have_lost_disk = machine.lost_disk;
+  options.may_have_lost_disk = !machine.caught_up;
   std::vector<TallyAdds> loaded;
   for (const auto& [origin, log] : machine.disk) loaded.push_back({origin, 1, log});
   ++machine.life;
@@ -163,7 +163,6 @@
 
 void TallyGroup::LosePower(std::size_t index) {
   Machine& machine = *machines_[index];
-  if (machine.ledger != nullptr && machine.ledger->settled()) machine.lost_disk = false;
   machine.ledger.reset();
   machine.writing.clear();
   machine.waiting.clear();
@@ -181,7 +180,7 @@
   Kill(index);
   machines_[index]->disk.clear();
   machines_[index]->ids_on_disk.clear();
-  machines_[index]->lost_disk = true;
+  machines_[index]->caught_up = false;
 }
 
 void TallyGroup::StallDisk(std::size_t index, double for_ms) {
@@ -213,6 +212,7 @@
 
 void TallyGroup::KeepOnDisk(Machine& machine, const std::vector<TallyWrite>& writes) {
   for (const TallyWrite& write : writes) {
+    machine.caught_up |= write.caught_up;
     for (const TallyAdds& adds : write.logs) {
       Log& log = machine.disk[adds.origin];
       if (adds.first != log.size() + 1) Violation("a write that does not continue its log");
--- a/tests/fleet/tallies/tally_group.h
+++ b/tests/fleet/tallies/tally_group.h
@@ -84,6 +84,7 @@
   void StallDisk(std::size_t machine, double for_ms);
   // The process stands still; what comes meanwhile reaches it afterwards.
   void Freeze(std::size_t machine, double for_ms);
+  bool caught_up_on_disk(std::size_t machine) const { return machines_[machine]->caught_up; }
   // Disks that hold an add with that id.
   std::size_t DisksWith(const std::string& id) const;
 
@@ -120,7 +121,7 @@
     std::uint64_t life = 0;
     std::map<std::uint64_t, Log> disk;  // by origin
     std::set<std::string> ids_on_disk;
-    bool lost_disk = false;           // and no process has caught up since
+    bool caught_up = true;            // is marked so on disk; all begin together, with nothing to lose
     std::vector<TallyWrite> waiting;  // for the disk
     std::vector<TallyWrite> writing;  // under way; empty: the disk is idle
     double stalled_until_ms = 0;
--- a/tests/fleet/tallies/tally_ledger_test.cpp
+++ b/tests/fleet/tallies/tally_ledger_test.cpp
@@ -380,6 +380,58 @@
   CHECK(group.Total(0, "t") == 0);
 }
 
+// Guards against a disk that is trusted as it holds something: the process that filled it ended halfway.
+TEST_CASE("tally ledger: a machine that was killed before it had caught up is not trusted in its next life") {
+  TallyGroupOptions options;
+  options.link_mbps = 3;  // a piece takes some 170 ms
+  Group group(options);
+  constexpr std::int64_t kAdds = 4000;
+  for (std::int64_t i = 0; i < kAdds; ++i) {
+    group.Add(0, {"id-" + std::to_string(i), "t", 1});
+    group.RunFor(1);
+  }
+  group.RunFor(kMergeMs);
+  CheckTotals(group, "t", kAdds);
+  group.Wipe(0);
+  group.Start(0);
+  while (group.ledger(0).adds() == 0) group.RunFor(10);
+  group.RunFor(50);  // for its disk
+  REQUIRE_FALSE(group.ledger(0).settled());
+  group.Isolate(0);
+  group.Restart(0);
+  REQUIRE(group.ledger(0).adds() > 0);
+  for (int i = 0; i < 100; ++i) {
+    CHECK_FALSE(group.Total(0, "t"));
+    group.RunFor(kCatchUpFromNothingMs / 50);
+  }
+  group.Heal();
+  group.RunFor(kMergeMs);
+  CHECK(group.Total(0, "t") == kAdds);
+}
+
+// Guards against a mark that is on disk before the adds which it speaks for, or never.
+TEST_CASE("tally ledger: a disk that was lost is trusted again once all that was caught up with is on it") {
+  Group group;
+  AddMany(group, 0, 500);
+  group.Wipe(0);
+  group.StallDisk(0, 3000);
+  group.Start(0);
+  group.RunFor(2000);
+  REQUIRE(group.Total(0, "t") == 500);
+  CHECK_FALSE(group.caught_up_on_disk(0));
+  group.LosePower(0);
+  group.RunFor(2000);
+  group.Start(0);
+  group.RunFor(1000);
+  REQUIRE(group.Total(0, "t") == 500);
+  CHECK(group.caught_up_on_disk(0));
+  group.LosePower(0);
+  group.Isolate(0);
+  group.Start(0);
+  group.RunFor(kCatchUpMs + kSoonMs);
+  CHECK(group.Total(0, "t") == 500);
+}
+
 // Guards against a total that lacks what only a machine has that is not heard yet.
 TEST_CASE("tally ledger: a machine that lost its disk waits longer for those that are silent") {
   Group group;
