--- a/lab/simulation/control_machine.cpp
+++ b/lab/simulation/control_machine.cpp
@@ -33,7 +33,9 @@
   options.tallies.copies = std::max(options_.tolerated, options_.tolerated_zones) + 1;
   options.tallies.zones = options_.tolerated_zones + 1;
   options.tallies.zone = options_.zone;
-  options.tallies.may_have_lost_disk = !bootstrap && !disk_.content();
+  const bool fleet_begins = bootstrap && !disk_.content();
+  if (fleet_begins) tally_disk_.MarkCaughtUp();
+  options.tallies.may_have_lost_disk = !tally_disk_.HasCaughtUp();
   options.loaded_tallies = tally_disk_.Load();
   ++life_;
   ending_ = false;
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto kTickEvery = std::chrono::milliseconds(50);
+// While adds to tallies wait for answers to probes, which are due sooner than the next tick.
+constexpr auto kProbingTickEvery = std::chrono::milliseconds(static_cast<int>(fleet::kProbeEveryMs));
 constexpr auto kOpenAgainAfter = std::chrono::milliseconds(200);
 constexpr std::size_t kMaxBodyBytes = 5 * 1024 * 1024;
 
@@ -51,7 +53,8 @@
       self_(MemberAt(settings_.control, settings_.first_internal_port)),
       incarnation_(RandomNumber()),
       seeds_(MembersAt(settings_.seeds, settings_.first_internal_port)),
-      tick_(io) {}
+      tick_(io),
+      probing_tick_(io) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -104,8 +107,13 @@
 
 bool ControlNode::OpenTallies() {
   try {
+    const bool existed = fleet::SqliteTallyStore::EverExisted(settings_.data_dir);
     auto store = std::make_unique<fleet::SqliteTallyStore>(settings_.data_dir);
     loaded_tallies_ = store->Load();
+    const bool fleet_begins = !loaded_ && settings_.bootstrap;
+    const bool older_than_tallies = loaded_ && !existed;
+    if (!tallies_lost_ && (fleet_begins || older_than_tallies)) store->MarkCaughtUp();
+    tallies_caught_up_ = store->HasCaughtUp();
     tally_store_ = std::move(store);
     return true;
   } catch (const fleet::StorageUnreadable& error) {
@@ -130,7 +138,7 @@
   options.tallies.copies = std::max(settings_.tolerated_machines, settings_.tolerated_zones) + 1;
   options.tallies.zones = settings_.tolerated_zones + 1;
   options.tallies.zone = settings_.zone;
-  options.tallies.may_have_lost_disk = tallies_lost_ || (!loaded_ && !settings_.bootstrap);
+  options.tallies.may_have_lost_disk = !tallies_caught_up_;
   options.loaded_tallies = std::move(loaded_tallies_);
   core_ =
       std::make_unique<fleet::ControlCore>(std::move(options), std::exchange(loaded_, std::nullopt), NowMs());
@@ -208,6 +216,7 @@
 
 void ControlNode::End() {
   tick_.cancel();
+  probing_tick_.cancel();
   api_.reset();
   platform_.reset();
   storage_.reset();
@@ -239,6 +248,18 @@
   ScheduleTick();
 }
 
+void ControlNode::ScheduleProbingTick() {
+  if (probing_tick_scheduled_ || !core_->tallies().waits_for_probes()) return;
+  probing_tick_scheduled_ = true;
+  probing_tick_.expires_after(kProbingTickEvery);
+  probing_tick_.async_wait([this](const fleet::ErrorCode& error) {
+    if (error) return;
+    probing_tick_scheduled_ = false;
+    core_->TickTallies(NowMs());
+    Drain();
+  });
+}
+
 // Carries out what was decided.
 void ControlNode::Drain() {
   fleet::ControlOutput output = core_->TakeOutput(NowMs());
@@ -256,6 +277,7 @@
   for (const fleet::TallyAnswer& answer : output.tally_answers) operator_service_->Answer(answer);
   for (const fleet::ControlNotice& notice : output.notices) Tell(notice);
   if (output.read_list) platform_->Read();
+  ScheduleProbingTick();
 }
 
 void ControlNode::Tell(const fleet::ControlNotice& notice) {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -50,6 +50,7 @@
   void StartSaving();
   void StartServing();
   void ScheduleTick();
+  void ScheduleProbingTick();
   void Tick();
   void Drain();
   void End();
@@ -65,6 +66,8 @@
   const std::uint64_t incarnation_;
   std::vector<fleet::Member> seeds_;
   boost::asio::steady_timer tick_;
+  boost::asio::steady_timer probing_tick_;
+  bool probing_tick_scheduled_ = false;
   bool told_unavailable_ = false;
   bool stopping_ = false;
 
@@ -73,6 +76,7 @@
   std::unique_ptr<fleet::TallyStore> tally_store_;
   std::vector<fleet::TallyAdds> loaded_tallies_;
   bool tallies_lost_ = false;                 // their store could not be read
+  bool tallies_caught_up_ = false;            // their store was marked so, in this life or one before it
   std::unique_ptr<fleet::ControlCore> core_;  // null until the store is open
   std::unique_ptr<ControlLinks> links_;
   std::unique_ptr<StorageThread> storage_;
--- a/src/fleet/tallies/tally_ledger.cpp
+++ b/src/fleet/tallies/tally_ledger.cpp
@@ -30,6 +30,7 @@
 void TallyLedger::NoteTime(double now_ms) {
   const bool stood_still = now_ms - event_ms_ > kPauseMs;
   event_ms_ = now_ms;
+  JudgeProbes(now_ms);
   if (!stood_still) return;
   for (auto& [address, peer] : peers_) peer.answered_ms = now_ms;
 }
@@ -67,9 +68,12 @@
   AnswerPending(now_ms);
 }
 
-bool TallyLedger::IsStoredByAllReached(double now_ms, std::uint64_t number) const {
+// Each probe since the call went to every machine that lacks the add. One that is not reached has answered
+// none of them: it has answered nothing for kReachedMs.
+bool TallyLedger::IsStoredByAllReached(double now_ms, const Pending& pending) const {
+  const bool probed = unanswered_ms_ >= pending.since_ms;
   return std::ranges::all_of(peers_, [&](const auto& entry) {
-    return !IsReached(entry.second, now_ms) || entry.second.stored >= number;
+    return entry.second.stored >= pending.number || (probed && !IsReached(entry.second, now_ms));
   });
 }
 
@@ -85,7 +89,8 @@
   return zones.size() >= options_.zones;
 }
 
-bool TallyLedger::IsStored(double now_ms, std::uint64_t number) const {
+bool TallyLedger::IsStored(double now_ms, const Pending& pending) const {
+  const std::uint64_t number = pending.number;
   const auto own = stored_.find(options_.origin);
   const bool here = own != stored_.end() && own->second >= number;
   const auto others =
@@ -93,19 +98,20 @@
   const std::size_t disks = static_cast<std::size_t>(others) + (here ? 1 : 0);
   if (disks >= options_.copies && IsInEnoughZones(here, number)) return true;
   const bool may_know_all = now_ms - started_ms_ > kFirstReachedMs;
-  return here && may_know_all && IsStoredByAllReached(now_ms, number);
+  return here && may_know_all && IsStoredByAllReached(now_ms, pending);
 }
 
 // Later adds are stored later, but calls for an earlier one may have come last.
 void TallyLedger::AnswerPending(double now_ms) {
   std::erase_if(pending_, [&](const Pending& pending) {
-    const bool stored = IsStored(now_ms, pending.number);
+    const bool stored = IsStored(now_ms, pending);
     if (!stored && now_ms - pending.since_ms < kAddMs) return false;
     for (const std::uint64_t call : pending.calls)
       Answer(call, stored ? TallyOutcome::kAdded : TallyOutcome::kUndecided);
     waiting_calls_ -= pending.calls.size();
     return true;
   });
+  ProbeUnreached(now_ms);
 }
 
 // ---- The disk ----
@@ -118,12 +124,13 @@
 }
 
 void TallyLedger::FlushWrite() {
-  if (unwritten_.empty()) return;
+  if (unwritten_.empty() && !mark_unwritten_) return;
   Writing writing{++last_ticket_, {}};
   for (const TallyAdds& adds : unwritten_)
     writing.until.push_back({adds.origin, adds.first + adds.adds.size() - 1});
   writing_.push_back(std::move(writing));
-  output_.writes.push_back({last_ticket_, std::exchange(unwritten_, {})});
+  output_.writes.push_back(
+      {last_ticket_, std::exchange(unwritten_, {}), std::exchange(mark_unwritten_, false)});
 }
 
 void TallyLedger::Stored(double now_ms, std::uint64_t ticket) {
@@ -167,7 +174,11 @@
     peer.answered_ms = answered_ms;
     peer.caught_up = caught_up;
   }
-  if (!IsReached(peer, now_ms) && round_ > 0) Send(from, StateNow());  // a cut may have healed
+  const bool may_have_healed = !IsReached(peer, now_ms) && round_ > 0;
+  if (may_have_healed && now_ms - peer.told_again_ms >= kTallyStateMs) {  // else states would bring states
+    peer.told_again_ms = now_ms;
+    Send(from, StateNow());
+  }
   peer.heard_ms = now_ms;
   peer.settled = state.settled;
   peer.zone = state.zone;
@@ -183,7 +194,7 @@
   Peer& peer = found->second;
   peer.stored = std::max(peer.stored, stored.length);
   const auto sent = std::ranges::find(rounds_, stored.round, &std::pair<std::uint64_t, double>::first);
-  if (sent != rounds_.end()) peer.answered_ms = std::max(peer.answered_ms, sent->second);
+  if (sent != rounds_.end() && now_ms - sent->second <= kAddMs) peer.answered_ms = now_ms;
   AnswerPending(now_ms);
 }
 
@@ -234,6 +245,7 @@
   settled_ = std::ranges::all_of(peers_, [&](const auto& entry) {
     return entry.second.caught_up || (!patient && !IsReached(entry.second, now_ms));
   });
+  mark_unwritten_ = settled_ && options_.may_have_lost_disk;
 }
 
 // New adds are on their way from their origin: what is missing counts once it has been so for a state's time,
@@ -266,10 +278,14 @@
 
 // ---- Time ----
 
+void TallyLedger::BeginRound(double now_ms) {
+  rounds_.emplace_back(++round_, now_ms);
+  while (now_ms - rounds_.front().second > kAddMs) rounds_.pop_front();
+}
+
 void TallyLedger::TellState(double now_ms) {
   told_ms_ = now_ms;
-  rounds_.emplace_back(++round_, now_ms);
-  while (now_ms - rounds_.front().second > kReachedMs) rounds_.pop_front();
+  BeginRound(now_ms);
   const TallyState state = StateNow();
   for (const auto& [address, peer] : peers_) Send(address, state);
 }
@@ -284,6 +300,33 @@
   return state;
 }
 
+// Goes to all that lack the newest add that waits, and so to all that lack any of these.
+void TallyLedger::ProbeUnreached(double now_ms) {
+  if (pending_.empty() || now_ms - probed_ms_ < kProbeEveryMs) return;
+  const std::uint64_t number = pending_.back().number;
+  const auto lacks = [&](const Peer& peer) { return peer.stored < number; };
+  const bool needed = std::ranges::any_of(
+      peers_, [&](const auto& entry) { return lacks(entry.second) && !IsReached(entry.second, now_ms); });
+  if (!needed) return;
+  probed_ms_ = now_ms;
+  probes_.push_back({now_ms, std::nullopt});
+  BeginRound(now_ms);
+  const TallyState state = StateNow();
+  for (const auto& [address, peer] : peers_) {
+    if (lacks(peer)) Send(address, state);
+  }
+}
+
+void TallyLedger::JudgeProbes(double now_ms) {
+  for (Probe& probe : probes_) {
+    if (!probe.due_ms && now_ms - probe.sent_ms >= kProbeMs) probe.due_ms = now_ms;
+  }
+  while (!probes_.empty() && probes_.front().due_ms && now_ms - *probes_.front().due_ms >= kProbeReadMs) {
+    unanswered_ms_ = probes_.front().sent_ms;
+    probes_.pop_front();
+  }
+}
+
 void TallyLedger::Tick(double now_ms) {
   NoteTime(now_ms);
   Settle(now_ms);
--- a/tests/fleet/tallies/tally_group.cpp
+++ b/tests/fleet/tallies/tally_group.cpp
@@ -140,7 +140,7 @@
   options.copies = options_.copies;
   options.zones = options_.zones_of_copies;
   if (index < options_.zones.size()) options.zone = options_.zones[index];
-  options.may_have_lost_disk = machine.lost_disk;
+  options.may_have_lost_disk = !machine.caught_up;
   std::vector<TallyAdds> loaded;
   for (const auto& [origin, log] : machine.disk) loaded.push_back({origin, 1, log});
   ++machine.life;
@@ -166,7 +166,6 @@
 
 void TallyGroup::LosePower(std::size_t index) {
   Machine& machine = *machines_[index];
-  if (machine.ledger != nullptr && machine.ledger->settled()) machine.lost_disk = false;
   machine.ledger.reset();
   machine.writing.clear();
   machine.waiting.clear();
@@ -184,7 +183,7 @@
   Kill(index);
   machines_[index]->disk.clear();
   machines_[index]->ids_on_disk.clear();
-  machines_[index]->lost_disk = true;
+  machines_[index]->caught_up = false;
 }
 
 void TallyGroup::StallDisk(std::size_t index, double for_ms) {
@@ -216,6 +215,7 @@
 
 void TallyGroup::KeepOnDisk(Machine& machine, const std::vector<TallyWrite>& writes) {
   for (const TallyWrite& write : writes) {
+    machine.caught_up |= write.caught_up;
     for (const TallyAdds& adds : write.logs) {
       Log& log = machine.disk[adds.origin];
       if (adds.first != log.size() + 1) Violation("a write that does not continue its log");
@@ -285,6 +285,7 @@
   const auto to =
       std::ranges::find_if(machines_, [&](const auto& machine) { return machine->address == address; });
   if (to == machines_.end()) return Violation("a message to an address that nobody has");
+  ++messages_;
   const std::size_t bytes = EncodeFrame(message).size();
   if (std::holds_alternative<TallyPiece>(message)) {
     largest_piece_bytes_ = std::max(largest_piece_bytes_, bytes);
--- a/tests/fleet/tallies/tally_group.h
+++ b/tests/fleet/tallies/tally_group.h
@@ -88,6 +88,7 @@
   // The process stands still; what comes meanwhile reaches it afterwards.
   void Freeze(std::size_t machine, double for_ms);
   std::vector<std::size_t> MachinesIn(const std::string& zone) const;
+  bool caught_up_on_disk(std::size_t machine) const { return machines_[machine]->caught_up; }
   // Disks that hold an add with that id.
   std::size_t DisksWith(const std::string& id) const;
   // Zones in which these stand.
@@ -104,6 +105,7 @@
   // What is under way between the two, in both directions, is lost.
   void BreakConnection(std::size_t one, std::size_t other);
   std::size_t largest_piece_bytes() const { return largest_piece_bytes_; }
+  std::size_t messages() const { return messages_; }  // that were sent
 
   // What must never happen and was seen to; empty: nothing.
   const std::vector<std::string>& violations() const { return violations_; }
@@ -125,7 +127,7 @@
     std::uint64_t life = 0;
     std::map<std::uint64_t, Log> disk;  // by origin
     std::set<std::string> ids_on_disk;
-    bool lost_disk = false;           // and no process has caught up since
+    bool caught_up = true;            // is marked so on disk; all begin together, with nothing to lose
     std::vector<TallyWrite> waiting;  // for the disk
     std::vector<TallyWrite> writing;  // under way; empty: the disk is idle
     double stalled_until_ms = 0;
@@ -164,6 +166,7 @@
   std::vector<TallyCall> calls_;
   std::size_t acknowledged_ = 0;
   std::size_t largest_piece_bytes_ = 0;
+  std::size_t messages_ = 0;
   std::vector<std::string> violations_;
 };
 
--- a/tests/fleet/tallies/tally_ledger_test.cpp
+++ b/tests/fleet/tallies/tally_ledger_test.cpp
@@ -181,6 +181,60 @@
   CHECK(group.Total(0, "t") == 2);
 }
 
+// Guards against an add that is owed, as the links are whole again, and that one disk holds: a machine that
+// was cut off would go by what it knew before the healing.
+TEST_CASE("tally ledger: an add that is called after a healing does not rest on the own disk alone") {
+  constexpr double kStepMs = 7, kUntilMs = 500;
+  const double stands_still_ms = GENERATE(0, 40, 200);
+  for (double after_ms = 0; after_ms < kUntilMs; after_ms += kStepMs) {
+    TallyGroupOptions options = Machines(5, 3);
+    options.sync_ms = 0.5;  // sooner done than the others can answer
+    options.delay_ms = 3;
+    Group group(options);
+    group.Isolate(0);
+    group.RunFor(1000);
+    group.Heal();
+    group.RunFor(after_ms);
+    const std::size_t add = group.Add(0, {"id", "t", 4});
+    group.Freeze(0, stands_still_ms);
+    group.RunFor(stands_still_ms + kAddMs);
+    INFO("called " << after_ms << " ms after the healing, stood still for " << stands_still_ms << " ms");
+    CHECK(group.call(add).Is(TallyOutcome::kAdded));
+    CHECK(group.call(add).disks >= options.copies);
+  }
+}
+
+// Guards against probes that make applications on the side that is cut off wait past what they aim at.
+TEST_CASE("tally ledger: apart, each add is answered soon after a probe that nobody answered") {
+  constexpr double kMostMs = kProbeMs + 2 * kProbeEveryMs + kProbeReadMs;
+  Group group;
+  group.Isolate(0);
+  group.RunFor(1000);
+  std::vector<std::size_t> adds;
+  for (int i = 0; i < 100; ++i) {
+    adds.push_back(group.Add(0, {"id-" + std::to_string(i), "t", 1}));
+    group.RunFor(3);
+  }
+  group.RunFor(kSoonMs);
+  for (const std::size_t add : adds) {
+    CHECK(group.call(add).Is(TallyOutcome::kAdded));
+    CHECK(group.call(add).Waited() <= kMostMs);
+  }
+}
+
+// Guards against answers to states that call for answers without an end, more of them with each state.
+TEST_CASE("tally ledger: machines whose words take long tell each other their states at a bounded pace") {
+  TallyGroupOptions options = Machines(2, 2);
+  options.delay_ms = 400;
+  Group group(options);
+  group.RunFor(10'000);
+  const std::size_t before = group.messages();
+  constexpr double kForMs = 3000, kMargin = 1.1;
+  group.RunFor(kForMs);
+  const double states = 2 * 2 * kForMs / kTallyStateMs;  // of two machines, told and sent back
+  CHECK(static_cast<double>(group.messages() - before) <= kMargin * 2 * states);  // each with its answer
+}
+
 // Guards against a machine that is heard but does not hear: it would be waited for without an end.
 TEST_CASE("tally ledger: a cut of one direction is a cut") {
   const bool hears = GENERATE(false, true);
@@ -385,6 +439,58 @@
   CHECK(group.Total(0, "t") == 0);
 }
 
+// Guards against a disk that is trusted as it holds something: the process that filled it ended halfway.
+TEST_CASE("tally ledger: a machine that was killed before it had caught up is not trusted in its next life") {
+  TallyGroupOptions options;
+  options.link_mbps = 3;  // a piece takes some 170 ms
+  Group group(options);
+  constexpr std::int64_t kAdds = 4000;
+  for (std::int64_t i = 0; i < kAdds; ++i) {
+    group.Add(0, {"id-" + std::to_string(i), "t", 1});
+    group.RunFor(1);
+  }
+  group.RunFor(kMergeMs);
+  CheckTotals(group, "t", kAdds);
+  group.Wipe(0);
+  group.Start(0);
+  while (group.ledger(0).adds() == 0) group.RunFor(10);
+  group.RunFor(50);  // for its disk
+  REQUIRE_FALSE(group.ledger(0).settled());
+  group.Isolate(0);
+  group.Restart(0);
+  REQUIRE(group.ledger(0).adds() > 0);
+  for (int i = 0; i < 100; ++i) {
+    CHECK_FALSE(group.Total(0, "t"));
+    group.RunFor(kCatchUpFromNothingMs / 50);
+  }
+  group.Heal();
+  group.RunFor(kMergeMs);
+  CHECK(group.Total(0, "t") == kAdds);
+}
+
+// Guards against a mark that is on disk before the adds which it speaks for, or never.
+TEST_CASE("tally ledger: a disk that was lost is trusted again once all that was caught up with is on it") {
+  Group group;
+  AddMany(group, 0, 500);
+  group.Wipe(0);
+  group.StallDisk(0, 3000);
+  group.Start(0);
+  group.RunFor(2000);
+  REQUIRE(group.Total(0, "t") == 500);
+  CHECK_FALSE(group.caught_up_on_disk(0));
+  group.LosePower(0);
+  group.RunFor(2000);
+  group.Start(0);
+  group.RunFor(1000);
+  REQUIRE(group.Total(0, "t") == 500);
+  CHECK(group.caught_up_on_disk(0));
+  group.LosePower(0);
+  group.Isolate(0);
+  group.Start(0);
+  group.RunFor(kCatchUpMs + kSoonMs);
+  CHECK(group.Total(0, "t") == 500);
+}
+
 // Guards against a total that lacks what only a machine has that is not heard yet.
 TEST_CASE("tally ledger: a machine that lost its disk waits longer for those that are silent") {
   Group group;
