Checker: a killed sidecar owes nothing from its kill until its exit is told

Cause: answer-lost excused a try that an outright kill cut off only where the try was sent before the kill was told. The kill is told before the signal is sent, and the kernel ends the process some ms later. Until then its kept connections and its listener's queue take requests and lose them: a client that meets two such connections reports LOST, with no claim begun.

A kill that cuts off now lasts until the exit of that process is told. What is sent after the exit, to the next life, to another sidecar, or after the kill of a planned restart is judged as before.

--- a/lab/rules/sidecars.h
+++ b/lab/rules/sidecars.h
@@ -33,8 +33,9 @@
   std::uint32_t LifeOf(std::uint32_t sidecar) const { return lives_[sidecar].number; }
 
   // Was what it had to do between these times cut off by an outright kill? That is the clients' to send
-  // again. A planned restart leaves a sidecar the time to answer all, and excuses nothing: a kill that came
-  // the longest deadline (3 s at least) and 0.7 s after the SIGTERM, or later.
+  // again. Its sockets take requests until the kernel has ended the process, so that the kill lasts until its
+  // exit is told. A planned restart leaves a sidecar the time to answer all, and excuses nothing: a kill that
+  // came the longest deadline (3 s at least) and 0.7 s after the SIGTERM, or later.
   bool CutOff(std::uint32_t sidecar, std::int64_t from_us, std::int64_t to_us) const;
   // For how long between these times the lab had it stopped. A stopped process can do nothing, and that time
   // counts against it nowhere.
@@ -45,7 +46,8 @@
     std::uint32_t number = 0;
     bool running = false, killed = false;
     std::int64_t started_us = -1, term_us = -1;
-    std::int64_t cut_us = -1;  // the last outright kill, of any life
+    std::int64_t cut_us = -1;      // the last outright kill, of any life
+    std::int64_t cut_end_us = -1;  // when the exit after it was told; below 0: not yet
     bool over_memory = false, over_descriptors = false;
     // Memory in the quarters of the run's second half.
     std::array<double, 4> sum{};
--- a/tests/lab/rules/rules_test.cpp
+++ b/tests/lab/rules/rules_test.cpp
@@ -58,6 +58,37 @@
   CHECK(Broken(again) == Rules{"answer-lost"});
 }
 
+TEST_CASE("answer-lost: a killed process owes nothing until its exit is told, and its next life owes all") {
+  constexpr std::uint32_t kOther = 1;
+  const auto sent_after_kill = [](double exit_ms, double sent_ms) {
+    Story story;
+    story.At(5000).Process(0, Sidecar::KILLED);
+    if (exit_ms < sent_ms) story.At(exit_ms).Process(0, Sidecar::EXITED);
+    story.At(sent_ms).Sent(1);
+    if (exit_ms >= sent_ms) story.At(exit_ms).Process(0, Sidecar::EXITED);
+    return story.Wait(1);
+  };
+  // Its sockets still take requests while the kernel ends it.
+  CHECK(Broken(sent_after_kill(5003, 5001).Ends(1, TryEnded::LOST)) == kNone);
+  CHECK(Broken(sent_after_kill(5003, 5001).Process(0, Sidecar::STARTED).Ends(1, TryEnded::LOST)) == kNone);
+  Story untold;
+  untold.At(5000).Process(0, Sidecar::KILLED).At(5001).Sent(1).Wait(1.6).Ends(1, TryEnded::LOST);
+  CHECK(Broken(untold.Process(0, Sidecar::EXITED)) == kNone);
+  // A process that is gone takes nothing.
+  CHECK(Broken(sent_after_kill(5003, 5004).Ends(1, TryEnded::LOST)) == Rules{"answer-lost"});
+  // What the next life was sent is not excused by the kill of the one before.
+  Story next = sent_after_kill(5003, 5001);
+  next.Ends(1, TryEnded::LOST).Process(0, Sidecar::STARTED).Wait(1).Sent(2);
+  CHECK(Broken(next.Wait(1).Ends(2, TryEnded::LOST)) == Rules{"answer-lost"});
+  // Nor what another sidecar was sent meanwhile, nor what follows a planned restart's kill.
+  Story other;
+  other.At(5000).Process(0, Sidecar::KILLED).At(5001).Sent(1, kSafe, 0, 10, kOther);
+  CHECK(Broken(other.Wait(1).Ends(1, TryEnded::LOST)) == Rules{"answer-lost"});
+  Story planned;
+  planned.At(1000).Process(0, Sidecar::TERM).At(5700).Process(0, Sidecar::KILLED).At(5701).Sent(1);
+  CHECK(Broken(planned.Wait(1).Ends(1, TryEnded::LOST)) == Rules{"answer-lost"});
+}
+
 TEST_CASE("answer-late") {
   const auto failed = [](double ms) {
     return Story().At(0).Sent(1).At(500).Claim(1, 1, ClaimEnded::OVERDUE).At(ms).Ends(1, TryEnded::FAILED);
