--- a/tests/fleet/storage/sqlite_store_test.cpp
+++ b/tests/fleet/storage/sqlite_store_test.cpp
@@ -12,23 +12,12 @@
 #include <string>
 
 #include "fleet/messages/archive.h"
+#include "support/temporary_folder.h"
 
 namespace bitternmux::fleet {
 namespace {
 
-class Folder {
- public:
-  Folder() {
-    std::string path = (std::filesystem::temp_directory_path() / "store-XXXXXX").string();
-    REQUIRE(mkdtemp(path.data()) != nullptr);
-    path_ = path;
-  }
-  ~Folder() { std::filesystem::remove_all(path_); }
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
-};
+using Folder = tests::TemporaryFolder;
 
 DurableState State(std::uint64_t epoch, std::size_t bytes) {
   DurableState state;
@@ -109,12 +98,10 @@
 }
 
 TEST_CASE("sqlite store: changes of 4 MB take a bounded space") {
-  const Folder folder;
+  const Folder folder(Folder::Place::kMemory);
   SqliteStore store(folder.path());
   for (std::uint64_t i = 0; i < 12; ++i) store.Save(State(i, 4 * 1024 * 1024));
-  std::uintmax_t bytes = 0;
-  for (const auto& entry : std::filesystem::directory_iterator(folder.path())) bytes += entry.file_size();
-  CHECK(bytes < 32U * 1024 * 1024);
+  CHECK(folder.Bytes() < 32U * 1024 * 1024);
 }
 
 TEST_CASE("sqlite store: a folder that is not there, or a file that is no database, is told") {
@@ -152,14 +139,12 @@
 }
 
 TEST_CASE("sqlite store: hundreds of changes with bodies of 4 MB stay far below the disk's 128 MB") {
-  const Folder folder;
+  const Folder folder(Folder::Place::kMemory);
   SqliteStore store(folder.path());
   std::uintmax_t most = 0;
   for (std::uint64_t i = 0; i < 300; ++i) {
     store.Save(State(i, i % 10 == 0 ? 4 * 1024 * 1024 : 20'000));
-    std::uintmax_t bytes = 0;
-    for (const auto& entry : std::filesystem::directory_iterator(folder.path())) bytes += entry.file_size();
-    most = std::max(most, bytes);
+    most = std::max(most, folder.Bytes());
   }
   CHECK(most < 32U * 1024 * 1024);
 }
--- a/tests/fleet/storage/sqlite_tally_store_test.cpp
+++ b/tests/fleet/storage/sqlite_tally_store_test.cpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "fleet/storage/sqlite_database.h"
+#include "support/temporary_folder.h"
 
 namespace bitternmux::fleet {
 namespace {
@@ -21,25 +22,7 @@
 
 constexpr std::uint64_t kOrigin = std::numeric_limits<std::uint64_t>::max() - 5;  // negative as int64_t
 
-class Folder {
- public:
-  Folder() {
-    std::string path = (fs::temp_directory_path() / "tallies-XXXXXX").string();
-    REQUIRE(mkdtemp(path.data()) != nullptr);
-    path_ = path;
-  }
-  ~Folder() { fs::remove_all(path_); }
-  const std::string& path() const { return path_; }
-  std::string File(const std::string& name) const { return path_ + "/" + name; }
-  std::uintmax_t Bytes() const {
-    std::uintmax_t bytes = 0;
-    for (const auto& entry : fs::directory_iterator(path_)) bytes += entry.file_size();
-    return bytes;
-  }
-
- private:
-  std::string path_;
-};
+using Folder = tests::TemporaryFolder;
 
 // Adds `first` to `last` of a log.
 TallyAdds Log(std::uint64_t origin, std::uint64_t first, std::uint64_t last) {
@@ -96,7 +79,7 @@
 // Guards against half a batch that is taken for a whole one after a loss of power in the middle of a write.
 TEST_CASE(
     "tally store: a log that is torn anywhere has each batch before the tear, whole, and nothing after") {
-  const Folder folder;
+  const Folder folder(Folder::Place::kMemory);
   const std::uint64_t batch_size = 40;
   std::vector<std::uintmax_t> ends;  // of the write-ahead log, after each batch
   SqliteTallyStore store(folder.path());
@@ -107,7 +90,7 @@
     ends.push_back(fs::file_size(log));
   }
   for (std::uintmax_t length = ends.front(); length <= ends.back(); length += 509) {
-    const Folder copy;
+    const Folder copy(Folder::Place::kMemory);
     fs::copy_file(folder.File("tallies.db"), copy.File("tallies.db"));
     fs::copy_file(log, copy.File("tallies.db-wal"));
     fs::resize_file(copy.File("tallies.db-wal"), length);
@@ -208,7 +191,7 @@
 }
 
 TEST_CASE("tally store: 100,000 adds in 10,000 batches take a bounded space") {
-  const Folder folder;
+  const Folder folder(Folder::Place::kMemory);
   constexpr std::uint64_t kAdds = 100'000, kBatch = 10;
   SqliteTallyStore store(folder.path());
   std::uintmax_t most = 0;
