Quota: what may be used without a grantor is let through at once while it is silent

Now that part is used at once when the grantor has left a request unanswered for 100 ms. It is the same part, growing as before, so that what all routers may let through in a window is the same. The new test failed before (the request waits).

--- a/src/fleet/quota/quota_ledger.cpp
+++ b/src/fleet/quota/quota_ledger.cpp
@@ -131,6 +131,10 @@
     if (now_ms - row.renewed_ms >= kRenewMs) Request(now_ms, tenant.name, row);
     return QuotaAnswer::kAdmitted;
   }
+  if (row.waiting.empty() && IsGrantorSilent(now_ms) && UseUngranted(now_ms, row, cost)) {
+    Request(now_ms, tenant.name, row);
+    return QuotaAnswer::kAdmitted;
+  }
   if (row.waiting.size() >= kMaxWaiting) {
     row.figures.refused += cost;
     return QuotaAnswer::kRefused;
@@ -156,6 +160,16 @@
 
 // ---- Without a grantor ----
 
+std::optional<double> QuotaLedger::GrantorSilentFromMs() const {
+  if (!heard_grantor_ || !unanswered_since_ms_) return std::nullopt;
+  return *unanswered_since_ms_ + kSilentGrantorMs;
+}
+
+bool QuotaLedger::IsGrantorSilent(double now_ms) const {
+  const std::optional<double> silent_ms = GrantorSilentFromMs();
+  return silent_ms && now_ms >= *silent_ms;
+}
+
 void QuotaLedger::GrowUngranted(double now_ms, Row& row) const {
   const double half = row.budget.ungranted / routers_ / 2;
   const double passed_ms = std::max(0.0, now_ms - row.ungranted_ms);
@@ -197,9 +211,9 @@
 double QuotaLedger::EndMs(const Row& row, const Waiting& waiting) const {
   const double patience_ms = row.answered ? kGrantPatienceMs : kFirstGrantPatienceMs;
   const double patience_end_ms = waiting.since_ms + patience_ms;
-  if (!heard_grantor_ || !unanswered_since_ms_) return patience_end_ms;
-  const double silent_ms = *unanswered_since_ms_ + kSilentGrantorMs;
-  return std::min(patience_end_ms, std::max(waiting.since_ms + waiting.hold_ms, silent_ms));
+  const std::optional<double> silent_ms = GrantorSilentFromMs();
+  if (!silent_ms) return patience_end_ms;
+  return std::min(patience_end_ms, std::max(waiting.since_ms + waiting.hold_ms, *silent_ms));
 }
 
 // A request may have less time than those before it.
--- a/src/fleet/quota/quota_ledger.h
+++ b/src/fleet/quota/quota_ledger.h
@@ -142,6 +142,9 @@
   double EndMs(const Row& row, const Waiting& waiting) const;
   void EndFirst(Row& row, bool admitted, double retry_ms);
   void EndOverdue(double now_ms, Row& row);
+  // From when a grantor that has been heard once counts as silent, if it answers nothing until then.
+  std::optional<double> GrantorSilentFromMs() const;
+  bool IsGrantorSilent(double now_ms) const;
   void GrowUngranted(double now_ms, Row& row) const;
   bool UseUngranted(double now_ms, Row& row, double cost);
   void Serve(double now_ms, Row& row);
--- a/tests/fleet/quota/quota_test.cpp
+++ b/tests/fleet/quota/quota_test.cpp
@@ -344,6 +344,28 @@
   CHECK_FALSE(ledger.waiting());
 }
 
+// Guards against a wait before each request of a client while no control machine is there.
+TEST_CASE("quota: while the grantor is silent the ungranted part is let through at once") {
+  constexpr double kGrownMs = 2 * kWindowMs;
+  QuotaLedger ledger({1, 0, kBounds});
+  ledger.SetRouters(1);
+  ledger.Ask(kGrownMs, 1, kTenant, 100, 30);
+  ledger.Granted(kGrownMs + 1, AnswerTo(ledger, 100));
+  ledger.TakeVerdicts();
+  CHECK(ledger.Ask(kGrownMs + 10, 2, kTenant, 100, 30) == QuotaAnswer::kWait);
+  const double silent_ms = kGrownMs + 10 + fleet::kSilentGrantorMs;
+  ledger.Tick(silent_ms);
+  REQUIRE(ledger.TakeVerdicts().size() == 1);
+  CHECK(ledger.Ask(silent_ms + 1, 3, kTenant, 100, 30) == QuotaAnswer::kAdmitted);
+  // Once it is used up, requests wait as before.
+  const double all = fleet::DivideQuota(kTenant, kBounds).ungranted;
+  CHECK(ledger.Ask(silent_ms + 2, 4, kTenant, all, 30) == QuotaAnswer::kWait);
+  // The grantor is asked all the while; once it answers, requests wait for it again.
+  ledger.Granted(silent_ms + 3, AnswerTo(ledger, all));
+  CHECK(ledger.TakeVerdicts().size() == 1);
+  CHECK(ledger.Ask(silent_ms + 4, 5, kTenant, 100, 30) == QuotaAnswer::kWait);
+}
+
 // Guards against refusing what a grantor that is slow would have let through.
 TEST_CASE("quota: a grantor that answers is waited for, however short a request may be held") {
   QuotaLedger ledger(kNoSlack);
