Fleet stand: a started program keeps none of the stand's sockets

Stories of the fleet's programs failed now and then beside load. In traced plays nothing passed from a control machine to another one that began to listen after it had been dialed.

Fault: sockets of asio are opened without O_CLOEXEC, and Process started programs with copies of all that the stand held at that moment: listening sockets, and the connections that the relay had accepted. A relay whose own dial to the machine is refused closes the dialer's connection. A program that was started between the accept and the close kept it up: the dialer saw no end, never dialed anew, and what it sent was read by nobody. Addresses that the stand gave back stayed taken, too.

Ruled out: the relay by itself (it ends the dialer's connection when its dial is refused, and passes on what came before its dial was done), and the program's dialer (it dials anew when it is told of the end).

That this was what happened in the traced plays is inferred: they wrote no events of links.

--- a/lab/fleet/process.cpp
+++ b/lab/fleet/process.cpp
@@ -20,6 +20,9 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+  // Sockets are opened without O_CLOEXEC, and on other threads: a copy here would keep connections that the
+  // starter has closed up, and addresses that it has given back taken.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::string path = program;
   std::string settings = "BITTERNMUX_NODE_FILE=" + settings_path;
   std::array<char*, 2> arguments = {path.data(), nullptr};
--- a/lab/fleet/process.h
+++ b/lab/fleet/process.h
@@ -11,7 +11,8 @@
 
 class Process {
  public:
-  // Starts it with BITTERNMUX_NODE_FILE set to that path. Throws std::runtime_error.
+  // Starts it with BITTERNMUX_NODE_FILE set to that path, and with no descriptor of this process but the
+  // standard ones. Throws std::runtime_error.
   Process(const std::string& program, const std::string& settings_path);
   ~Process();  // kills it
   Process(const Process&) = delete;
