--- a/tests/lab/fleet/link_relay_test.cpp
+++ b/tests/lab/fleet/link_relay_test.cpp
@@ -57,6 +57,45 @@
   CHECK(Ends::Read(ends.dialer, 4) == "back");
 }
 
+TEST_CASE("link relay: what comes before its own dial is done is passed on, behind the first frame") {
+  asio::io_context io;
+  tcp::acceptor backend(io, {asio::ip::address_v4::loopback(), 0});
+  const std::uint16_t front = FreePort();
+  const std::string address = "127.0.0.1:" + std::to_string(front);
+  LinkRelay relay({{address, "127.0.0.1:" + std::to_string(backend.local_endpoint().port())}});
+  relay.Cut("a", address);  // it dials when that is healed
+  tcp::socket dialer(io);
+  dialer.connect({asio::ip::address_v4::loopback(), front});
+  const std::string sent = HelloFrom("a") + "behind it";
+  asio::write(dialer, asio::buffer(sent));
+  asio::write(dialer, asio::buffer(std::string("and more")));
+  relay.HealAll();
+  tcp::socket machine = backend.accept();
+  CHECK(Ends::Read(machine, sent.size() + 8) == sent + "and more");
+}
+
+TEST_CASE("link relay: who dials a machine that does not listen is told, and comes through once it does") {
+  asio::io_context io;
+  const std::uint16_t front = FreePort(), back = FreePort();
+  const LinkRelay relay({{"127.0.0.1:" + std::to_string(front), "127.0.0.1:" + std::to_string(back)}});
+  const std::string hello = HelloFrom("a");
+  const auto dial = [&] {
+    tcp::socket dialer(io);
+    dialer.connect({asio::ip::address_v4::loopback(), front});
+    asio::write(dialer, asio::buffer(hello));
+    return dialer;
+  };
+  tcp::socket early = dial();
+  char byte = 0;
+  boost::system::error_code error;
+  early.read_some(asio::buffer(&byte, 1), error);
+  CHECK(error);
+  tcp::acceptor backend(io, {asio::ip::address_v4::loopback(), back});
+  tcp::socket again = dial();
+  tcp::socket machine = backend.accept();
+  CHECK(Ends::Read(machine, hello.size()) == hello);
+}
+
 TEST_CASE("link relay: a cut in one direction holds what is sent until it is healed; the other one passes") {
   Ends ends;
   tcp::socket machine = ends.backend.accept();
