Relay story: the one that comes back is waited for until it is in the group

The story "one that is cut off is replaced, others are lost right behind it, and it comes back" failed beside load with 503 to the last order. It waited for any line "replica.members" after "role=follower". What the cut has held arrives with the rest when it is healed: the machine may be told first that the group has gone on without it (learner), then accept the value of the earlier group that names it (follower), and then the one that does not (learner). The story took that for its return, and killed the owner while the group consisted of the owner, the one that was killed before, and the new one: nobody could have taken an order.

Now it waits for the line that names exactly the group with the machine in it, and likewise for the new one before: what is asked for is more than it was.

The order cannot be forced from outside.

--- a/tests/lab/fleet/relay_stories.cpp
+++ b/tests/lab/fleet/relay_stories.cpp
@@ -1,10 +1,13 @@
 // Stories of the built programs with a relay of ours between the control machines: cuts, in one direction or
 // both, and slow links. Agents and operators reach all machines all the while. Nothing sleeps.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "support/story_fleet.h"
 
@@ -38,6 +41,17 @@
     return reply.status;
   }
 
+  // What a machine's log says once exactly these, in the order of their addresses, are the group.
+  std::string SaysGroup(const std::vector<std::size_t>& machines) const {
+    std::vector<std::string> addresses;
+    addresses.reserve(machines.size());
+    for (const std::size_t machine : machines) addresses.push_back(fleet.InternalAddress(machine));
+    std::ranges::sort(addresses);
+    std::string line = "replica.members members=\"";
+    for (const std::string& address : addresses) line += address + " ";
+    return line + "\"";
+  }
+
   bool ReadsSoon(std::size_t machine, const std::string& text) {
     const auto until = std::chrono::steady_clock::now() + kPatience;
     while (std::chrono::steady_clock::now() < until) {
@@ -119,14 +133,16 @@
   fleet.CutOff(world.second);
   fleet.StartControl(kNew, false);
   REQUIRE(fleet.control(kNew).Says("role=follower"));
-  REQUIRE(fleet.control(kNew).Says("replica.members"));
+  REQUIRE(fleet.control(kNew).Says(world.SaysGroup({world.owner, world.third, kNew})));
   fleet.KillControl(world.third);
   CHECK(fleet.PutAnywhere(FleetStand::Configuration(6), 4).status == 200);
   // It learns that the group has gone on without it, and takes the place of the one that is gone.
   fleet.relay().HealAll();
+  // What was held by the cut arrives with the rest: it may be a follower of the earlier group in between, and
+  // hears of the group without it first.
   REQUIRE(fleet.control(world.second).Says("role=learner"));
   REQUIRE(fleet.control(world.second).Says("role=follower"));
-  REQUIRE(fleet.control(world.second).Says("replica.members"));
+  REQUIRE(fleet.control(world.second).Says(world.SaysGroup({world.owner, world.second, kNew})));
   fleet.KillControl(world.owner);
   CHECK(fleet.PutAnywhere(FleetStand::Configuration(7), 6).status == 200);
   CHECK(world.ReadsSoon(kNew, FleetStand::Configuration(7)));
