--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -7,13 +7,16 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -110,6 +113,7 @@
           const std::string& log) {
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with this script, however that ends
       if (chdir(root.c_str()) != 0) _exit(127);
       const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       dup2(out, 1);
