Answer a call that is no UTF-8 with its reason instead of ending the process

What callers saw: a configuration that was cut within a letter, or that had a letter in Latin-1, a no-break space outside a string and the like, got no answer, and the control machine that read it ended (exit 1). POST /evacuations/%FF did the same.

Cause: the answer quotes what it could not read, and nlohmann's dump() throws type_error 316 where a text is not UTF-8. The throw left io.run(). Shown by gdb at the throw: serializer, Fault, ServePut (and ServeEvacuation for the zone), Serve, io.run(). Ruled out by single calls to one machine: the parser (ASCII cut short: 400), a cut behind a whole letter (400), the log (escapes what it quotes), If-Match and ids of tallies (constant reasons).

The two functions that worded errors are one, in control/api_responses.

--- a/src/control/operator_service.cpp
+++ b/src/control/operator_service.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <utility>
 
+#include "control/api_responses.h"
 #include "events/fleet_catalogue.h"
 #include "fleet/validation/validation.h"
 
@@ -15,20 +16,14 @@
 constexpr std::string_view kEvacuation = "/evacuations/";  // and the name of a zone
 constexpr std::size_t kMaxZoneBytes = 256;
 
-ApiResponse Fault(int status, const std::string& why) {
-  return {status, nlohmann::json{{"error", why}}.dump(), "", 0};
-}
-
 ApiResponse Evacuations(const fleet::CallAnswer& answer) {
-  return {200, nlohmann::json{{"zones", answer.evacuated}}.dump(), "", 0};
+  return JsonResponse({{"zones", answer.evacuated}});
 }
 
-ApiResponse Version(const fleet::CallAnswer& answer) {
-  return {200, nlohmann::json{{"version", answer.version}}.dump(), "", 0};
-}
+ApiResponse Version(const fleet::CallAnswer& answer) { return JsonResponse({{"version", answer.version}}); }
 
 ApiResponse Configuration(const fleet::CallAnswer& answer) {
-  if (answer.version == 0) return Fault(404, "there is no configuration yet");
+  if (answer.version == 0) return ErrorResponse(404, "there is no configuration yet");
   return {200, answer.configuration.value_or(""), "", 0};
 }
 
@@ -59,19 +54,20 @@
     case fleet::CallOutcome::kTaken:
       return evacuations ? Evacuations(answer) : Version(answer);
     case fleet::CallOutcome::kConflict:
-      return Fault(412, "version " + version + " is in place");
+      return ErrorResponse(412, "version " + version + " is in place");
     case fleet::CallOutcome::kOld:
-      return Fault(400, "the version is not above " + version);
+      return ErrorResponse(400, "the version is not above " + version);
     case fleet::CallOutcome::kRead:
       return evacuations ? Evacuations(answer) : Configuration(answer);
     case fleet::CallOutcome::kRedirected:
       return {307, "", "http://" + answer.reply.owner.control + EncodedPath(call.path), 0};
     case fleet::CallOutcome::kUnavailable:
-      return Fault(503, "no owner of the configuration is known; send the same again, here or elsewhere");
+      return ErrorResponse(503,
+                           "no owner of the configuration is known; send the same again, here or elsewhere");
     case fleet::CallOutcome::kUndecided:
-      return Fault(504, "not decided in time; send the same again");
+      return ErrorResponse(504, "not decided in time; send the same again");
   }
-  return Fault(500, "");
+  return ErrorResponse(500, "");
 }
 
 // Answers come on this thread, and the service outlives its calls.
@@ -98,7 +94,7 @@
   if (request.path == "/config") return ServeConfiguration(now_ms, std::move(request), respond);
   if (request.path == kEvacuations) return ServeEvacuations(now_ms, request, respond);
   if (request.path.starts_with(kEvacuation)) return ServeEvacuation(now_ms, request, respond);
-  respond(Fault(404, "no such path; there are /config, /evacuations, /tallies/NAME and /status"));
+  respond(ErrorResponse(404, "no such path; there are /config, /evacuations, /tallies/NAME and /status"));
 }
 
 std::uint64_t OperatorService::Open(OpenCall::Kind kind, const std::string& path, const ApiRespond& respond) {
@@ -111,19 +107,19 @@
 
 void OperatorService::ServeConfiguration(double now_ms, ApiRequest request, const ApiRespond& respond) {
   if (request.method == "PUT") return ServePut(now_ms, std::move(request), respond);
-  if (request.method != "GET") return respond(Fault(405, "GET or PUT"));
+  if (request.method != "GET") return respond(ErrorResponse(405, "GET or PUT"));
   core_.Get(now_ms, Open(OpenCall::Kind::kConfiguration, request.path, respond));
 }
 
 void OperatorService::ServePut(double now_ms, ApiRequest request, const ApiRespond& respond) {
   if (request.if_match_malformed || !request.if_match) {
-    return respond(Fault(400, "If-Match has to name the version that the change builds on"));
+    return respond(ErrorResponse(400, "If-Match has to name the version that the change builds on"));
   }
   fleet::Order order;
   try {
     order.version = fleet::ValidateConfiguration(request.body).version;
   } catch (const fleet::ConfigurationError& error) {
-    return respond(Fault(400, error.what()));
+    return respond(ErrorResponse(400, error.what()));
   }
   order.builds_on = *request.if_match;
   order.digest = fleet::DigestOf(request.body);
@@ -134,18 +130,20 @@
 // ---- Evacuations ----
 
 void OperatorService::ServeEvacuations(double now_ms, const ApiRequest& request, const ApiRespond& respond) {
-  if (request.method != "GET") return respond(Fault(405, "GET, or POST and DELETE of /evacuations/ZONE"));
+  if (request.method != "GET")
+    return respond(ErrorResponse(405, "GET, or POST and DELETE of /evacuations/ZONE"));
   core_.Get(now_ms, Open(OpenCall::Kind::kEvacuations, request.path, respond));
 }
 
 void OperatorService::ServeEvacuation(double now_ms, const ApiRequest& request, const ApiRespond& respond) {
   const bool begins = request.method == "POST";
-  if (!begins && request.method != "DELETE") return respond(Fault(405, "POST or DELETE"));
+  if (!begins && request.method != "DELETE") return respond(ErrorResponse(405, "POST or DELETE"));
   std::string zone = request.path.substr(kEvacuation.size());
   if (zone.empty() || zone.size() > kMaxZoneBytes) {
-    return respond(Fault(400, "the name of a zone has 1 to " + std::to_string(kMaxZoneBytes) + " bytes"));
+    return respond(
+        ErrorResponse(400, "the name of a zone has 1 to " + std::to_string(kMaxZoneBytes) + " bytes"));
   }
-  if (!KnowsZone(zone)) return respond(Fault(404, "no zone of that name is known: " + zone));
+  if (!KnowsZone(zone)) return respond(ErrorResponse(404, "no zone of that name is known: " + zone));
   const std::uint64_t id = Open(OpenCall::Kind::kEvacuations, request.path, respond);
   core_.Evacuate(now_ms, id, {std::move(zone), begins});
 }
--- a/src/control/tally_service.cpp
+++ b/src/control/tally_service.cpp
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "control/api_responses.h"
+
 namespace bitternmux::control {
 namespace {
 
@@ -13,26 +15,22 @@
 constexpr const char* kIdKey = "id";
 constexpr double kRetryAfterS = 0.2;
 
-ApiResponse Fault(int status, const std::string& why, double retry_after_s = 0) {
-  return {status, nlohmann::json{{"error", why}}.dump(), "", retry_after_s};
-}
-
 ApiResponse ResponseTo(const fleet::TallyAnswer& answer) {
   switch (answer.outcome) {
     case fleet::TallyOutcome::kAdded:
       return {200, "{}", "", 0};
     case fleet::TallyOutcome::kTotal:
-      return {200, nlohmann::json{{"total", answer.total}}.dump(), "", 0};
+      return JsonResponse({{"total", answer.total}});
     case fleet::TallyOutcome::kUnavailable:
-      return Fault(503, "this machine cannot serve tallies now; nothing was done; go elsewhere",
-                   kRetryAfterS);
+      return ErrorResponse(503, "this machine cannot serve tallies now; nothing was done; go elsewhere",
+                           kRetryAfterS);
     case fleet::TallyOutcome::kFull:
-      return Fault(503, "this machine holds as many adds as it may; nothing was done");
+      return ErrorResponse(503, "this machine holds as many adds as it may; nothing was done");
     case fleet::TallyOutcome::kUndecided:
-      return Fault(504,
-                   "not on enough disks in time; it may count: send the same id again, here or elsewhere");
+      return ErrorResponse(
+          504, "not on enough disks in time; it may count: send the same id again, here or elsewhere");
   }
-  return Fault(500, "");
+  return ErrorResponse(500, "");
 }
 
 std::int64_t ReadAmount(const nlohmann::json& call) {
@@ -65,8 +63,8 @@
 void TallyService::Serve(double now_ms, const ApiRequest& request, const ApiRespond& respond) {
   const std::string tally = request.path.substr(std::string_view(kPathPrefix).size());
   if (tally.empty() || tally.size() > fleet::kMaxTallyNameBytes || tally.find('/') != std::string::npos)
-    return respond(Fault(400, "the name of a tally has 1 to 256 bytes, and no slash"));
-  if (request.method != "GET" && request.method != "POST") return respond(Fault(405, "GET or POST"));
+    return respond(ErrorResponse(400, "the name of a tally has 1 to 256 bytes, and no slash"));
+  if (request.method != "GET" && request.method != "POST") return respond(ErrorResponse(405, "GET or POST"));
   try {
     const std::uint64_t call = ++last_call_;
     if (request.method == "GET") {
@@ -77,7 +75,7 @@
     open_[call] = respond;
     core_.AddToTally(now_ms, call, std::move(add));
   } catch (const std::invalid_argument& error) {
-    respond(Fault(400, error.what()));
+    respond(ErrorResponse(400, error.what()));
   }
 }
 
--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -443,6 +443,31 @@
   CHECK(HoldsWithin(std::chrono::seconds(10), connected));
 }
 
+// Guards against an invalid configuration, or a call of other bytes than UTF-8, that ends each control
+// machine which reads it.
+TEST_CASE(
+    "fleet story: calls that are no UTF-8 are refused by each control machine, and all of them serve on") {
+  StoryFleet fleet;
+  REQUIRE(fleet.Start());
+  const std::string name = "Associa\xc3\xa7\xc3\xa3o";
+  std::string whole = FleetStand::Configuration(9);
+  whole.insert(whole.find("tenant-a"), name);
+  const std::string cut = whole.substr(0, whole.find('\xc3') + 1);
+  const auto call = [&](std::size_t i, const std::string& line) {
+    return RoundTrip(fleet.ControlAddress(i),
+                     line + " HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n\r\n");
+  };
+  for (int round = 0; round < 3; ++round) {
+    for (std::size_t i = 0; i < FleetStand::kControls; ++i) {
+      CHECK(fleet.Put(cut, 4, i).status == 400);
+      CHECK(call(i, "POST /evacuations/%FF").status == 404);
+      CHECK(fleet.Get("/config", i).status == 200);
+    }
+  }
+  CHECK(fleet.PutAnywhere(whole, 4).status == 200);
+  CHECK(fleet.Get("/config").message.body == whole);
+}
+
 TEST_CASE("fleet story: a router that is told to stop finishes what it holds") {
   StoryFleet fleet;
   REQUIRE(fleet.Start());
