Tell a machine's state whatever bytes a caller's path or the settings have

What callers saw: after one GET /%FF, or one call whose method is no UTF-8, each GET /status at that control machine got no answer and ended the process; with a node name in Latin-1 in the settings the first one did.

The state is written by WriteNodeStatus, apart from the loop, with JsonText. Calls that are not served are counted as "other": replaced bytes could have made two rows of one name, and callers no longer choose how many rows there are (64 at most before).

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
+#include "control/node_status.h"
 #include "events/fleet_catalogue.h"
 
 namespace bitternmux::control {
@@ -305,35 +305,8 @@
   Drain();
 }
 
-nlohmann::json ControlNode::TallyStatus() const {
-  nlohmann::json peers = nlohmann::json::array();
-  for (const fleet::TallyPeerStatus& peer : core_->tallies().Peers(NowMs())) {
-    peers.push_back({{"address", peer.address},
-                     {"reached", peer.reached},
-                     {"missing_here", peer.missing_here},
-                     {"missing_there", peer.missing_there}});
-  }
-  return {{"adds", core_->tallies().adds()}, {"settled", core_->tallies().settled()}, {"peers", peers}};
-}
-
 std::string ControlNode::Status() const {
-  const fleet::Replica& replica = core_->replica();
-  nlohmann::json members = nlohmann::json::array();
-  for (const fleet::Member& member : replica.committed().value.members) members.push_back(member.control);
-  return nlohmann::json{{"node", settings_.node_name},
-                        {"role", fleet::NameOf(replica.role())},
-                        {"epoch", replica.epoch().counter},
-                        {"fresh", replica.Fresh(NowMs())},
-                        {"version", replica.committed().value.version},
-                        {"evacuated", replica.committed().value.evacuated},
-                        {"members", members},
-                        {"servers", core_->publisher().state().servers.size()},
-                        {"reads_platform_list", core_->list_reader().acting()},
-                        {"platform_list_age_ms", NowMs() - core_->list().heard_ms()},
-                        {"subscribers", core_->subscribers()},
-                        {"tallies", TallyStatus()},
-                        {"api_calls", operator_service_->counts()}}
-      .dump();
+  return WriteNodeStatus(settings_.node_name, *core_, operator_service_->counts(), NowMs());
 }
 
 }  // namespace bitternmux::control
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -9,7 +9,6 @@
 
 #include <boost/asio.hpp>
 #include <memory>
-#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,7 +55,6 @@
   void End();
   void Tell(const fleet::ControlNotice& notice);
   void ListRead(std::optional<fleet::ServerMap> servers, const std::string& why);
-  nlohmann::json TallyStatus() const;
   std::string Status() const;
 
   boost::asio::io_context& io_;
--- a/src/control/operator_service.cpp
+++ b/src/control/operator_service.cpp
@@ -1,6 +1,7 @@
 #include "control/operator_service.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,17 @@
   return {200, answer.configuration.value_or(""), "", 0};
 }
 
+// A caller chooses methods and paths: what is not served is counted under one name, so that there are few.
+std::string NameForCount(std::string_view method, std::string_view path) {
+  constexpr std::array<std::string_view, 4> kMethods = {"GET", "PUT", "POST", "DELETE"};
+  constexpr std::array<std::string_view, 4> kFirstParts = {"/config", "/evacuations", "/tallies", "/status"};
+  constexpr std::string_view kOther = "other";
+  const std::string_view first_part = path.substr(0, path.find('/', 1));
+  const bool served = std::ranges::find(kMethods, method) != kMethods.end() &&
+                      std::ranges::find(kFirstParts, first_part) != kFirstParts.end();
+  return served ? std::string(method).append(" ").append(first_part) : std::string(kOther);
+}
+
 // The server hands paths out decoded.
 std::string EncodedPath(const std::string& path) {
   constexpr std::string_view kPlain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
@@ -72,20 +84,19 @@
 
 // Answers come on this thread, and the service outlives its calls.
 void OperatorService::Serve(double now_ms, ApiRequest request, const ApiRespond& respond) {
+  const std::string method = request.method;
   const std::string path = request.path;
-  const std::string what = request.method + " " + path.substr(0, path.find('/', 1));
-  Route(now_ms, std::move(request), [this, what, path, respond](ApiResponse response) {
-    Count(what, path, response.status);
+  Route(now_ms, std::move(request), [this, method, path, respond](ApiResponse response) {
+    Count(method, path, response.status);
     respond(std::move(response));
   });
 }
 
-void OperatorService::Count(const std::string& what, const std::string& path, int status) {
-  constexpr std::size_t kMostRows = 64;  // a caller chooses the paths
-  const std::string row = what + " " + std::to_string(status);
-  if (counts_.size() < kMostRows || counts_.contains(row)) ++counts_[row];
-  if (status / 100 == 4)
-    events_.Write(fleet_events::kCallRefused, {{"call", what}, {"path", path}, {"status", status}});
+void OperatorService::Count(const std::string& method, const std::string& path, int status) {
+  ++counts_[NameForCount(method, path) + " " + std::to_string(status)];
+  if (status / 100 != 4) return;
+  const std::string call = method + " " + path.substr(0, path.find('/', 1));
+  events_.Write(fleet_events::kCallRefused, {{"call", call}, {"path", path}, {"status", status}});
 }
 
 void OperatorService::Route(double now_ms, ApiRequest request, const ApiRespond& respond) {
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -15,6 +15,8 @@
 
 namespace bitternmux::control {
 
+using CallCounts = std::map<std::string, std::uint64_t>;
+
 class OperatorService {
  public:
   // `zones`: of the deployment, as the settings name them. `status`: the body of GET /status.
@@ -25,8 +27,9 @@
   void Serve(double now_ms, ApiRequest request, const ApiRespond& respond);
   void Answer(const fleet::CallAnswer& answer);
   void Answer(const fleet::TallyAnswer& answer) { tallies_.Answer(answer); }
-  // Answers since the start, by "METHOD /first-part-of-the-path status".
-  const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
+  // Answers since the start, by "METHOD /first-part-of-the-path status", or "other status" for what is not
+  // served.
+  const CallCounts& counts() const { return counts_; }
 
  private:
   // A call that the deciders have, and how its answer is to be worded.
@@ -39,7 +42,7 @@
 
   static ApiResponse ResponseTo(const OpenCall& call, const fleet::CallAnswer& answer);
   void Route(double now_ms, ApiRequest request, const ApiRespond& respond);
-  void Count(const std::string& what, const std::string& path, int status);
+  void Count(const std::string& method, const std::string& path, int status);
   void ServeConfiguration(double now_ms, ApiRequest request, const ApiRespond& respond);
   void ServePut(double now_ms, ApiRequest request, const ApiRespond& respond);
   void ServeEvacuations(double now_ms, const ApiRequest& request, const ApiRespond& respond);
@@ -54,7 +57,7 @@
   TallyService tallies_;
   std::uint64_t last_call_ = 0;
   std::map<std::uint64_t, OpenCall> open_;
-  std::map<std::string, std::uint64_t> counts_;
+  CallCounts counts_;
 };
 
 }  // namespace bitternmux::control
--- a/tests/control/control_machine.h
+++ b/tests/control/control_machine.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "control/node_status.h"
 #include "control/operator_service.h"
 
 namespace bitternmux::control {
@@ -15,6 +16,9 @@
 inline const fleet::Member kSelf = {"10.0.0.1:1", "10.0.0.1:2", 0};
 inline const fleet::Member kOther = {"10.0.0.2:1", "10.0.0.2:2", 0};
 
+// As a settings file in Latin-1 may have it.
+inline const std::string kNodeName = "n\xf3 1";
+
 class ControlMachine {
  public:
   explicit ControlMachine(std::vector<fleet::Member> group)
@@ -87,7 +91,9 @@
 
   double now_ms_ = 0;
   fleet::ControlCore core_;
-  OperatorService service_{core_, Unheard(), {"maia", "vila real"}, [] { return std::string(); }};
+  OperatorService service_{core_, Unheard(), {"maia", "vila real"}, [this] {
+                             return WriteNodeStatus(kNodeName, core_, service_.counts(), now_ms_);
+                           }};
 };
 
 }  // namespace bitternmux::control
--- a/tests/control/operator_calls_test.cpp
+++ b/tests/control/operator_calls_test.cpp
@@ -129,4 +129,30 @@
   }
 }
 
+// Guards against a control machine that ends at each GET /status since it counts a call that was no UTF-8.
+TEST_CASE("operator calls: the state can be read behind calls whose method or path is no UTF-8") {
+  ConfiguredMachine machine;
+  for (const char* path :
+       {"/\xff", "/\xfe", "/\xff/config", "/stat\xfas", "/evacuations/\xff", "/tallies/\xff"})
+    for (const char* method : {"GET", "G\xc3T"}) REQUIRE_NOTHROW(machine.Call(method, path));
+  ApiResponse response;
+  REQUIRE_NOTHROW(response = machine.Call("GET", "/status"));
+  CHECK(response.status == 200);
+  const auto status = nlohmann::json::parse(response.body);
+  CHECK(status["node"] == "n\xef\xbf\xbd 1");
+  CHECK(status["api_calls"]["PUT /config 200"] == 1);
+  CHECK(status["api_calls"]["other 404"] == 8);
+}
+
+// Guards against a map of counts that grows with the paths that callers make up.
+TEST_CASE("operator calls: what is not served is counted together") {
+  ConfiguredMachine machine;
+  for (int i = 0; i < 1000; ++i) machine.Call("GET", "/made/up/" + std::to_string(i));
+  for (int i = 0; i < 1000; ++i) machine.Call("M" + std::to_string(i), "/config");
+  const auto counts = nlohmann::json::parse(machine.Call("GET", "/status").body)["api_calls"];
+  CHECK(counts["other 404"] == 1000);
+  CHECK(counts["other 405"] == 1000);
+  CHECK(counts.size() == 3);
+}
+
 }  // namespace bitternmux::control
--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -461,6 +461,8 @@
     for (std::size_t i = 0; i < FleetStand::kControls; ++i) {
       CHECK(fleet.Put(cut, 4, i).status == 400);
       CHECK(call(i, "POST /evacuations/%FF").status == 404);
+      CHECK(call(i, "GET /%FF").status == 404);
+      CHECK(call(i, "GET /status").status == 200);
       CHECK(fleet.Get("/config", i).status == 200);
     }
   }
