Let the operator's tool outlive answers in other bytes or types than expected

Cause: as on the control machines, text from outside was written by a serializer that throws on what is no UTF-8; and fields were read by a function that throws on another type. Nothing in the tool catches either.

The state is written by JsonText; a field of another type counts as absent; `config put` says why the version in place is not known, and ends with 1.

--- a/src/apps/bitternmuxctl.cpp
+++ b/src/apps/bitternmuxctl.cpp
@@ -86,19 +86,28 @@
   return kFine;
 }
 
+// The version that a configuration sent now builds on; 0 if there is none yet. Empty if it could not be read,
+// which has been told.
+std::optional<std::uint64_t> VersionInPlace(ControlClient& client) {
+  const CallResult current = client.GetConfiguration();
+  if (current.status == 404) return 0;
+  std::string why = std::to_string(current.status) + ' ' + current.body;
+  try {
+    if (current.status == 200) return bitternmux::fleet::ReadConfiguration(current.body).version;
+  } catch (const bitternmux::fleet::ConfigurationError& error) {
+    why = error.what();
+  }
+  std::cerr << "the version in place is not known: " << why << '\n';
+  return std::nullopt;
+}
+
 int Put(ControlClient& client, const std::string& path) {
   std::optional<std::string> text;
   if (const int fault = Check(path, text); fault != kFine) return fault;
-  std::uint64_t builds_on = 0;
-  if (FLAGS_if_match >= 0) {
-    builds_on = static_cast<std::uint64_t>(FLAGS_if_match);
-  } else if (const CallResult current = client.GetConfiguration(); current.status == 200) {
-    builds_on = bitternmux::fleet::ReadConfiguration(current.body).version;
-  } else if (current.status != 404) {
-    std::cerr << "the version in place is not known: " << current.status << ' ' << current.body << '\n';
-    return kFailed;
-  }
-  const CallResult result = client.PutConfiguration(*text, builds_on);
+  const std::optional<std::uint64_t> builds_on =
+      FLAGS_if_match >= 0 ? static_cast<std::uint64_t>(FLAGS_if_match) : VersionInPlace(client);
+  if (!builds_on) return kFailed;
+  const CallResult result = client.PutConfiguration(*text, *builds_on);
   (result.status == 200 ? std::cout : std::cerr) << result.status << ' ' << result.body << '\n';
   return result.status == 200 ? kFine : kFailed;
 }
--- a/src/ctl/status_report.cpp
+++ b/src/ctl/status_report.cpp
@@ -3,9 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "json/json_text.h"
+
 namespace bitternmux::ctl {
 namespace {
 
@@ -18,9 +21,21 @@
   return json;
 }
 
+// The value of a key; `otherwise` if it is absent or of another type.
+template <class Value>
+Value Get(const Json& object, const char* key, Value otherwise) {
+  const auto found = object.find(key);
+  if (found == object.end()) return otherwise;
+  try {
+    return found->get<Value>();
+  } catch (const Json::type_error&) {
+    return otherwise;
+  }
+}
+
 bool IsOwner(const MachineStatus& machine) {
   const auto json = Read(machine);
-  return json && json->value("role", "") == "owner" && json->value("fresh", false);
+  return json && Get<std::string>(*json, "role", "") == "owner" && Get(*json, "fresh", false);
 }
 
 // What a machine says of tallies; an empty object if it says nothing.
@@ -29,21 +44,28 @@
   return tallies != status.end() && tallies->is_object() ? *tallies : Json::object();
 }
 
-bool IsReached(const Json& peer) { return peer.value("reached", false); }
+std::vector<Json> PeersOf(const Json& tallies) {
+  std::vector<Json> peers;
+  const auto found = tallies.find("peers");
+  if (found == tallies.end() || !found->is_array()) return peers;
+  std::ranges::copy_if(*found, std::back_inserter(peers), [](const Json& peer) { return peer.is_object(); });
+  return peers;
+}
+
+bool IsReached(const Json& peer) { return Get(peer, "reached", false); }
 
 bool ReachesAllOthers(const MachineStatus& machine) {
   const auto json = Read(machine);
   if (!json) return true;  // it has a line of its own
   const Json tallies = TalliesOf(*json);
   if (tallies.empty()) return true;
-  const Json peers = tallies.value("peers", Json::array());
-  return tallies.value("settled", false) && std::ranges::all_of(peers, IsReached);
+  return Get(tallies, "settled", false) && std::ranges::all_of(PeersOf(tallies), IsReached);
 }
 
 std::string WritePeer(const std::string& control, const Json& peer) {
-  const std::string address = peer.value("address", "?");
-  const auto here = peer.value("missing_here", std::uint64_t{0});
-  const auto there = peer.value("missing_there", std::uint64_t{0});
+  const auto address = Get<std::string>(peer, "address", "?");
+  const auto here = Get(peer, "missing_here", std::uint64_t{0});
+  const auto there = Get(peer, "missing_there", std::uint64_t{0});
   std::string out;
   if (!IsReached(peer)) out += fmt::format("{} and {} do not reach each other\n", control, address);
   if (here + there > 0)
@@ -59,9 +81,9 @@
   const Json tallies = TalliesOf(*json);
   if (tallies.empty()) return "";
   std::string out;
-  if (!tallies.value("settled", false))
+  if (!Get(tallies, "settled", false))
     out += machine.control + " does not answer reads of tallies yet: it has to catch up with the others\n";
-  for (const Json& peer : tallies.value("peers", Json::array())) out += WritePeer(machine.control, peer);
+  for (const Json& peer : PeersOf(tallies)) out += WritePeer(machine.control, peer);
   return out;
 }
 
@@ -88,10 +110,10 @@
     }
     out += fmt::format(
         "{:<22} {:<11} {:>6} {:>8} {:>7} {:>6} {:>6.1f} s {:>8} {:>7}\n", machine.control,
-        json->value("role", "?"), json->value("epoch", std::uint64_t{0}),
-        json->value("version", std::uint64_t{0}), json->value("subscribers", std::uint64_t{0}),
-        json->value("servers", std::uint64_t{0}), json->value("platform_list_age_ms", 0.0) / 1000,
-        json->value("fresh", false) ? "yes" : "no", TalliesOf(*json).value("adds", std::uint64_t{0}));
+        Get<std::string>(*json, "role", "?"), Get(*json, "epoch", std::uint64_t{0}),
+        Get(*json, "version", std::uint64_t{0}), Get(*json, "subscribers", std::uint64_t{0}),
+        Get(*json, "servers", std::uint64_t{0}), Get(*json, "platform_list_age_ms", 0.0) / 1000,
+        Get(*json, "fresh", false) ? "yes" : "no", Get(TalliesOf(*json), "adds", std::uint64_t{0}));
   }
   for (const MachineStatus& machine : machines) out += WriteTallies(machine);
   if (!IsHealthy(machines))
@@ -106,7 +128,8 @@
     json["control"] = machine.control;
     all.push_back(std::move(json));
   }
-  return all.dump(2) + "\n";
+  constexpr int kIndent = 2;
+  return JsonText(all, kIndent) + "\n";
 }
 
 }  // namespace bitternmux::ctl
--- a/tests/ctl/status_report_test.cpp
+++ b/tests/ctl/status_report_test.cpp
@@ -50,6 +50,32 @@
   CHECK(json[2]["error"] == "Couldn't connect to server");
 }
 
+// Guards against a tool that ends without a word where a machine answers in Latin-1, as a proxy's page may
+// be.
+TEST_CASE("ctl: an answer that is no UTF-8 is told as JSON with a mark in the place of its odd bytes") {
+  const std::vector<MachineStatus> machines = {Machine("10.1.0.1:8665", "owner", true),
+                                               {"10.1.0.2:8665", {502, "fun\xe7\xe3o em falta"}},
+                                               {"10.1.0.3:8665", {200, "{\"role\":\"own\xc3"}}};
+  const auto json = nlohmann::json::parse(WriteStatusJson(machines));
+  CHECK(json[0]["role"] == "owner");
+  CHECK(json[1]["error"] == "fun\xef\xbf\xbd\xef\xbf\xbdo em falta");
+  CHECK(json[2]["control"] == "10.1.0.3:8665");
+  CHECK(WriteStatus(machines).find("10.1.0.2:8665          no answer: status 502") != std::string::npos);
+}
+
+// Guards against the same where a field has another type.
+TEST_CASE("ctl: a state with fields of other types is told as far as it can be read") {
+  const std::vector<MachineStatus> machines = {
+      {"a:1", {200, R"({"role":3,"epoch":"x","fresh":"yes","platform_list_age_ms":[],"tallies":7})"}},
+      {"b:1", {200, R"({"role":"owner","fresh":true,"tallies":{"settled":3,"peers":{"a":1}}})"}},
+      {"c:1", {200, R"({"role":"follower","tallies":{"settled":true,"peers":[1,{"address":4}]}})"}}};
+  const std::string text = WriteStatus(machines);
+  for (const char* control : {"a:1 ", "b:1 ", "c:1 "}) CHECK(text.find(control) != std::string::npos);
+  CHECK(IsHealthy(machines));
+  CHECK_FALSE(IsConnected(machines));
+  CHECK(nlohmann::json::parse(WriteStatusJson(machines)).size() == 3);
+}
+
 TEST_CASE("ctl: a fleet without an owner, or with one that has no majority, is not healthy and says so") {
   const std::vector<MachineStatus> machines = {
       Machine("a:1", "owner", false), Machine("b:1", "candidate", false), {"c:1", {200, "no json"}}};
