Test bytes that are no UTF-8 at each other input, and mend the lab's server

Each place where text from outside could reach a serializer or a parser that throws, beside those mended before: the router's requests, readiness and metrics, what it reads of a configuration, the platform's list, the sidecar's door and its file at SIGHUP. All of these held on the former code, too (they write no JSON from outside text, or catch and tell what the parser throws).

One did not: a stand-in server of the lab wrote the id of a request into its answer with a serializer that throws; a client that chooses such an id ended the lab. Its test was red before (type_error 316).

--- a/lab/stands/answer.cpp
+++ b/lab/stands/answer.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "http/writer.h"
+#include "json/json_text.h"
 
 namespace bitternmux::lab {
 namespace {
@@ -20,7 +21,7 @@
 }  // namespace
 
 std::string BodyOf(const Made& made, const std::string& server) {
-  return nlohmann::json{{"server", server}, {"claim", made.claim}, {"request", made.request}}.dump() + "\n";
+  return JsonText({{"server", server}, {"claim", made.claim}, {"request", made.request}}) + "\n";
 }
 
 Made ReadMade(std::string_view body) {
--- a/tests/admin/door_stories.cpp
+++ b/tests/admin/door_stories.cpp
@@ -37,6 +37,7 @@
   for (const auto& [status, call] : std::vector<std::pair<std::string, std::string>>{
            {"404", "GET /rate-check HTTP/1.1\r\n\r\n"},
            {"404", "GET /up HTTP/1.1\r\n\r\n"},
+           {"404", "GET /\xff HTTP/1.1\r\n\r\n"},
            {"405", "POST /admin/stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n"},
            {"400", "nonsense\r\n\r\n"},
            {"431", "GET /admin/stats HTTP/1.1\r\nPadding: " + std::string(20'000, 'x') + "\r\n\r\n"}}) {
@@ -137,6 +138,8 @@
     for (const auto& value : nlohmann::json::parse(R"(["9", null, -5, 0, true, [], {}])"))
       faulty.push_back(with(pointer, value));
   }
+  // No UTF-8: a letter in Latin-1, and a file cut within a letter.
+  for (const char* end : {"\xe3\"}", "\xc3"}) faulty.push_back("{\"name\":\"S" + std::string(end));
   std::string infinite = config.dump();
   faulty.push_back(infinite.replace(infinite.find("9000.0"), 6, "9e999"));
   faulty.push_back(with("/settings/services/1/name", "rate-check"));
--- a/tests/control/platform_list_test.cpp
+++ b/tests/control/platform_list_test.cpp
@@ -30,7 +30,9 @@
 }
 
 TEST_CASE("platform list: what is no page is an error and no empty list") {
-  for (const char* text : {"", "{", "[]", "{}", R"({"instances":[{"id":"i"}]})", R"({"instances":3})"}) {
+  for (const char* text :
+       {"", "{", "[]", "{}", R"({"instances":[{"id":"i"}]})", R"({"instances":3})",
+        "{\"instances\":[{\"id\":\"\xff\",\"service\":\"s\",\"address\":\"a\"}]}", "{\"instances\":[\xc3"}) {
     CHECK_THROWS_AS(ParseListPage(text), std::runtime_error);
   }
 }
--- a/tests/fleet/configuration/configuration_test.cpp
+++ b/tests/fleet/configuration/configuration_test.cpp
@@ -116,6 +116,14 @@
   SECTION("something else than an object") { Refused(Json::array()); }
 }
 
+// A router reads what a control machine has checked, and must tell a text that was spoilt on its way.
+TEST_CASE("configuration: a text that is no UTF-8 is refused where it is checked and where it is read") {
+  std::string text = Good().dump();
+  text.insert(text.find("h.example"), "\xe3");
+  CHECK_THROWS_AS(ValidateConfiguration(text), ConfigurationError);
+  CHECK_THROWS_AS(ReadConfiguration(text), ConfigurationError);
+}
+
 TEST_CASE(
     "configuration: the same key twice at one tenant is no fault, fields that are not known are passed "
     "over") {
--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -470,6 +470,23 @@
   CHECK(fleet.Get("/config").message.body == whole);
 }
 
+TEST_CASE("fleet story: requests whose bytes are no UTF-8 are served or refused, and the router serves on") {
+  StoryFleet fleet;
+  REQUIRE(fleet.Start());
+  CHECK(fleet.Ask(Request("/sheet/\xff\xc3", "r1")).status == 200);
+  CHECK(fleet.Ask(Request("/sheet/2", "r\xe3")).status == 200);
+  CHECK(fleet.Ask(Request("/\xff/3", "r3")).status == 404);
+  CHECK(fleet.Ask(Request("/sheet/4", "r4", "key-\xff")).status == 401);
+  ClientRequest odd = Request("/quote/5", "r5");
+  odd.token_count = "\xff,\xc3";
+  odd.prompt_prefix = "\xe3:\xff,5c:\xc3";
+  odd.body = "{\"\xff";
+  CHECK(fleet.Ask(odd).status != 0);
+  CHECK(RoundTrip(fleet.readiness(), "GET /\xff HTTP/1.1\r\nHost: r\r\n\r\n").status == 404);
+  CHECK(RoundTrip(fleet.readiness(), "GET /metrics HTTP/1.1\r\nHost: r\r\n\r\n").status == 200);
+  CHECK(fleet.Ask(Request("/sheet/6", "r6")).status == 200);
+}
+
 TEST_CASE("fleet story: a router that is told to stop finishes what it holds") {
   StoryFleet fleet;
   REQUIRE(fleet.Start());
--- a/tests/lab/stands/loopback_test.cpp
+++ b/tests/lab/stands/loopback_test.cpp
@@ -204,6 +204,8 @@
   CHECK(made.claim == 7);
   CHECK(made.request == "00ab");
   CHECK(ReadMade("{}").claim == 0);
+  // A client chooses the id of its request: the server lives on, and the id does not match.
+  CHECK(ReadMade(BodyOf({8, "\xff"}, "s-1")).claim == 8);
 }
 
 }  // namespace
