--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -4,9 +4,11 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -14,6 +16,7 @@
 #include "ctl/tally_calls.h"
 #include "http/writer.h"
 #include "support/story_fleet.h"
+#include "support/temporary_folder.h"
 
 namespace bitternmux::lab::fleet {
 namespace {
@@ -420,6 +423,25 @@
   CHECK(machines[2].result.status == 0);
 }
 
+// Guards against a tool that ends by an exception before it has sent anything.
+TEST_CASE("fleet story: the operator's tool says so where the configuration in place cannot be read") {
+  const std::string odd = "{\"version\":\"\xe3";
+  ScriptedServer control("127.0.0.1", 0, [&](Exchange& exchange) {
+    exchange.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(odd.size()) + "\r\n\r\n" + odd);
+  });
+  const tests::TemporaryFolder folder;
+  const std::string next = folder.File("next.json");
+  std::ofstream(next) << FleetStand::Configuration(9);
+  const std::string command = std::string(BITTERNMUX_CTL) + " --controls=" + control.address() +
+                              " config put " + next + " 2>" + folder.File("said");
+  const int status = std::system(command.c_str());
+  REQUIRE(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 1);
+  std::ifstream said(folder.File("said"));
+  CHECK(
+      std::string(std::istreambuf_iterator<char>(said), {}).starts_with("the version in place is not known"));
+}
+
 TEST_CASE("fleet story: the operator's tool adds to tallies and shows that a machine is not reached") {
   StoryFleet fleet;
   REQUIRE(fleet.Start());
