Take the port of a listener from the kernel, and not one that was free before

Cause: the stand of that test took a free port of 127.0.0.1, gave it back and let the router's clients' side listen at it. Between the two any process on the machine may get the port, as an outgoing connection does, and the test does so tens of thousands of times.

Mend: Front::Listen takes port 0 and returns where it listens.

The same cause elsewhere: the fixture of Front (the same mend); the relay's and the process's tests, which have to know an address before somebody listens at it, or dial one where nobody listens any more. They stand on the process's own block of loopback now, as the fleet's stand did already: outgoing connections leave from 127.0.0.1 and take no port there. Not changed: the scale's sidecars, which have a net of their own (127.44.x).

--- a/lab/fleet/fleet_stand.cpp
+++ b/lab/fleet/fleet_stand.cpp
@@ -13,6 +13,7 @@
 
 #include "http/buffer.h"
 #include "http/writer.h"
+#include "lab/fleet/loopback.h"
 
 namespace bitternmux::lab::fleet {
 namespace asio = boost::asio;
@@ -29,19 +30,6 @@
 constexpr std::size_t kLastLines = 200;  // of a log that is told
 constexpr const char* kEndOfProcess = "(this process was ended by the stand)\n";
 
-// An address of this process's own block of loopback, so that tests run beside each other.
-std::string Ip(std::size_t machine) {
-  const auto process = static_cast<std::size_t>(getpid());
-  return "127." + std::to_string(20 + process % 200) + "." + std::to_string(process / 200 % 250) + "." +
-         std::to_string(machine);
-}
-
-std::uint16_t FreePort() {
-  asio::io_context io;
-  const tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint().port();
-}
-
 tcp::endpoint At(const std::string& address) {
   const auto colon = address.rfind(':');
   return {asio::ip::make_address(address.substr(0, colon)),
@@ -106,24 +94,24 @@
   std::string folder = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
   if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("no folder");
   folder_ = folder;
-  port_ = FreePort();
+  port_ = FreeEndpoint(1).port();
   if (edges == 0 || edges > kMostEdges) throw std::invalid_argument("1 to 40 edge machines");
   for (std::size_t i = 0; i < edges; ++i) {
-    const std::string ip = Ip(kFirstEdge + i) + ":";
+    const std::string ip = OwnIp(kFirstEdge + i) + ":";
     edges_.push_back({ip + std::to_string(port_ + 2), ip + std::to_string(port_ + 3), nullptr, nullptr});
   }
   const auto add = [this](const std::string& service, std::size_t number) {
     const std::string id = service + "-" + std::to_string(number);
     auto server = std::make_unique<Server>();
     server->service = service;
-    server->server = std::make_unique<ScriptedServer>(Ip(kFirstServer + servers_.size()), 0, Usual(id));
+    server->server = std::make_unique<ScriptedServer>(OwnIp(kFirstServer + servers_.size()), 0, Usual(id));
     servers_[id] = std::move(server);
   };
   for (std::size_t i = 1; i <= kServersOfEach; ++i) {
     add("model", i);
     add("sheets", i);
   }
-  platform_ = std::make_unique<ScriptedServer>(Ip(kPlatform), 0, [this](Exchange& exchange) {
+  platform_ = std::make_unique<ScriptedServer>(OwnIp(kPlatform), 0, [this](Exchange& exchange) {
     exchange.Send(http::WriteResponse(200, {{"Content-Type", "application/json"}}, List(), true));
   });
   if (ways == Ways::kDirect) return;
@@ -142,15 +130,15 @@
 // ---- Settings and programs ----
 
 std::string FleetStand::ControlAddress(std::size_t i) const {
-  return Ip(1 + i) + ":" + std::to_string(port_ + 1);
+  return OwnIp(1 + i) + ":" + std::to_string(port_ + 1);
 }
 
 std::string FleetStand::InternalAddress(std::size_t i) const {
-  return Ip(1 + i) + ":" + std::to_string(port_);
+  return OwnIp(1 + i) + ":" + std::to_string(port_);
 }
 
 std::string FleetStand::BackendAddress(std::size_t i) const {
-  return Ip(kFirstBackend + i) + ":" + std::to_string(port_);
+  return OwnIp(kFirstBackend + i) + ":" + std::to_string(port_);
 }
 
 void FleetStand::CutOff(std::size_t i) {
@@ -174,7 +162,7 @@
 }
 
 std::string FleetStand::EdgeSettings(std::size_t edge) {
-  const std::string ip = Ip(kFirstEdge + edge);
+  const std::string ip = OwnIp(kFirstEdge + edge);
   return "ip: \"" + ip + "\"\nlisten:\n  front: \"" + edges_[edge].front + "\"\n  readiness: \"" +
          edges_[edge].readiness + "\"\nbitternmux:\n  agent_listen: \"" + ip + ":" +
          std::to_string(port_ + 4) + "\"\n";
@@ -183,8 +171,8 @@
 std::string FleetStand::ControlSettings(std::size_t i, bool bootstrap) {
   const std::string data = DataFolder(i);
   std::filesystem::create_directories(data);
-  return "ip: \"" + Ip(1 + i) + "\"\nlisten:\n  control: \"" + ControlAddress(i) + "\"\ndata_dir: \"" + data +
-         "\"\nbootstrap: " + (bootstrap ? "true" : "false") + "\n" +
+  return "ip: \"" + OwnIp(1 + i) + "\"\nlisten:\n  control: \"" + ControlAddress(i) + "\"\ndata_dir: \"" +
+         data + "\"\nbootstrap: " + (bootstrap ? "true" : "false") + "\n" +
          (relay_ ? "bitternmux:\n  internal_listen: \"" + BackendAddress(i) + "\"\n" : "");
 }
 
--- a/lab/wire_play/router_stand.h
+++ b/lab/wire_play/router_stand.h
@@ -70,10 +70,7 @@
       configuration.routes.push_back(RouteOf(known));
     state_.table = std::make_shared<const router::RouteTable>(std::move(configuration));
     state_.servers_known = true;
-    boost::asio::ip::tcp::acceptor probe(io, {boost::asio::ip::address_v4::loopback(), 0});
-    address_ = probe.local_endpoint();
-    probe.close();
-    front_.Listen("127.0.0.1:" + std::to_string(address_.port()));
+    address_ = front_.Listen("127.0.0.1:0");
   }
 
   // Sessions and attempts have to be over by then: handlers refer to what goes.
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -293,13 +293,14 @@
 
 Front::~Front() = default;
 
-void Front::Listen(const std::string& address) {
+tcp::endpoint Front::Listen(const std::string& address) {
   const tcp::endpoint at = fleet::EndpointFromText(address);
   acceptor_.open(at.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen();
   Accept();
+  return acceptor_.local_endpoint();
 }
 
 void Front::Accept() {
--- a/src/router/front.h
+++ b/src/router/front.h
@@ -48,8 +48,9 @@
   Front(boost::asio::io_context& io, Take take);
   ~Front();
 
-  // Throws boost::system::system_error.
-  void Listen(const std::string& address);
+  // Listens at "ip:port" and returns where; port 0: a free one is taken. Throws std::invalid_argument for
+  // what is no such address, boost::system::system_error where it cannot be listened at.
+  boost::asio::ip::tcp::endpoint Listen(const std::string& address);
   // Sets the limits that apply from now on.
   void Use(const fleet::Limits& limits) { limits_ = limits; }
   // From now on each connection is closed after its current response.
--- a/tests/lab/fleet/link_relay_test.cpp
+++ b/tests/lab/fleet/link_relay_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "fleet/messages/codec.h"
+#include "lab/fleet/loopback.h"
 
 namespace bitternmux::lab::fleet {
 namespace {
@@ -12,12 +13,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-std::uint16_t FreePort() {
-  asio::io_context io;
-  const tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
-}
-
 std::string HelloFrom(const std::string& internal) {
   return bitternmux::fleet::EncodeFrame(
       bitternmux::fleet::Hello{bitternmux::fleet::PeerRole::kControl, "a", {internal, "", 0}, 1});
@@ -27,13 +22,13 @@
 struct Ends {
   asio::io_context io;
   tcp::acceptor backend{io, {asio::ip::address_v4::loopback(), 0}};
-  const std::string front = "127.0.0.1:" + std::to_string(FreePort());
-  LinkRelay relay{{{front, "127.0.0.1:" + std::to_string(backend.local_endpoint().port())}}};
+  const tcp::endpoint front_endpoint = FreeEndpoint(1);
+  const std::string front = TextOf(front_endpoint);
+  LinkRelay relay{{{front, TextOf(backend.local_endpoint())}}};
   tcp::socket dialer{io};
 
   Ends() {
-    const auto port = static_cast<std::uint16_t>(std::stoul(front.substr(front.rfind(':') + 1)));
-    dialer.connect({asio::ip::address_v4::loopback(), port});
+    dialer.connect(front_endpoint);
     asio::write(dialer, asio::buffer(HelloFrom("a")));
   }
 
@@ -60,12 +55,12 @@
 TEST_CASE("link relay: what comes before its own dial is done is passed on, behind the first frame") {
   asio::io_context io;
   tcp::acceptor backend(io, {asio::ip::address_v4::loopback(), 0});
-  const std::uint16_t front = FreePort();
-  const std::string address = "127.0.0.1:" + std::to_string(front);
-  LinkRelay relay({{address, "127.0.0.1:" + std::to_string(backend.local_endpoint().port())}});
+  const tcp::endpoint front = FreeEndpoint(1);
+  const std::string address = TextOf(front);
+  LinkRelay relay({{address, TextOf(backend.local_endpoint())}});
   relay.Cut("a", address);  // it dials when that is healed
   tcp::socket dialer(io);
-  dialer.connect({asio::ip::address_v4::loopback(), front});
+  dialer.connect(front);
   const std::string sent = HelloFrom("a") + "behind it";
   asio::write(dialer, asio::buffer(sent));
   asio::write(dialer, asio::buffer(std::string("and more")));
@@ -76,12 +71,13 @@
 
 TEST_CASE("link relay: who dials a machine that does not listen is told, and comes through once it does") {
   asio::io_context io;
-  const std::uint16_t front = FreePort(), back = FreePort();
-  const LinkRelay relay({{"127.0.0.1:" + std::to_string(front), "127.0.0.1:" + std::to_string(back)}});
+  const tcp::endpoint front = FreeEndpoint(1);
+  const tcp::endpoint back = FreeEndpoint(2);
+  const LinkRelay relay({{TextOf(front), TextOf(back)}});
   const std::string hello = HelloFrom("a");
   const auto dial = [&] {
     tcp::socket dialer(io);
-    dialer.connect({asio::ip::address_v4::loopback(), front});
+    dialer.connect(front);
     asio::write(dialer, asio::buffer(hello));
     return dialer;
   };
@@ -90,7 +86,7 @@
   boost::system::error_code error;
   early.read_some(asio::buffer(&byte, 1), error);
   CHECK(error);
-  tcp::acceptor backend(io, {asio::ip::address_v4::loopback(), back});
+  tcp::acceptor backend(io, back);
   tcp::socket again = dial();
   tcp::socket machine = backend.accept();
   CHECK(Ends::Read(machine, hello.size()) == hello);
@@ -121,8 +117,7 @@
   tcp::socket first = ends.backend.accept();
   ends.relay.CutBoth("a", ends.front);
   tcp::socket again(ends.io);
-  const auto port = static_cast<std::uint16_t>(std::stoul(ends.front.substr(ends.front.rfind(':') + 1)));
-  again.connect({asio::ip::address_v4::loopback(), port});
+  again.connect(ends.front_endpoint);
   asio::write(again, asio::buffer(HelloFrom("a")));
   ends.relay.HealAll();
   tcp::socket second = ends.backend.accept();
--- a/tests/lab/fleet/process_test.cpp
+++ b/tests/lab/fleet/process_test.cpp
@@ -12,6 +12,7 @@
 
 #include "fleet/messages/codec.h"
 #include "lab/fleet/link_relay.h"
+#include "lab/fleet/loopback.h"
 #include "support/temporary_folder.h"
 
 namespace bitternmux::lab::fleet {
@@ -43,14 +44,6 @@
   return recv(socket.native_handle(), &byte, 1, 0) <= 0;
 }
 
-std::uint16_t FreePort() {
-  asio::io_context io;
-  const tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
-}
-
-std::string Loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
-
 }  // namespace
 
 TEST_CASE("process: a connection that its starter closes ends, though the program goes on") {
@@ -68,7 +61,7 @@
 
 TEST_CASE("process: an address that its starter no longer listens at refuses, though the program goes on") {
   asio::io_context io;
-  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::acceptor acceptor(io, {asio::ip::make_address(OwnIp(1)), 0});
   const tcp::endpoint address = acceptor.local_endpoint();
   const IdleProgram program;
   Process process(program.path(), "");
@@ -84,17 +77,17 @@
 TEST_CASE("process: who dialed through the relay before a program was started is told that nobody listens") {
   asio::io_context io;
   tcp::acceptor machine(io, {asio::ip::address_v4::loopback(), 0});
-  const std::uint16_t front = FreePort();
-  const LinkRelay relay({{Loopback(front), Loopback(machine.local_endpoint().port())}});
+  const tcp::endpoint front = FreeEndpoint(1);
+  const LinkRelay relay({{TextOf(front), TextOf(machine.local_endpoint())}});
   const std::string hello = bitternmux::fleet::EncodeFrame(
       bitternmux::fleet::Hello{bitternmux::fleet::PeerRole::kControl, "a", {"a", "", 0}, 1});
   tcp::socket dialer(io);
-  dialer.connect({asio::ip::address_v4::loopback(), front});
+  dialer.connect(front);
   asio::write(dialer, asio::buffer(hello.data(), hello.size() - 1));
   {
     // One that dials later is let through, so that the relay has accepted the first one, too.
     tcp::socket later(io);
-    later.connect({asio::ip::address_v4::loopback(), front});
+    later.connect(front);
     asio::write(later, asio::buffer(hello));
     machine.accept();
   }
--- a/tests/router/front_test.cpp
+++ b/tests/router/front_test.cpp
@@ -22,11 +22,7 @@
 class FrontFixture {
  public:
   FrontFixture() {
-    tcp::acceptor probe(io_, {asio::ip::address_v4::loopback(), 0});
-    const tcp::endpoint at = probe.local_endpoint();
-    probe.close();
-    front_.Listen("127.0.0.1:" + std::to_string(at.port()));
-    client_.connect(at);
+    client_.connect(front_.Listen("127.0.0.1:0"));
     client_.non_blocking(true);
   }
   void Send(const std::string& bytes) { asio::write(client_, asio::buffer(bytes)); }
