Leave out servers whose address is no ip:port instead of ending the router

What callers would have seen: one entry of the platform's list without an ip:port ("nowhere", an empty one, a port of 70000) ended each router that dialed it, in turn, for as long as it was listed.

Cause: EndpointFromText throws, and Upstream::Connection::Dial calls it from a handler; the throw leaves io.run(). Dialer::Dial throws the same way for an address told by another program, and a hostname as a seed did at SIGHUP.

Mend: ParseEndpoint returns none instead of throwing. The list's reader leaves such entries out and control logs it when that changes (platform_list.entries_unusable); a dial of such an address fails as one that reaches nobody; seeds that are no ip:port and ports over 65535 are faults of the settings, which are refused and the former ones kept.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -300,7 +300,12 @@
 }
 
 void ControlNode::ListRead(std::optional<fleet::ServerMap> servers, const std::string& why) {
-  if (!servers) events_.Write(fleet_events::kListReadFailed, {{"why", why}});
+  if (!servers) {
+    events_.Write(fleet_events::kListReadFailed, {{"why", why}});
+  } else if (list_fault_ != why) {
+    list_fault_ = why;
+    if (!why.empty()) events_.Write(fleet_events::kListEntriesUnusable, {{"entries", why}});
+  }
   core_->ListRead(NowMs(), std::move(servers));
   Drain();
 }
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -80,6 +80,7 @@
   std::unique_ptr<StorageThread> storage_;
   std::unique_ptr<TallyStorageThread> tally_storage_;
   std::unique_ptr<PlatformList> platform_;
+  std::string list_fault_;  // entries that the last list left out, as they were logged; empty: none
   std::unique_ptr<OperatorService> operator_service_;
   std::unique_ptr<OperatorApi> api_;
 };
--- a/src/control/platform_list.cpp
+++ b/src/control/platform_list.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "fleet/transport/link.h"
+
 namespace bitternmux::control {
 namespace {
 
@@ -59,18 +61,37 @@
   std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle_;
 };
 
-fleet::ServerMap ReadAll(Client& client) {
+struct Reading {
   fleet::ServerMap servers;
+  std::size_t unreachable = 0;  // entries that were left out
+  std::string example;          // one of them
+};
+
+Reading ReadAll(Client& client) {
+  Reading reading;
   std::string target = "/instances";
   for (std::size_t page_number = 0; page_number < kMaxPages; ++page_number) {
     ListPage page = ParseListPage(client.Get(target));
-    for (fleet::ServerEntry& entry : page.servers) servers[entry.id] = std::move(entry);
-    if (page.next_token.empty()) return servers;
+    for (fleet::ServerEntry& entry : page.servers) reading.servers[entry.id] = std::move(entry);
+    reading.unreachable += page.unreachable.size();
+    for (const fleet::ServerEntry& entry : page.unreachable)
+      reading.example = entry.id + " at '" + entry.address + "'";
+    if (page.next_token.empty()) return reading;
     target = "/instances?page_token=" + client.Escape(page.next_token);
   }
   throw std::runtime_error("the list has no end");
 }
 
+std::string FaultOf(const Reading& reading) {
+  if (reading.unreachable == 0) return "";
+  return std::to_string(reading.unreachable) + " without an ip:port, among them " + reading.example;
+}
+
+bool IsReachable(const fleet::ServerEntry& entry) {
+  const auto endpoint = fleet::ParseEndpoint(entry.address);
+  return endpoint && endpoint->port() != 0;
+}
+
 // A server of which no time is told is not cold.
 bool IsCold(const nlohmann::json& item) {
   const auto remaining_ms = item.find("cold_remaining_ms");
@@ -92,7 +113,7 @@
       entry.slots = item.value("slots", 0);
       entry.draining = item.value("state", "ready") != "ready";
       entry.cold = IsCold(item);
-      page.servers.push_back(std::move(entry));
+      (IsReachable(entry) ? page.servers : page.unreachable).push_back(std::move(entry));
     }
     const auto token = json.find("next_token");
     if (token != json.end() && token->is_string()) page.next_token = token->get<std::string>();
@@ -132,7 +153,9 @@
       wanted_ = false;
     }
     try {
-      done_(ReadAll(client), "");
+      Reading reading = ReadAll(client);
+      std::string fault = FaultOf(reading);
+      done_(std::move(reading.servers), std::move(fault));
     } catch (const std::exception& error) {
       done_(std::nullopt, error.what());
     }
--- a/src/control/platform_list.h
+++ b/src/control/platform_list.h
@@ -17,14 +17,16 @@
 // One page of the list. Throws std::runtime_error for what is no page.
 struct ListPage {
   std::vector<fleet::ServerEntry> servers;
-  std::string next_token;  // empty: the last one
+  std::vector<fleet::ServerEntry> unreachable;  // left out of `servers`: their address is no ip:port
+  std::string next_token;                       // empty: the last one
 };
 ListPage ParseListPage(std::string_view text);
 
 class PlatformList {
  public:
-  // `done`: called on the reader's thread; none if the reading failed, then `why` says why.
-  using Done = std::function<void(std::optional<fleet::ServerMap>, std::string why)>;
+  // `done`: called on the reader's thread. No servers: the reading failed, and `fault` says why. With
+  // servers, `fault` says which entries were left out; empty: none.
+  using Done = std::function<void(std::optional<fleet::ServerMap>, std::string fault)>;
 
   PlatformList(std::string address, Done done);
   ~PlatformList();
--- a/src/events/fleet_catalogue.h
+++ b/src/events/fleet_catalogue.h
@@ -25,6 +25,7 @@
 inline constexpr EventKind kQuotaRoleTaken{"quota.role_taken", Severity::kInfo};
 inline constexpr EventKind kQuotaRefusals{"quota.refusals", Severity::kInfo};
 inline constexpr EventKind kListReadFailed{"platform_list.read_failed", Severity::kWarning};
+inline constexpr EventKind kListEntriesUnusable{"platform_list.entries_unusable", Severity::kWarning};
 inline constexpr EventKind kSubscriberAhead{"feed.subscriber_ahead", Severity::kWarning};
 // Agents and routers.
 inline constexpr EventKind kFeedConnected{"feed.connected", Severity::kInfo};
--- a/src/fleet/settings/node_settings.cpp
+++ b/src/fleet/settings/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "fleet/settings/node_settings.h"
 
+#include <arpa/inet.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -75,9 +76,19 @@
   void CheckAddress(const char* key, const std::string& address) const {
     const auto colon = address.rfind(':');
     const std::string port = colon == std::string::npos ? "" : address.substr(colon + 1);
-    if (port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos) {
+    constexpr unsigned long kMaxPort = 65'535;
+    const bool digits =
+        !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+    if (!digits || std::stoul(port) > kMaxPort) Fail(key, "is no ip:port: " + address);
+  }
+
+  // For addresses that are dialed without a resolver.
+  void CheckIpAddress(const char* key, const std::string& address) const {
+    CheckAddress(key, address);
+    const std::string host = address.substr(0, address.rfind(':'));
+    in6_addr bytes{};
+    if (inet_pton(AF_INET, host.c_str(), &bytes) != 1 && inet_pton(AF_INET6, host.c_str(), &bytes) != 1)
       Fail(key, "is no ip:port: " + address);
-    }
   }
 
   [[noreturn]] void Fail(const char* key, const std::string& why) const {
@@ -130,7 +141,7 @@
   out.agent_listen = own.Address("agent_listen");
   if (out.agent_listen.empty()) out.agent_listen = "127.0.0.1:" + std::to_string(out.first_internal_port);
   out.seeds = file.Get<std::vector<std::string>>("seeds", {});
-  for (const std::string& seed : out.seeds) file.CheckAddress("seeds", seed);
+  for (const std::string& seed : out.seeds) file.CheckIpAddress("seeds", seed);
   out.bootstrap = file.Get<bool>("bootstrap", false);
   out.data_dir = file.Get<std::string>("data_dir", "");
   const Reader limits = file.Section("limits");
--- a/src/fleet/transport/link.cpp
+++ b/src/fleet/transport/link.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <charconv>
 #include <stdexcept>
 
 namespace bitternmux::fleet {
@@ -23,11 +24,23 @@
 
 }  // namespace
 
-tcp::endpoint EndpointFromText(const std::string& address) {
+std::optional<tcp::endpoint> ParseEndpoint(std::string_view address) {
   const auto colon = address.rfind(':');
-  if (colon == std::string::npos) throw std::invalid_argument("no port in " + address);
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+  if (colon == std::string_view::npos) return std::nullopt;
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), error);
+  if (error) return std::nullopt;
+  const std::string_view digits = address.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (failure != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+  return tcp::endpoint(ip, port);
+}
+
+tcp::endpoint EndpointFromText(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) throw std::invalid_argument("no ip:port: " + address);
+  return *endpoint;
 }
 
 std::string WithPort(const std::string& address, std::uint16_t port) {
@@ -155,9 +168,12 @@
   socket_ = tcp::socket(io_);
   const std::uint64_t attempt = ++attempt_;
   const auto self = shared_from_this();
-  socket_.async_connect(EndpointFromText(address_), [self, attempt](const ErrorCode& error) {
+  const auto done = [self, attempt](const ErrorCode& error) {
     if (!self->stopped_ && attempt == self->attempt_) self->Connected(error);
-  });
+  };
+  const auto endpoint = ParseEndpoint(address_);
+  if (!endpoint) return asio::post(io_, [done] { done(asio::error::invalid_argument); });
+  socket_.async_connect(*endpoint, done);
   timer_.expires_after(kDialTimeout);
   timer_.async_wait([self, attempt](const ErrorCode& error) {
     if (error || self->stopped_ || attempt != self->attempt_ || self->link_) return;
--- a/src/fleet/transport/link.h
+++ b/src/fleet/transport/link.h
@@ -10,7 +10,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "fleet/messages/codec.h"
 #include "fleet/messages/messages.h"
@@ -21,7 +23,12 @@
 using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-// The endpoint of an ip:port. Throws boost::system::system_error or std::invalid_argument.
+// The endpoint of an ip:port; none if the text is something else. For addresses that other programs have
+// told.
+std::optional<tcp::endpoint> ParseEndpoint(std::string_view address);
+
+// The same for addresses of this process's own settings. Throws std::invalid_argument if the text is no
+// ip:port.
 tcp::endpoint EndpointFromText(const std::string& address);
 
 // The port of an ip:port replaced.
@@ -74,7 +81,7 @@
   asio::steady_timer pause_;
 };
 
-// Keeps a link to one address: dials, and dials again when it breaks.
+// Keeps a link to one address: dials, and dials again when it breaks. A dial of what is no ip:port fails.
 class Dialer : public std::enable_shared_from_this<Dialer> {
  public:
   struct Handlers {
--- a/src/router/upstream.cpp
+++ b/src/router/upstream.cpp
@@ -120,9 +120,11 @@
 
   void Dial() {
     state_ = State::kDialing;
+    const auto endpoint = fleet::ParseEndpoint(address_);
+    if (!endpoint) return Finish(AttemptEnd::kUnreachable);
     ++pool_.dialed_;
     const auto self = shared_from_this();
-    socket_.async_connect(fleet::EndpointFromText(address_), [self](const error_code& error) {
+    socket_.async_connect(*endpoint, [self](const error_code& error) {
       self->timer_.cancel();
       if (self->state_ != State::kDialing) return;
       error ? self->Finish(IsUnresponsive(error) ? AttemptEnd::kDialTimedOut : AttemptEnd::kUnreachable)
--- a/tests/control/platform_list_test.cpp
+++ b/tests/control/platform_list_test.cpp
@@ -29,6 +29,20 @@
   CHECK_FALSE(is_cold(""));
 }
 
+// Guards against one odd entry that ends each router which dials it, or that takes the whole list along.
+TEST_CASE("platform list: entries whose address is no ip:port are left out and told, the others stay") {
+  const ListPage page = ParseListPage(R"({"instances":[
+    {"service":"s","address":"10.0.0.9:80","id":"i-1"},{"service":"s","address":"","id":"i-2"},
+    {"service":"s","address":"host:80","id":"i-3"},{"service":"s","address":"10.0.0.9","id":"i-4"},
+    {"service":"s","address":"10.0.0.9:0","id":"i-5"},{"service":"s","address":"10.0.0.9:70000","id":"i-6"},
+    {"service":"s","address":"::1:80","id":"i-7"}],"next_token":"p-50"})");
+  REQUIRE(page.servers.size() == 2);
+  CHECK(page.servers[0].id == "i-1");
+  CHECK(page.servers[1].id == "i-7");
+  CHECK(page.unreachable.size() == 5);
+  CHECK(page.next_token == "p-50");
+}
+
 TEST_CASE("platform list: what is no page is an error and no empty list") {
   for (const char* text :
        {"", "{", "[]", "{}", R"({"instances":[{"id":"i"}]})", R"({"instances":3})",
--- a/tests/fleet/settings/node_settings_test.cpp
+++ b/tests/fleet/settings/node_settings_test.cpp
@@ -128,6 +128,9 @@
   CHECK(FaultOf(kGood, "node_name: \"edge-1\"\n", "").find("node_name") != std::string::npos);
   CHECK(FaultOf(kGood, "10.1.0.26:8662", "10.1.0.26").find("listen.front") != std::string::npos);
   CHECK(FaultOf(kGood, "10.1.0.28:8665", "10.1.0.28:port").find("10.1.0.28:port") != std::string::npos);
+  CHECK(FaultOf(kGood, "10.1.0.28:8665", "10.1.0.28:70000").find("10.1.0.28:70000") != std::string::npos);
+  // A seed is dialed without a resolver: one that is read again while the process runs must not end it.
+  CHECK(FaultOf(kGood, "10.1.0.28:8665", "core-1:8665").find("core-1:8665") != std::string::npos);
   CHECK(FaultOf(kGood, "7695", "70").find("internal_ports") != std::string::npos);
   CHECK(FaultOf(kGood, "memory_mb: 260", "memory_mb: much").find("limits.memory_mb") != std::string::npos);
   CHECK(FaultOf(kGood, "bootstrap: true", "bootstrap: [").find("line") != std::string::npos);
--- a/tests/fleet/transport/link_test.cpp
+++ b/tests/fleet/transport/link_test.cpp
@@ -106,6 +106,23 @@
   CHECK(greeter.connected == 1);
 }
 
+// Guards against a process that ends as it dials what another program has told as its address.
+TEST_CASE("dialer: what is no ip:port is a dial that fails, again and again") {
+  asio::io_context io;
+  for (const char* address :
+       {"", "nowhere", "core-1:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "\xff:1"}) {
+    CAPTURE(address);
+    int failed = 0;
+    Dialer::Handlers handlers;
+    handlers.connected = [](const std::shared_ptr<Link>&) { FAIL("connected"); };
+    handlers.failed = [&] { ++failed; };
+    const auto dialer = std::make_shared<Dialer>(io, address, std::move(handlers));
+    REQUIRE_NOTHROW(dialer->Start());
+    CHECK(RunUntil(io, [&] { return failed >= 2; }));
+    dialer->Stop();
+  }
+}
+
 TEST_CASE("dialer: a peer that accepts and closes at once is dialed anew") {
   asio::io_context io;
   tcp::acceptor acceptor(io, AnyPort());
--- a/tests/lab/fleet/fleet_stories.cpp
+++ b/tests/lab/fleet/fleet_stories.cpp
@@ -1,5 +1,7 @@
 // Stories of the built programs on loopback: three control machines and one edge machine between stand-ins.
 // Waits are for what the programs say and answer; nothing sleeps.
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -509,6 +511,33 @@
   CHECK(fleet.Ask(Request("/sheet/6", "r6")).status == 200);
 }
 
+// Guards against one odd entry of the platform's list that ends each router which dials it.
+TEST_CASE("fleet story: servers whose address is none are passed over, and the router serves by the others") {
+  StoryFleet fleet;
+  REQUIRE(fleet.Start());
+  std::vector<ListedServer> servers = {{"sheets-2", "sheets", fleet.server("sheets-2").address()}};
+  const std::vector<std::string> odd = {
+      "",         "nowhere",       "nowhere:80",  "127.0.0.1",           "127.0.0.1:",
+      ":80",      "127.0.0.1:x",   "127.0.0.1:0", "127.0.0.1:-1",        "127.0.0.1:70000",
+      "1.2.3:80", "127.0.0.1:80 ", "[::1",        "99999999999999999999"};
+  for (const std::string& address : odd) servers.push_back({"odd-" + address, "sheets", address});
+  fleet.ListOnly(std::move(servers));
+  REQUIRE(HoldsWithin(std::chrono::seconds(20), [&] {
+    return std::ranges::any_of(std::array{0, 1, 2}, [&](std::size_t i) {
+      return fleet.control(i).ReadLog().find("entries_unusable entries=\"14 ") != std::string::npos;
+    });
+  }));
+  // The router has that list a moment later: the first server is gone then.
+  int on_second = 0;
+  for (int i = 0; i < 20'000 && on_second < 200; ++i) {
+    const Reply reply = fleet.Ask(Request("/sheet/1", "o" + std::to_string(i)));
+    INFO("request " << i);
+    REQUIRE(reply.status == 200);
+    on_second = Holds(reply, "server=sheets-2") ? on_second + 1 : 0;
+  }
+  CHECK(on_second == 200);
+}
+
 TEST_CASE("fleet story: a router that is told to stop finishes what it holds") {
   StoryFleet fleet;
   REQUIRE(fleet.Start());
--- a/tests/router/upstream_test.cpp
+++ b/tests/router/upstream_test.cpp
@@ -463,6 +463,23 @@
   CHECK(attempt->end == AttemptEnd::kUnreachable);
 }
 
+// Guards against a router that ends as it dials an odd entry of the platform's list.
+TEST_CASE("upstream: a server whose address is none is unreachable: nothing was sent") {
+  UpstreamFixture fixture;
+  for (const char* address : {"", "nowhere", "nowhere:80", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:70000"}) {
+    CAPTURE(address);
+    const auto attempt = std::make_shared<Attempt>();
+    AttemptRequest request;
+    request.server = "odd";
+    request.address = address;
+    request.request_id = "a";
+    request.body = std::make_shared<const std::string>();
+    REQUIRE_NOTHROW(fixture.upstream().Begin(std::move(request), attempt));
+    fixture.Await(*attempt);
+    CHECK(attempt->end == AttemptEnd::kUnreachable);
+  }
+}
+
 // A request that was repeated with the same id received the late duplicate response to its first attempt.
 TEST_CASE("upstream: a request with the id of the previous one does not accept that one's late response") {
   UpstreamFixture fixture;
